--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# A fresh machine needs Python 3.11 and these targets only.
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint format
+$(VENV)/.installed: requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --requirement requirements.lock
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m pomelogauge demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m test
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check --diff .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 pomelogauge test
+	$(BIN)/mypy
+	$(BIN)/lint-imports --no-cache
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/pomelogauge/__init__.py
@@ -0,0 +1,3 @@
+"""Serving system for models that span several instances."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/pomelogauge/app/__init__.py
@@ -0,0 +1,1 @@
+"""Composition root, settings, command line, logs, traces and metrics."""
--- /dev/null
+++ b/pomelogauge/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts in files, and the code that reads and runs them."""
--- /dev/null
+++ b/pomelogauge/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure functions of frozen inputs."""
--- /dev/null
+++ b/pomelogauge/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines behind one protocol type."""
--- /dev/null
+++ b/pomelogauge/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that run processes, loads, scenarios and experiments."""
--- /dev/null
+++ b/pomelogauge/model/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen records, identifiers and errors that every part shares."""
--- /dev/null
+++ b/pomelogauge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table service, object store and instance list."""
--- /dev/null
+++ b/pomelogauge/services/__init__.py
@@ -0,0 +1,1 @@
+"""Plain services behind one protocol type."""
--- /dev/null
+++ b/pomelogauge/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own their sockets and state and talk by messages."""
--- /dev/null
+++ b/pomelogauge/tasks/clock.py
@@ -0,0 +1,19 @@
+"""The clock as a protocol type, so that decisions take times as arguments."""
+
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Seconds that only rise; of no meaning in another process."""
+
+    def now_s(self) -> float:
+        """Return the present time in seconds."""
+
+
+class MonotonicClock:
+    """The system's monotonic clock."""
+
+    def now_s(self) -> float:
+        """Return the present time in seconds."""
+        return time.monotonic()
--- /dev/null
+++ b/pomelogauge/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encodings of messages, apart from the decisions."""
--- /dev/null
+++ b/test/test_charts.py
@@ -0,0 +1,65 @@
+"""Tests of the chart reader."""
+
+import unittest
+
+from pomelogauge.charts.reader import bind_text, load_chart, parse_chart
+from pomelogauge.decide.lease_chart import (
+    LEASE_WORDS,
+    LeaseAction,
+    LeaseEvent,
+    LeaseFacts,
+    LeaseState,
+)
+from pomelogauge.model.errors import FindingsError
+
+BROKEN_CHART = """
+statechart:
+  name: broken
+  root state:
+    name: lease
+    initial: absent
+    states:
+      - name: absent
+        transitions:
+          - event: wanted
+            guard: no_such_guard
+            target: held
+          - event: no_such_event
+            target: held
+            action: no_such_action
+      - name: held
+      - name: taking
+      - name: lapsed
+"""
+
+
+class ChartTest(unittest.TestCase):
+    def test_takes_a_free_lease(self) -> None:
+        chart = load_chart('shard_lease', LEASE_WORDS)
+        move = chart.step(
+            chart.initial, LeaseEvent.WANTED, LeaseFacts(unheld=True)
+        )
+        self.assertEqual(move.state, LeaseState.TAKING)
+        self.assertEqual(move.action, LeaseAction.TAKE)
+
+    def test_leaves_a_held_lease(self) -> None:
+        chart = load_chart('shard_lease', LEASE_WORDS)
+        move = chart.step(chart.initial, LeaseEvent.WANTED, LeaseFacts())
+        self.assertEqual(move.state, LeaseState.ABSENT)
+        self.assertIsNone(move.action)
+
+    def test_reports_all_findings_together(self) -> None:
+        words = LEASE_WORDS
+        with self.assertRaises(FindingsError) as caught:
+            bind_text('broken', BROKEN_CHART, words)
+        said = str(caught.exception)
+        self.assertIn('guard no_such_guard is missing in the code', said)
+        self.assertIn('no_such_action: action is missing in the code', said)
+        self.assertIn('no_such_event: event is missing in the code', said)
+        self.assertIn('taking: state is unreachable', said)
+        self.assertIn('held: event wanted is not handled', said)
+
+    def test_text_that_is_no_chart_is_a_finding(self) -> None:
+        for text in ('', '[]', 'statechart: 3', '{', 'statechart:\n  name: x'):
+            with self.subTest(text), self.assertRaises(FindingsError):
+                parse_chart('bad', text)
