--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: demo test lint format
+.PHONY: demo test lint format proto
 $(VENV)/.installed: requirements.lock
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check --requirement requirements.lock
@@ -25,3 +25,7 @@
 format: $(VENV)/.installed
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+proto: $(VENV)/.installed
+	cd pomelogauge/wire && ../../$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --pyi_out=. --grpc_python_out=. peer.proto
+	sed -i 's/^import peer_pb2 as/from . import peer_pb2 as/' pomelogauge/wire/peer_pb2_grpc.py
--- /dev/null
+++ b/pomelogauge/app/settings.py
@@ -0,0 +1,1 @@
+"""Settings of the daemons, given by flags and environment variables."""
