--- /dev/null
+++ b/pomelogauge/tasks/messages.py
@@ -0,0 +1,263 @@
+"""Messages that cross from one part to another."""
+
+from dataclasses import dataclass
+
+from ..model.ids import (
+    Address,
+    ConfigVersion,
+    Epoch,
+    NodeName,
+    ReplicaId,
+    RequestId,
+    ShardName,
+)
+from ..model.manifest import Configuration
+from ..model.peers import (
+    ExchangeAnswer,
+    ExchangeAsk,
+    NodePhase,
+    NodeReport,
+    PeerView,
+)
+from ..model.placement import ReplicaView
+from ..model.request import (
+    ModelRequest,
+    Place,
+    PlaceEnd,
+    Refusal,
+    ServicePlace,
+    ServiceRequest,
+)
+from ..model.topology import Instance
+from .mailbox import Outbox
+
+
+@dataclass(frozen=True)
+class ConfigurationInForce:
+    """A newer configuration is in force in this process."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True)
+class PeersChanged:
+    """The live peers, or what they report, have changed."""
+
+    peers: tuple[PeerView, ...]
+
+
+@dataclass(frozen=True)
+class InstancesListed:
+    """The platform's instance list was read."""
+
+    instances: tuple[Instance, ...]
+
+
+@dataclass(frozen=True)
+class PhaseChanged:
+    """This process has entered another phase."""
+
+    phase: NodePhase
+
+
+@dataclass(frozen=True)
+class PeerHeard:
+    """A peer's gossip arrived.
+
+    Parameters
+    ----------
+    sender
+        The peer's own report.
+    others
+        What it knows of others.
+    reply
+        Takes this process's own gossip; ``None`` for an answer to ours.
+
+    """
+
+    sender: NodeReport
+    others: tuple[PeerView, ...]
+    reply: 'Outbox[Gossip] | None' = None
+
+
+@dataclass(frozen=True)
+class Gossip:
+    """What one process tells another."""
+
+    sender: NodeReport
+    others: tuple[PeerView, ...]
+
+
+@dataclass(frozen=True)
+class ConfigurationDocument:
+    """An encoded configuration on its way.
+
+    Parameters
+    ----------
+    version
+        Its version; zero with an empty document when the sender has none.
+    document
+        The encoded configuration.
+    sender
+        Node that sent it.
+
+    """
+
+    version: ConfigVersion
+    document: bytes
+    sender: NodeName
+
+
+@dataclass(frozen=True)
+class ConfigurationAsked:
+    """A peer or the interface asks for the configuration in force."""
+
+    reply: Outbox[ConfigurationDocument]
+
+
+@dataclass(frozen=True)
+class ConfigurationPushed:
+    """A peer pushes a configuration; the answer is the version in force."""
+
+    document: ConfigurationDocument
+    reply: Outbox[ConfigVersion]
+
+
+@dataclass(frozen=True)
+class ExchangeAsked:
+    """A router's exchange arrived at this controller."""
+
+    ask: ExchangeAsk
+    reply: Outbox[ExchangeAnswer]
+
+
+@dataclass(frozen=True)
+class ExchangeDone:
+    """A router's exchange with one controller has ended.
+
+    Parameters
+    ----------
+    controller
+        Node asked.
+    asked_at_s
+        Own clock before the ask was sent; grants count from here.
+    answer
+        ``None`` when the controller did not answer.
+
+    """
+
+    controller: NodeName
+    asked_at_s: float
+    answer: ExchangeAnswer | None
+
+
+@dataclass(frozen=True)
+class ShardViews:
+    """What the owner of a shard says of its replicas.
+
+    Parameters
+    ----------
+    shard
+        The shard.
+    lease_epoch
+        Epoch of its lease.
+    held
+        The lease is held; ``False`` once it lapsed or was lost.
+    views
+        All replicas of the shard.
+
+    """
+
+    shard: ShardName
+    lease_epoch: Epoch
+    held: bool
+    views: tuple[ReplicaView, ...]
+
+
+@dataclass(frozen=True)
+class AskPlace:
+    """A caller's task asks the dispatcher for a place.
+
+    Parameters
+    ----------
+    request
+        The request.
+    asked_at_s
+        Own clock when the request arrived.
+    reply
+        Takes one answer.
+    avoid
+        Replicas already tried for this request.
+
+    """
+
+    request: ModelRequest
+    asked_at_s: float
+    reply: Outbox['Place | Refusal']
+    avoid: tuple[ReplicaId, ...] = ()
+
+
+@dataclass(frozen=True)
+class AskServicePlace:
+    """A caller's task asks for an instance of a plain service."""
+
+    request: ServiceRequest
+    asked_at_s: float
+    reply: Outbox['ServicePlace | Refusal']
+    avoid: tuple[Address, ...] = ()
+
+
+@dataclass(frozen=True)
+class FreePlace:
+    """A caller's task gives its place back."""
+
+    request: RequestId
+    end: PlaceEnd
+
+
+@dataclass(frozen=True)
+class ForgetRequest:
+    """The caller has left; a waiting request is dropped."""
+
+    request: RequestId
+
+
+@dataclass(frozen=True)
+class Entries:
+    """Answer to callers: which addresses to use, and for how long.
+
+    Parameters
+    ----------
+    addresses
+        ``host:port`` of routers, best first.
+    ttl_s
+        Seconds for which the caller may keep the answer.
+
+    """
+
+    addresses: tuple[Address, ...]
+    ttl_s: float
+
+
+@dataclass(frozen=True)
+class EntriesAsked:
+    """A caller asks which addresses to use."""
+
+    reply: Outbox[Entries]
+
+
+@dataclass(frozen=True)
+class NodeStatus:
+    """What operators see of one process."""
+
+    sender: NodeReport
+    peers: tuple[PeerView, ...]
+    views: tuple[ReplicaView, ...] = ()
+    shards: tuple[ShardName, ...] = ()
+
+
+@dataclass(frozen=True)
+class StatusAsked:
+    """The operators' command asks for the status."""
+
+    reply: Outbox[NodeStatus]
