--- a/pomelogauge/tasks/messages.py
+++ b/pomelogauge/tasks/messages.py
@@ -55,7 +55,7 @@
 
 @dataclass(frozen=True)
 class PhaseChanged:
-    """This process has entered another phase."""
+    """The own process has entered another phase."""
 
     phase: NodePhase
 
