--- /dev/null
+++ b/test/test_shutdown.py
@@ -0,0 +1,77 @@
+"""Tests of the shutdown task."""
+
+import unittest
+
+from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide.shutdown_chart import SHUTDOWN_WORDS
+from pomelogauge.model.peers import NodePhase
+from pomelogauge.tasks.mailbox import Mailbox
+from pomelogauge.tasks.messages import PhaseChanged
+from pomelogauge.tasks.shutdown import (
+    RunningAsked,
+    RunningCounted,
+    ShutdownActor,
+    ShutdownAsked,
+    ShutdownPorts,
+    ShutdownTimes,
+)
+
+LEAVING = PhaseChanged(NodePhase.LEAVING)
+
+
+class FakeClock:
+    def __init__(self) -> None:
+        self.time_s = 0.0
+
+    def now_s(self) -> float:
+        return self.time_s
+
+
+class ShutdownTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.membership: Mailbox[PhaseChanged] = Mailbox()
+        self.dispatcher: Mailbox[PhaseChanged] = Mailbox()
+        self.counter: Mailbox[RunningAsked] = Mailbox()
+        self.stops: list[str] = []
+        ports = ShutdownPorts(
+            self.membership,
+            self.dispatcher,
+            self.counter,
+            lambda: self.stops.append('stop'),
+        )
+        chart = load_chart('router_shutdown', SHUTDOWN_WORDS)
+        times = ShutdownTimes(answer_life_s=2, limit_s=30)
+        self.actor = ShutdownActor(chart, times, ports, self.clock)
+        self.actor.listen_on(Mailbox())
+
+    def test_serves_kept_answers_and_then_finishes_what_runs(self) -> None:
+        self.actor.on_message(ShutdownAsked('signal'))
+        self.assertEqual(self.membership.take(0), LEAVING)
+        self.clock.time_s = 1.9
+        self.actor.on_timer()
+        self.assertIsNone(self.dispatcher.take(0))
+        self.clock.time_s = 2.0
+        self.actor.on_timer()
+        self.assertEqual(self.dispatcher.take(0), LEAVING)
+        self.actor.on_message(RunningCounted(1))
+        self.assertEqual(self.stops, [])
+        self.actor.on_message(RunningCounted(0))
+        self.assertEqual(self.stops, ['stop'])
+        self.assertIsNone(self.actor.on_timer())
+
+    def test_second_signal_cuts_nothing(self) -> None:
+        self.actor.on_message(ShutdownAsked('signal'))
+        self.actor.on_message(ShutdownAsked('signal'))
+        self.assertEqual(self.dispatcher.take(0), LEAVING)
+        self.actor.on_message(ShutdownAsked('signal'))
+        self.actor.on_message(RunningCounted(1))
+        self.assertEqual(self.stops, [])
+
+    def test_limit_ends_a_stuck_shutdown(self) -> None:
+        self.actor.on_message(ShutdownAsked('signal'))
+        self.clock.time_s = 2.0
+        self.actor.on_timer()
+        self.clock.time_s = 30.0
+        self.actor.on_timer()
+        self.assertEqual(self.stops, ['stop'])
