--- a/pomelogauge/app/traces.py
+++ b/pomelogauge/app/traces.py
@@ -36,7 +36,7 @@
     resource = Resource.create(
         {'service.name': f'pomelogauge-{role}', 'service.instance.id': node},
     )
-    exporter = ConsoleSpanExporter(_open(trace_file), formatter=_line)
+    exporter = ConsoleSpanExporter(out=_open(trace_file), formatter=_line)
     provider = TracerProvider(resource=resource)
     provider.add_span_processor(BatchSpanProcessor(exporter))
     trace.set_tracer_provider(provider)
--- a/pomelogauge/lab/processes.py
+++ b/pomelogauge/lab/processes.py
@@ -196,7 +196,7 @@
 
     def end_all(self) -> None:
         """End all processes, the last started first."""
-        ordered = list(self._processes.values())[::-1]
+        ordered = tuple(reversed(self._processes.values()))
         for process in ordered:
             process.resume()
             process.send(signal.SIGTERM)
