--- /dev/null
+++ b/pomelogauge/client.py
@@ -0,0 +1,307 @@
+"""A library for callers: asks which address to use, keeps it, connects."""
+
+import json
+import time
+import uuid
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+from returns.result import Failure, Result, Success
+
+#: Seconds that a call to ask for addresses may take.
+ENTRY_TIMEOUT_S = 2.0
+#: Seconds without a byte after which an answer counts as lost.
+SILENCE_LIMIT_S = 60.0
+#: Tries of a request that was not run, the first one included.
+TRIES = 4
+_OK = 200
+_DONE = '[DONE]'
+_FIELD = b'data:'
+
+
+@dataclass(frozen=True)
+class CallError:
+    """A request that got no answer.
+
+    Parameters
+    ----------
+    code
+        Code of the refusal, or ``unreachable`` or ``cut``.
+    message
+        One sentence.
+    execution
+        ``not_run``, ``may_have_run`` or ``ran``.
+    retry_after_s
+        Seconds after which a repeat may succeed; zero for no hint.
+
+    """
+
+    code: str
+    message: str
+    execution: str
+    retry_after_s: float = 0
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the same request may be sent again without harm."""
+        return self.execution == 'not_run'
+
+
+@dataclass(frozen=True)
+class ChatAnswer:
+    """A whole answer of a model.
+
+    Parameters
+    ----------
+    request
+        Identifier of the request.
+    text
+        The answer.
+    first_token_s
+        Seconds until the first token.
+    token_times_s
+        Seconds from the start to each token.
+
+    """
+
+    request: str
+    text: str
+    first_token_s: float
+    token_times_s: tuple[float, ...]
+
+
+@dataclass(frozen=True)
+class KeptEntries:
+    """Addresses that a router named, and until when they may be used."""
+
+    addresses: tuple[str, ...] = ()
+    expires_at_s: float = 0
+
+
+class Client:
+    """Calls models and plain services; belongs to one thread.
+
+    Parameters
+    ----------
+    seeds
+        ``host:port`` of some routers, to ask for the first time.
+    key
+        The organisation's key.
+    scheme
+        ``http`` or ``https``.
+    pool
+        Connections; ``None`` opens a pool of its own.
+
+    """
+
+    def __init__(
+        self,
+        seeds: tuple[str, ...],
+        key: str,
+        scheme: str = 'http',
+        pool: urllib3.PoolManager | None = None,
+    ) -> None:
+        """Open no connection yet."""
+        self._seeds = seeds
+        self._scheme = scheme
+        self._headers = {'Authorization': f'Bearer {key}'}
+        self._kept = KeptEntries()
+        self._pool = pool or urllib3.PoolManager(retries=False)
+
+    def entries(self) -> tuple[str, ...]:
+        """Return the addresses to use, best first."""
+        if (
+            not self._kept.addresses
+            or time.monotonic() >= self._kept.expires_at_s
+        ):
+            self._ask_entries()
+        return self._kept.addresses or self._seeds
+
+    def chat(
+        self,
+        model: str,
+        prompt: str,
+        max_tokens: int = 32,
+    ) -> Result[ChatAnswer, CallError]:
+        """Ask a model and read the whole streamed answer.
+
+        A request that was not run is sent again, to another router.
+        """
+        body = {
+            'model': model,
+            'stream': True,
+            'max_tokens': max_tokens,
+            'messages': [{'role': 'user', 'content': prompt}],
+        }
+        return self._try_all('/v1/chat/completions', json.dumps(body), '')
+
+    def call(
+        self,
+        service: str,
+        call: str,
+        body: Any,
+        idempotency_key: str = '',
+    ) -> Result[Any, CallError]:
+        """Call a plain service and return its decoded answer.
+
+        Parameters
+        ----------
+        service, call
+            What is called.
+        body
+            Sent as JSON.
+        idempotency_key
+            Names the booking or payment; drawn when empty. A repeat after an
+            error that is not ``not_run`` must use the same key.
+
+        """
+        key = idempotency_key or uuid.uuid4().hex
+        path = f'/v1/services/{service}/{call}'
+        return self._try_all(path, json.dumps(body), key)
+
+    def _ask_entries(self) -> None:
+        for address in (*self._kept.addresses, *self._seeds):
+            asked_at_s = time.monotonic()
+            answer = self._get_entries(address)
+            if answer:
+                expires_at_s = asked_at_s + float(answer['ttl_s'])
+                named = tuple(answer['addresses'])
+                self._kept = KeptEntries(named, expires_at_s)
+                return
+
+    def _get_entries(self, address: str) -> Any:
+        url = f'{self._scheme}://{address}/v1/entry'
+        try:
+            answer = self._pool.request(
+                'GET',
+                url,
+                headers=self._headers,
+                timeout=ENTRY_TIMEOUT_S,
+            )
+            return answer.json() if answer.status == _OK else None
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return None
+
+    def _try_all(
+        self, path: str, body: str, key: str
+    ) -> Result[Any, CallError]:
+        error = CallError('unreachable', 'no router is known', 'not_run')
+        entries = self.entries()
+        for number in range(TRIES):
+            if not entries:
+                break
+            address = entries[number % len(entries)]
+            outcome = self._send(address, path, body, key)
+            if not isinstance(outcome, Failure):
+                return outcome
+            error = outcome.failure()
+            if not error.repeatable:
+                break
+            if error.retry_after_s:
+                # The router knows when capacity comes back.
+                time.sleep(min(error.retry_after_s, ENTRY_TIMEOUT_S))
+        return Failure(error)
+
+    def _send(
+        self,
+        address: str,
+        path: str,
+        body: str,
+        key: str,
+    ) -> Result[Any, CallError]:
+        headers = {**self._headers, 'Content-Type': 'application/json'}
+        if key:
+            headers['Idempotency-Key'] = key
+        begun_s = time.monotonic()
+        timeout = urllib3.Timeout(connect=ENTRY_TIMEOUT_S, read=SILENCE_LIMIT_S)
+        try:
+            answer = self._pool.request(
+                'POST',
+                f'{self._scheme}://{address}{path}',
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                preload_content=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            return Failure(CallError('unreachable', str(exc), 'not_run'))
+        except urllib3.exceptions.HTTPError as exc:
+            return Failure(CallError('cut', str(exc), 'may_have_run'))
+        return _read(answer, begun_s)
+
+
+def _read(
+    answer: urllib3.BaseHTTPResponse,
+    begun_s: float,
+) -> Result[Any, CallError]:
+    try:
+        if answer.status != _OK:
+            return Failure(_refusal(answer))
+        if 'event-stream' in answer.headers.get('Content-Type', ''):
+            return _read_stream(answer, begun_s)
+        return Success(json.loads(answer.read()))
+    except (urllib3.exceptions.HTTPError, ValueError) as exc:
+        answer.close()
+        return Failure(CallError('cut', str(exc), 'may_have_run'))
+    finally:
+        answer.release_conn()
+
+
+def _refusal(answer: urllib3.BaseHTTPResponse) -> CallError:
+    said = json.loads(answer.read())['error']
+    return CallError(
+        said.get('code', 'unknown'),
+        said.get('message', ''),
+        said.get('execution', 'may_have_run'),
+        float(said.get('retry_after_s') or 0),
+    )
+
+
+def _read_stream(
+    answer: urllib3.BaseHTTPResponse,
+    begun_s: float,
+) -> Result[ChatAnswer, CallError]:
+    texts: list[str] = []
+    times_s: list[float] = []
+    for event in _events(answer):
+        if event == _DONE:
+            request = answer.headers.get('X-Request-Id', '')
+            first_s = times_s[0] if times_s else 0
+            whole = ''.join(texts)
+            return Success(
+                ChatAnswer(request, whole, first_s, tuple(times_s)),
+            )
+        chunk = json.loads(event)
+        if 'error' in chunk:
+            return Failure(_stream_error(chunk['error']))
+        text = chunk['choices'][0]['delta'].get('content')
+        if text:
+            texts.append(text)
+            times_s.append(time.monotonic() - begun_s)
+    answer.close()
+    message = 'the answer ended without its explicit end'
+    return Failure(CallError('cut', message, 'may_have_run'))
+
+
+def _stream_error(said: Any) -> CallError:
+    return CallError(
+        said.get('code', 'unknown'),
+        said.get('message', ''),
+        said.get('execution', 'may_have_run'),
+    )
+
+
+def _events(answer: urllib3.BaseHTTPResponse) -> Iterator[str]:
+    """Yield the data of each server-sent event as it arrives."""
+    rest = b''
+    for part in answer.stream(amt=None):
+        rest += part
+        *lines, rest = rest.split(b'\n')
+        for line in lines:
+            if line.startswith(_FIELD):
+                yield line[len(_FIELD) :].strip().decode()
