--- a/pomelogauge/client.py
+++ b/pomelogauge/client.py
@@ -3,12 +3,13 @@
 import json
 import time
 import uuid
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
 import urllib3
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
+
+from .wire.caller_answers import CallError, ChatAnswer, read_answer
 
 #: Seconds that a call to ask for addresses may take.
 ENTRY_TIMEOUT_S = 2.0
@@ -17,59 +18,6 @@
 #: Tries of a request that was not run, the first one included.
 TRIES = 4
 _OK = 200
-_DONE = '[DONE]'
-_FIELD = b'data:'
-
-
-@dataclass(frozen=True)
-class CallError:
-    """A request that got no answer.
-
-    Parameters
-    ----------
-    code
-        Code of the refusal, or ``unreachable`` or ``cut``.
-    message
-        One sentence.
-    execution
-        ``not_run``, ``may_have_run`` or ``ran``.
-    retry_after_s
-        Seconds after which a repeat may succeed; zero for no hint.
-
-    """
-
-    code: str
-    message: str
-    execution: str
-    retry_after_s: float = 0
-
-    @property
-    def repeatable(self) -> bool:
-        """Whether the same request may be sent again without harm."""
-        return self.execution == 'not_run'
-
-
-@dataclass(frozen=True)
-class ChatAnswer:
-    """A whole answer of a model.
-
-    Parameters
-    ----------
-    request
-        Identifier of the request.
-    text
-        The answer.
-    first_token_s
-        Seconds until the first token.
-    token_times_s
-        Seconds from the start to each token.
-
-    """
-
-    request: str
-    text: str
-    first_token_s: float
-    token_times_s: tuple[float, ...]
 
 
 @dataclass(frozen=True)
@@ -232,76 +180,4 @@
             return Failure(CallError('unreachable', str(exc), 'not_run'))
         except urllib3.exceptions.HTTPError as exc:
             return Failure(CallError('cut', str(exc), 'may_have_run'))
-        return _read(answer, begun_s)
-
-
-def _read(
-    answer: urllib3.BaseHTTPResponse,
-    begun_s: float,
-) -> Result[Any, CallError]:
-    try:
-        if answer.status != _OK:
-            return Failure(_refusal(answer))
-        if 'event-stream' in answer.headers.get('Content-Type', ''):
-            return _read_stream(answer, begun_s)
-        return Success(json.loads(answer.read()))
-    except (urllib3.exceptions.HTTPError, ValueError) as exc:
-        answer.close()
-        return Failure(CallError('cut', str(exc), 'may_have_run'))
-    finally:
-        answer.release_conn()
-
-
-def _refusal(answer: urllib3.BaseHTTPResponse) -> CallError:
-    said = json.loads(answer.read())['error']
-    return CallError(
-        said.get('code', 'unknown'),
-        said.get('message', ''),
-        said.get('execution', 'may_have_run'),
-        float(said.get('retry_after_s') or 0),
-    )
-
-
-def _read_stream(
-    answer: urllib3.BaseHTTPResponse,
-    begun_s: float,
-) -> Result[ChatAnswer, CallError]:
-    texts: list[str] = []
-    times_s: list[float] = []
-    for event in _events(answer):
-        if event == _DONE:
-            request = answer.headers.get('X-Request-Id', '')
-            first_s = times_s[0] if times_s else 0
-            whole = ''.join(texts)
-            return Success(
-                ChatAnswer(request, whole, first_s, tuple(times_s)),
-            )
-        chunk = json.loads(event)
-        if 'error' in chunk:
-            return Failure(_stream_error(chunk['error']))
-        text = chunk['choices'][0]['delta'].get('content')
-        if text:
-            texts.append(text)
-            times_s.append(time.monotonic() - begun_s)
-    answer.close()
-    message = 'the answer ended without its explicit end'
-    return Failure(CallError('cut', message, 'may_have_run'))
-
-
-def _stream_error(said: Any) -> CallError:
-    return CallError(
-        said.get('code', 'unknown'),
-        said.get('message', ''),
-        said.get('execution', 'may_have_run'),
-    )
-
-
-def _events(answer: urllib3.BaseHTTPResponse) -> Iterator[str]:
-    """Yield the data of each server-sent event as it arrives."""
-    rest = b''
-    for part in answer.stream(amt=None):
-        rest += part
-        *lines, rest = rest.split(b'\n')
-        for line in lines:
-            if line.startswith(_FIELD):
-                yield line[len(_FIELD) :].strip().decode()
+        return read_answer(answer, begun_s)
--- a/pomelogauge/lab/demo.py
+++ b/pomelogauge/lab/demo.py
@@ -9,8 +9,9 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from ..client import CallError, ChatAnswer, Client
+from ..client import Client
 from ..model.topology import InstanceRole
+from ..wire.caller_answers import CallError, ChatAnswer
 from .cluster import Cluster, ClusterSpec
 from .manifests import (
     MODEL,
