--- a/pomelogauge/lab/load.py
+++ b/pomelogauge/lab/load.py
@@ -16,6 +16,8 @@
 
 #: Prefixes shared by the prompts of one organisation.
 SHARED_PREFIXES = 8
+#: Share of the requests that the first organisation sends.
+LARGE_SHARE = 0.5
 #: Seconds that late requests may take after the last arrival.
 GRACE_S = 60.0
 _PREFIX_WORDS = 40
@@ -132,7 +134,7 @@
 
 def run_load(
     spec: LoadSpec,
-    progress: Callable[[int], None] = lambda done: None,
+    progress: Callable[[int], None] | None = None,
 ) -> tuple[Sent, ...]:
     """Send a load and return what became of every arrival.
 
@@ -153,7 +155,7 @@
     count = _send_all(spec, start_s, work)
     for _ in range(spec.callers):
         work.put(None)
-    return tuple(_collect(done, count, progress))
+    return tuple(_collect(done, count, progress or _ignore))
 
 
 def _send_all(
@@ -220,8 +222,12 @@
         return Sent(arrival, begun_s, ended_s, answer)
 
 
+def _ignore(done: int) -> None:
+    """Show no progress."""
+
+
 def _organisation(rng: random.Random, names: tuple[str, ...]) -> str:
-    if len(names) == 1 or rng.random() < 0.5:
+    if len(names) == 1 or rng.random() < LARGE_SHARE:
         return names[0]
     return rng.choice(names[1:])
 
