Define the settings of router and controller

One dataclass field gives flag, environment variable, help and bounds. All values and the order between durations are checked together, so that one start shows every finding. exchange_interval_s is common to both daemons, since the controller checks its grants' life against it.

--- a/pomelogauge/app/settings.py
+++ b/pomelogauge/app/settings.py
@@ -1,1 +1,230 @@
 """Settings of the daemons, given by flags and environment variables."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, TypeVar
+
+from ..model.errors import Finding, FindingsError, Place
+from ..model.ids import Address, DataCentreName, NodeName
+from .setting_fields import (
+    Form,
+    GivenText,
+    Hint,
+    find_texts,
+    parse_values,
+    setting,
+)
+
+_MAX_PORT = 65535
+_MAX_PERIOD_S = 3600
+_MAX_THREADS = 4096
+_MIB = 1 << 20
+_GIB = 1 << 30
+_NAME = Form('name of letters, digits and ._-', '[A-Za-z0-9][A-Za-z0-9._-]*')
+_ADDRESS = Form('address host:port', r'[^\s:/]+:[0-9]{1,5}')
+
+
+class LogLevel(StrEnum):
+    """Least severe log records that are written."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
+def _period(text: str) -> Hint:
+    return Hint(f'{text}, in seconds.', 0, _MAX_PERIOD_S, exclusive=True)
+
+
+def _port(text: str) -> Hint:
+    return Hint(f'{text}; 0 takes any free port.', 0, _MAX_PORT)
+
+
+def _count(text: str, maximum: int) -> Hint:
+    return Hint(text, 1, maximum)
+
+
+@dataclass(frozen=True, kw_only=True)
+class CommonSettings:
+    """Settings that routers and controllers share.
+
+    Every field is explained by its help text, which the command line and
+    the settings page show.
+    """
+
+    node: NodeName = setting(Hint('Name of this process.', form=_NAME))
+    data_centre: DataCentreName = setting(
+        Hint('Data centre that this process stands in.', form=_NAME)
+    )
+    region: str = setting(Hint('Region of the data centre.'), '')
+    platform: Address = setting(
+        Hint('Address of the platform, host:port.', form=_ADDRESS)
+    )
+    listen: str = setting(Hint('IP number to listen on.'), '127.0.0.1')
+    peer_port: int = setting(_port('Port for gRPC from peers'), 0)
+    advertise: str = setting(
+        Hint('IP number that others connect to; empty takes --listen.'), ''
+    )
+    renewal_s: float = setting(_period('Time between lease renewals'), 0.5)
+    lease_term_s: float = setting(_period('Life of a lease'), 2.0)
+    lease_margin_s: float = setting(
+        _period('Time that a taker waits beyond the life of a lease'), 1.0
+    )
+    gossip_interval_s: float = setting(
+        _period('Time between gossip to peers'), 0.25
+    )
+    exchange_interval_s: float = setting(
+        _period('Time between exchanges of a router with a controller'), 0.25
+    )
+    platform_timeout_s: float = setting(
+        _period('Deadline of a call to the platform'), 2.0
+    )
+    pull_interval_s: float = setting(
+        _period('Time between reads of the configuration'), 1.0
+    )
+    peer_timeout_s: float = setting(
+        _period('Deadline of a call to a peer'), 1.0
+    )
+    cut_off_after_s: float = setting(
+        _period('Time without a confirmed configuration before new work stops'),
+        3.0,
+    )
+    log_level: LogLevel = setting(
+        Hint('Least severe log records written: debug, info, warning, error.'),
+        LogLevel.INFO,
+    )
+    trace_file: str = setting(
+        Hint('File for traces; empty for none, - for standard error.'), ''
+    )
+    allow_cuts: bool = setting(
+        Hint('Let tests cut the links of this process.'), False
+    )
+
+    @property
+    def advertised_host(self) -> str:
+        """Host that others connect to."""
+        return self.advertise or self.listen
+
+
+@dataclass(frozen=True, kw_only=True)
+class RouterSettings(CommonSettings):
+    """Settings of a router."""
+
+    port: int = setting(_port('Port for HTTP from callers'), 0)
+    worker_threads: int = setting(
+        _count('Requests served at once, in threads.', _MAX_THREADS), 192
+    )
+    entry_ttl_s: float = setting(
+        _period('Time that callers may keep an entry address'), 2.0
+    )
+    max_body_bytes: int = setting(
+        _count('Longest body of a request, in bytes.', _GIB), _MIB
+    )
+    queue_limit: int = setting(
+        _count('Requests that wait at once, in requests.', _MIB), 512
+    )
+    shutdown_limit_s: float = setting(
+        _period('Time that a graceful shutdown waits for requests'), 30.0
+    )
+    header_timeout_s: float = setting(
+        _period('Deadline for the headers of a request'), 10.0
+    )
+
+
+@dataclass(frozen=True, kw_only=True)
+class ControllerSettings(CommonSettings):
+    """Settings of a controller."""
+
+    http_port: int = setting(_port('Port for health and metrics'), 0)
+    watch_interval_s: float = setting(
+        _period('Time between reads of the status of an engine'), 0.25
+    )
+    watch_timeout_s: float = setting(
+        _period('Deadline of a read of the status of an engine'), 0.5
+    )
+    lost_after_s: float = setting(
+        _period('Silence after which an engine counts as lost'), 1.0
+    )
+    grant_life_s: float = setting(_period('Life of a grant of capacity'), 1.5)
+    order_timeout_s: float = setting(
+        _period('Deadline of an order to an engine'), 0.5
+    )
+
+
+@dataclass(frozen=True)
+class Ordering:
+    """Rule that one setting times a factor stays below another."""
+
+    smaller: str
+    larger: str
+    factor: float = 1
+
+
+ORDERINGS = (
+    Ordering('renewal_s', 'lease_term_s', factor=2),
+    Ordering('gossip_interval_s', 'cut_off_after_s', factor=2),
+    Ordering('pull_interval_s', 'cut_off_after_s'),
+    Ordering('peer_timeout_s', 'cut_off_after_s'),
+    # An order may not live on when another controller takes the lease.
+    Ordering('order_timeout_s', 'lease_margin_s'),
+    Ordering('exchange_interval_s', 'grant_life_s', factor=2),
+    Ordering('watch_interval_s', 'lost_after_s', factor=2),
+    Ordering('watch_timeout_s', 'lost_after_s'),
+)
+
+SettingsT = TypeVar('SettingsT')
+
+
+def read_settings(
+    record: type[SettingsT],
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> SettingsT:
+    """Return the settings of a daemon.
+
+    Parameters
+    ----------
+    record
+        Settings record to fill.
+    flags
+        Texts of the flags by field name; ``None`` when not given.
+    environment
+        Environment variables.
+
+    Raises
+    ------
+    FindingsError
+        Every finding with its flag or environment variable.
+
+    """
+    given = find_texts(record, flags, environment)
+    parsed = parse_values(record, given)
+    findings = (*parsed.findings, *_ordering_findings(parsed.found, given))
+    if findings:
+        raise FindingsError(findings)
+    return record(**parsed.found)
+
+
+def _ordering_findings(
+    found: Mapping[str, Any],
+    given: Mapping[str, GivenText],
+) -> Iterator[Finding]:
+    for rule in ORDERINGS:
+        if rule.smaller not in found or rule.larger not in found:
+            continue
+        if found[rule.smaller] * rule.factor >= found[rule.larger]:
+            yield Finding(_place(rule, given), _ordering_message(rule))
+
+
+def _place(rule: Ordering, given: Mapping[str, GivenText]) -> Place:
+    for name in (rule.smaller, rule.larger):
+        if name in given:
+            return given[name].place
+    return Place(rule.smaller)
+
+
+def _ordering_message(rule: Ordering) -> str:
+    times = f'{rule.factor:g} times ' if rule.factor > 1 else ''
+    return f'{times}{rule.smaller} must be below {rule.larger}'
