--- a/pomelogauge/wire/configuration_document.py
+++ b/pomelogauge/wire/configuration_document.py
@@ -6,11 +6,12 @@
 
 from returns.result import Failure, Result, Success
 
+from ..model.document import DocumentFault
 from ..model.errors import Finding, Place
 from ..model.ids import ConfigVersion, DataCentreName
 from ..model.manifest import Configuration
 from .manifest_records import build_manifest
-from .schema import Violation, configuration_violations
+from .schema import configuration_faults
 
 SOURCE = 'configuration'
 
@@ -41,7 +42,7 @@
         document = json.loads(body)
     except (ValueError, RecursionError) as exc:
         return Failure((Finding(Place(SOURCE), f'no JSON: {exc}'),))
-    findings = tuple(map(_finding, configuration_violations(document)))
+    findings = tuple(map(_finding, configuration_faults(document)))
     if findings:
         return Failure(findings)
     return Success(_configuration(document))
@@ -56,6 +57,6 @@
     )
 
 
-def _finding(violation: Violation) -> Finding:
-    path = '/'.join(map(str, violation.path))
-    return Finding(Place(SOURCE, path=path), violation.message)
+def _finding(fault: DocumentFault) -> Finding:
+    path = '/'.join(map(str, fault.path))
+    return Finding(Place(SOURCE, path=path), fault.message)
--- a/pomelogauge/wire/schema.py
+++ b/pomelogauge/wire/schema.py
@@ -2,42 +2,27 @@
 
 import json
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
 from functools import lru_cache
 from importlib.resources import files
 
 from jsonschema import Draft202012Validator
 
-SCHEMA_FILE = 'manifest.schema.json'
-
-PathPart = str | int
-
+from ..model.document import DocumentFault
 
-@dataclass(frozen=True)
-class Violation:
-    """One rule of a schema that a document breaks.
-
-    Parameters
-    ----------
-    path
-        Keys and indexes from the root of the document.
-    message
-        What is wrong there.
-
-    """
+SCHEMA_FILE = 'manifest.schema.json'
 
-    path: tuple[PathPart, ...]
-    message: str
+#: Longest message of a fault, in characters.
+_MAX_MESSAGE = 200
 
 
-def manifest_violations(document: object) -> Iterator[Violation]:
-    """Yield every violation of the manifest's schema."""
-    return _violations(_manifest_validator(), document)
+def manifest_faults(document: object) -> Iterator[DocumentFault]:
+    """Yield every breach of the manifest's schema."""
+    return _faults(_manifest_validator(), document)
 
 
-def configuration_violations(document: object) -> Iterator[Violation]:
-    """Yield every violation of the schema of a published configuration."""
-    return _violations(_configuration_validator(), document)
+def configuration_faults(document: object) -> Iterator[DocumentFault]:
+    """Yield every breach of the schema of a published configuration."""
+    return _faults(_configuration_validator(), document)
 
 
 def manifest_schema() -> Mapping[str, object]:
@@ -47,12 +32,14 @@
     return schema
 
 
-def _violations(
+def _faults(
     validator: Draft202012Validator,
     document: object,
-) -> Iterator[Violation]:
+) -> Iterator[DocumentFault]:
     for error in validator.iter_errors(document):
-        yield Violation(tuple(error.absolute_path), error.message)
+        # The library quotes the whole value, which may be a whole document.
+        message = error.message[:_MAX_MESSAGE]
+        yield DocumentFault(tuple(error.absolute_path), message)
 
 
 @lru_cache(maxsize=1)
