--- /dev/null
+++ b/pomelogauge/model/log_parts.py
@@ -0,0 +1,22 @@
+"""Parts of the system that write logs."""
+
+from enum import StrEnum
+
+
+class Part(StrEnum):
+    """A part; its value is the prefix of its log messages."""
+
+    ROUTER = 'router'
+    DISPATCHER = 'dispatcher'
+    EXCHANGE = 'exchange'
+    MEMBERSHIP = 'membership'
+    CONFIGURATION = 'configuration'
+    LEASE = 'lease'
+    SHARD = 'shard'
+    ENGINE_WATCH = 'engine watch'
+    GRANTS = 'grants'
+    SHUTDOWN = 'shutdown'
+    PLATFORM = 'platform'
+    CALLERS = 'callers'
+    METRICS = 'metrics'
+    TASK = 'task'
