Publish configurations by compare-and-set

Operators race each other and answers of the platform get lost. A publication names its unique object in the row configuration/current on condition of the row's version; an unsettled write is read back and never written again.

--- /dev/null
+++ b/pomelogauge/platform/configuration_store.py
@@ -0,0 +1,247 @@
+"""Reads and publishes configurations in the platform's service."""
+
+import uuid
+from dataclasses import dataclass, replace
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from ..model.ids import ABSENT_ROW, NO_VERSION, ConfigVersion, RowVersion
+from ..model.manifest import Configuration
+from ..wire.configuration_document import (
+    decode_configuration,
+    encode_configuration,
+)
+from ..wire.configuration_row import (
+    ConfigurationRow,
+    decode_configuration_row,
+    encode_configuration_row,
+)
+from .protocols import (
+    Condition,
+    Platform,
+    PlatformError,
+    PlatformFault,
+    Row,
+    RowKey,
+    Transaction,
+    Write,
+)
+
+CURRENT_KEY = RowKey('configuration', 'current')
+
+
+@dataclass(frozen=True)
+class LostRace:
+    """Another operator's publication was first.
+
+    Parameters
+    ----------
+    version
+        Version that is published.
+    publisher
+        Who published it.
+
+    """
+
+    version: ConfigVersion
+    publisher: str
+
+    def __str__(self) -> str:
+        """Render as ``version N by NAME``."""
+        return f'version {self.version} by {self.publisher or "nobody"}'
+
+
+PublishError = PlatformError | LostRace
+Published = Result[Configuration, PublishError]
+
+
+@dataclass(frozen=True)
+class _Current:
+    """The row of the newest configuration, with its condition."""
+
+    row_version: RowVersion = ABSENT_ROW
+    transaction: str = ''
+    row: ConfigurationRow = ConfigurationRow(NO_VERSION, '', '')
+
+    @property
+    def race(self) -> LostRace:
+        return LostRace(self.row.version, self.row.publisher)
+
+
+class ConfigurationStore:
+    """Configurations as the platform keeps them.
+
+    Parameters
+    ----------
+    platform
+        Tables and objects.
+
+    """
+
+    def __init__(self, platform: Platform) -> None:
+        """Keep no state besides the platform."""
+        self._platform = platform
+
+    def newest(self) -> Result[Configuration | None, PlatformError]:
+        """Return the newest configuration; ``None`` when there is none."""
+        return self._current().bind(self._configuration)
+
+    def current_version(self) -> Result[ConfigVersion, PlatformError]:
+        """Return the published version; zero when nothing is published."""
+        return self._current().map(lambda current: current.row.version)
+
+    def document(self, version: ConfigVersion) -> Result[bytes, PlatformError]:
+        """Return the document of the published version.
+
+        Parameters
+        ----------
+        version
+            Version that must still be the published one.
+
+        """
+        current = self._current()
+        if not is_successful(current):
+            return Failure(current.failure())
+        if current.unwrap().row.version != version:
+            return _conflict(current.unwrap().race)
+        return self._document(current.unwrap())
+
+    def publish(
+        self,
+        configuration: Configuration,
+        expected_version: ConfigVersion,
+    ) -> Published:
+        """Publish the next version.
+
+        Parameters
+        ----------
+        configuration
+            Its version is set by the store.
+        expected_version
+            Version that must be published now; zero for none.
+
+        Returns
+        -------
+        Result
+            The configuration with its version; else ``LostRace`` when another
+            version is published, or a failed call. An unsettled failure says
+            that the publication may still take effect.
+
+        """
+        current = self._current()
+        if not is_successful(current):
+            return Failure(current.failure())
+        if current.unwrap().row.version != expected_version:
+            return Failure(current.unwrap().race)
+        version = ConfigVersion(expected_version + 1)
+        return self._write(
+            replace(configuration, version=version),
+            current.unwrap().row_version,
+        )
+
+    def _write(
+        self,
+        configuration: Configuration,
+        row_version: RowVersion,
+    ) -> Published:
+        publication = uuid.uuid4().hex
+        name = f'configuration-{configuration.version}-{publication}'
+        stored = self._platform.put(name, encode_configuration(configuration))
+        if not is_successful(stored):
+            # No row names the object yet, so that nothing is in force.
+            return Failure(_without_effect(stored.failure()))
+        row = ConfigurationRow(
+            configuration.version, name, configuration.publisher
+        )
+        transaction = Transaction(
+            publication,
+            (Condition(CURRENT_KEY, row_version),),
+            (Write(CURRENT_KEY, encode_configuration_row(row)),),
+        )
+        return self._commit(transaction, configuration)
+
+    def _commit(
+        self,
+        transaction: Transaction,
+        configuration: Configuration,
+    ) -> Published:
+        committed = self._platform.commit(transaction)
+        if is_successful(committed):
+            return Success(configuration)
+        error = committed.failure()
+        if error.fault is PlatformFault.UNAVAILABLE:
+            return Failure(error)
+        return self._settle(transaction, configuration, error)
+
+    def _settle(
+        self,
+        transaction: Transaction,
+        configuration: Configuration,
+        error: PlatformError,
+    ) -> Published:
+        """Read back who published, after a conflict or a lost answer."""
+        current = self._current()
+        if not is_successful(current):
+            return Failure(replace(error, fault=PlatformFault.UNSETTLED))
+        found = current.unwrap()
+        if found.transaction == transaction.transaction:
+            return Success(configuration)
+        if found.row.version == configuration.version:
+            return Failure(found.race)
+        # Either the write was not seen and may still arrive, or it took
+        # effect and later versions have replaced it.
+        message = f'{error.message}; {found.race} is published'
+        return Failure(PlatformError(PlatformFault.UNSETTLED, message))
+
+    def _current(self) -> Result[_Current, PlatformError]:
+        return self._platform.read(CURRENT_KEY).bind(_decode_row)
+
+    def _configuration(
+        self,
+        current: _Current,
+    ) -> Result[Configuration | None, PlatformError]:
+        if current.row_version == ABSENT_ROW:
+            return Success(None)
+        return self._document(current).bind(_decode)
+
+    def _document(self, current: _Current) -> Result[bytes, PlatformError]:
+        name = current.row.object_name
+        return self._platform.get(name).bind(
+            lambda body: (
+                _malformed(f'object {name} is absent')
+                if body is None
+                else Success(body)
+            )
+        )
+
+
+def _decode_row(row: Row | None) -> Result[_Current, PlatformError]:
+    if row is None:
+        return Success(_Current())
+    decoded = decode_configuration_row(row.text)
+    if not is_successful(decoded):
+        return _malformed(decoded.failure())
+    return Success(_Current(row.version, row.transaction, decoded.unwrap()))
+
+
+def _decode(body: bytes) -> Result[Configuration | None, PlatformError]:
+    decoded = decode_configuration(body)
+    if is_successful(decoded):
+        return Success(decoded.unwrap())
+    return _malformed('; '.join(map(str, decoded.failure())))
+
+
+def _without_effect(error: PlatformError) -> PlatformError:
+    if error.fault is PlatformFault.UNSETTLED:
+        return replace(error, fault=PlatformFault.UNAVAILABLE)
+    return error
+
+
+def _conflict(race: LostRace) -> Failure[PlatformError]:
+    message = f'{race} is published'
+    return Failure(PlatformError(PlatformFault.CONFLICT, message))
+
+
+def _malformed(message: str) -> Failure[PlatformError]:
+    return Failure(PlatformError(PlatformFault.MALFORMED, message))
