Add the command line

Parts that a command needs are imported when it runs, so that operators' commands load no gRPC or HTTP server.

--- /dev/null
+++ b/pomelogauge/app/connections.py
@@ -0,0 +1,42 @@
+"""What the operators' commands connect to."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..model.errors import UserError
+from ..model.ids import Address
+from ..platform.protocols import Platform
+from ..tasks.links import PeerLinks
+from .late_import import late_import
+
+#: Name under which operators' commands call the platform.
+OPERATOR_NODE = 'operator'
+
+
+def open_platform(address: Address, timeout_s: float) -> Platform:
+    """Return the platform's client; it connects with its first call."""
+    client = late_import('platform.http_platform', 'HttpPlatform')
+    platform: Platform = client(address, OPERATOR_NODE, timeout_s)
+    return platform
+
+
+def open_links(timeout_s: float) -> PeerLinks:
+    """Return links to peers.
+
+    Raises
+    ------
+    UserError
+        Operators' commands have no links to peers yet.
+
+    """
+    raise UserError(
+        f'links to peers (--peer-timeout-s {timeout_s:g}) not built'
+    )
+
+
+@dataclass(frozen=True)
+class Connections:
+    """How commands reach the platform and peers; tests give their own."""
+
+    platform: Callable[[Address, float], Platform] = open_platform
+    links: Callable[[float], PeerLinks] = open_links
--- /dev/null
+++ b/pomelogauge/app/operator_settings.py
@@ -0,0 +1,61 @@
+"""Settings of the operators' commands."""
+
+import getpass
+from dataclasses import dataclass
+
+from ..model.ids import Address
+from .setting_fields import Hint, setting
+from .settings import address_hint, period_hint
+
+_PEERS_HELP = 'Addresses of peers for gRPC, host:port, separated by commas.'
+
+
+@dataclass(frozen=True, kw_only=True)
+class DrainSettings:
+    """Settings of the commands that change the configuration."""
+
+    platform: Address = setting(address_hint('Address of the platform'))
+    platform_timeout_s: float = setting(
+        period_hint('Deadline of a call to the platform'), 2.0
+    )
+    publisher: str = setting(
+        Hint('Who publishes; empty takes the name of the user.'), ''
+    )
+
+    @property
+    def publisher_name(self) -> str:
+        """Name that the loser of a race is told."""
+        return self.publisher or getpass.getuser()
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeersSettings:
+    """Settings of the commands that ask peers."""
+
+    peers: str = setting(Hint(_PEERS_HELP), '')
+    peer_timeout_s: float = setting(
+        period_hint('Deadline of a call to a peer'), 1.0
+    )
+
+    @property
+    def peer_addresses(self) -> tuple[Address, ...]:
+        """The addresses, in the order given."""
+        texts = (text.strip() for text in self.peers.split(','))
+        return tuple(Address(text) for text in texts if text)
+
+
+@dataclass(frozen=True, kw_only=True)
+class PublishSettings(DrainSettings, PeersSettings):
+    """Settings of the command that publishes a manifest."""
+
+    wait: bool = setting(
+        Hint('Return once every live process has the version in force.'), False
+    )
+    wait_limit_s: float = setting(
+        period_hint('Time after which waiting fails'), 10.0
+    )
+
+
+@dataclass(frozen=True, kw_only=True)
+class StatusSettings(PeersSettings):
+    """Settings of the command that prints the status of peers."""
--- a/pomelogauge/app/setting_fields.py
+++ b/pomelogauge/app/setting_fields.py
@@ -91,6 +91,13 @@
         """Environment variable."""
         return f'{VARIABLE_PREFIX}{self.name.upper()}'
 
+    @property
+    def default_text(self) -> str:
+        """Default as it would be given; empty for none."""
+        if isinstance(self.default, bool):
+            return str(self.default).lower()
+        return '' if self.default is None else str(self.default)
+
     @property
     def required(self) -> bool:
         """Whether a value must be given."""
--- /dev/null
+++ b/pomelogauge/app/setting_options.py
@@ -0,0 +1,112 @@
+"""Turns settings records into options of the command line."""
+
+import os
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, TypeVar
+
+import click
+
+from .setting_fields import Definition, Hint, definitions
+from .settings import read_settings
+
+CommandT = TypeVar('CommandT', bound=Callable[..., Any])
+SettingsT = TypeVar('SettingsT')
+
+
+def setting_options(record: type) -> Callable[[CommandT], CommandT]:
+    """Return a decorator that adds the options of a settings record."""
+
+    def decorate(command: CommandT) -> CommandT:
+        for definition in reversed(definitions(record)):
+            command = _option(definition)(command)
+        return command
+
+    return decorate
+
+
+def parameters(record: type) -> list[click.Parameter]:
+    """Return a record's options for a command that is built at run time."""
+    return [
+        click.Option([_declaration(definition)], **_attributes(definition))
+        for definition in definitions(record)
+    ]
+
+
+def settings_from(
+    record: type[SettingsT],
+    flags: Mapping[str, object],
+    environment: Mapping[str, str] = os.environ,
+) -> SettingsT:
+    """Return the settings of a command.
+
+    Parameters
+    ----------
+    record
+        Settings record.
+    flags
+        Values that ``click`` passed to the command.
+    environment
+        Environment variables.
+
+    Raises
+    ------
+    FindingsError
+        Every finding with its flag or environment variable.
+
+    """
+    texts = {name: _text(flag) for name, flag in flags.items()}
+    return read_settings(record, texts, environment)
+
+
+def bounds_text(hint: Hint) -> str:
+    """Return the bounds of a setting for people; empty for none."""
+    return ', '.join(_bounds(hint))
+
+
+def _bounds(hint: Hint) -> Iterator[str]:
+    if hint.minimum is not None:
+        word = 'above' if hint.exclusive else 'at least'
+        yield f'{word} {hint.minimum:g}'
+    if hint.maximum is not None:
+        yield f'at most {hint.maximum:.12g}'
+
+
+def _option(definition: Definition) -> Callable[[CommandT], CommandT]:
+    attributes = _attributes(definition)
+    return click.option(_declaration(definition), **attributes)
+
+
+def _declaration(definition: Definition) -> str:
+    if definition.kind is bool:
+        off = definition.flag.replace('--', '--no-', 1)
+        return f'{definition.flag}/{off}'
+    return definition.flag
+
+
+def _attributes(definition: Definition) -> dict[str, Any]:
+    # Texts are parsed by the settings' own definition, all together.
+    shared = {'default': None, 'help': _help(definition)}
+    if definition.kind is bool:
+        return {**shared, 'is_flag': True}
+    return {**shared, 'metavar': definition.kind.__name__.upper()}
+
+
+def _help(definition: Definition) -> str:
+    notes = (
+        _default(definition),
+        bounds_text(definition.hint),
+        definition.variable,
+    )
+    joined = '; '.join(note for note in notes if note)
+    return f'{definition.hint.help} [{joined}]'
+
+
+def _default(definition: Definition) -> str:
+    if definition.required:
+        return 'required'
+    shown = definition.default_text
+    return f'default {shown}' if shown else ''
+
+
+def _text(flag: object) -> str | None:
+    return None if flag is None else str(flag)
--- a/pomelogauge/app/settings.py
+++ b/pomelogauge/app/settings.py
@@ -34,10 +34,16 @@
     ERROR = 'error'
 
 
-def _period(text: str) -> Hint:
+def period_hint(text: str) -> Hint:
+    """Return the hint of a duration above zero."""
     return Hint(f'{text}, in seconds.', 0, _MAX_PERIOD_S, exclusive=True)
 
 
+def address_hint(text: str) -> Hint:
+    """Return the hint of an address."""
+    return Hint(f'{text}, host:port.', form=_ADDRESS)
+
+
 def _port(text: str) -> Hint:
     return Hint(f'{text}; 0 takes any free port.', 0, _MAX_PORT)
 
@@ -59,36 +65,37 @@
         Hint('Data centre that this process stands in.', form=_NAME)
     )
     region: str = setting(Hint('Region of the data centre.'), '')
-    platform: Address = setting(
-        Hint('Address of the platform, host:port.', form=_ADDRESS)
-    )
+    platform: Address = setting(address_hint('Address of the platform'))
     listen: str = setting(Hint('IP number to listen on.'), '127.0.0.1')
     peer_port: int = setting(_port('Port for gRPC from peers'), 0)
     advertise: str = setting(
         Hint('IP number that others connect to; empty takes --listen.'), ''
     )
-    renewal_s: float = setting(_period('Time between lease renewals'), 0.5)
-    lease_term_s: float = setting(_period('Life of a lease'), 2.0)
+    renewal_s: float = setting(period_hint('Time between lease renewals'), 0.5)
+    lease_term_s: float = setting(period_hint('Life of a lease'), 2.0)
     lease_margin_s: float = setting(
-        _period('Time that a taker waits beyond the life of a lease'), 1.0
+        period_hint('Time that a taker waits beyond the life of a lease'), 1.0
     )
     gossip_interval_s: float = setting(
-        _period('Time between gossip to peers'), 0.25
+        period_hint('Time between gossip to peers'), 0.25
     )
     exchange_interval_s: float = setting(
-        _period('Time between exchanges of a router with a controller'), 0.25
+        period_hint('Time between exchanges of a router with a controller'),
+        0.25,
     )
     platform_timeout_s: float = setting(
-        _period('Deadline of a call to the platform'), 2.0
+        period_hint('Deadline of a call to the platform'), 2.0
     )
     pull_interval_s: float = setting(
-        _period('Time between reads of the configuration'), 1.0
+        period_hint('Time between reads of the configuration'), 1.0
     )
     peer_timeout_s: float = setting(
-        _period('Deadline of a call to a peer'), 1.0
+        period_hint('Deadline of a call to a peer'), 1.0
     )
     cut_off_after_s: float = setting(
-        _period('Time without a confirmed configuration before new work stops'),
+        period_hint(
+            'Time without a confirmed configuration before new work stops'
+        ),
         3.0,
     )
     log_level: LogLevel = setting(
@@ -117,7 +124,7 @@
         _count('Requests served at once, in threads.', _MAX_THREADS), 192
     )
     entry_ttl_s: float = setting(
-        _period('Time that callers may keep an entry address'), 2.0
+        period_hint('Time that callers may keep an entry address'), 2.0
     )
     max_body_bytes: int = setting(
         _count('Longest body of a request, in bytes.', _GIB), _MIB
@@ -126,10 +133,10 @@
         _count('Requests that wait at once, in requests.', _MIB), 512
     )
     shutdown_limit_s: float = setting(
-        _period('Time that a graceful shutdown waits for requests'), 30.0
+        period_hint('Time that a graceful shutdown waits for requests'), 30.0
     )
     header_timeout_s: float = setting(
-        _period('Deadline for the headers of a request'), 10.0
+        period_hint('Deadline for the headers of a request'), 10.0
     )
 
 
@@ -139,17 +146,19 @@
 
     http_port: int = setting(_port('Port for health and metrics'), 0)
     watch_interval_s: float = setting(
-        _period('Time between reads of the status of an engine'), 0.25
+        period_hint('Time between reads of the status of an engine'), 0.25
     )
     watch_timeout_s: float = setting(
-        _period('Deadline of a read of the status of an engine'), 0.5
+        period_hint('Deadline of a read of the status of an engine'), 0.5
     )
     lost_after_s: float = setting(
-        _period('Silence after which an engine counts as lost'), 1.0
+        period_hint('Silence after which an engine counts as lost'), 1.0
+    )
+    grant_life_s: float = setting(
+        period_hint('Life of a grant of capacity'), 1.5
     )
-    grant_life_s: float = setting(_period('Life of a grant of capacity'), 1.5)
     order_timeout_s: float = setting(
-        _period('Deadline of an order to an engine'), 0.5
+        period_hint('Deadline of an order to an engine'), 0.5
     )
 
 
@@ -215,7 +224,7 @@
         if rule.smaller not in found or rule.larger not in found:
             continue
         if found[rule.smaller] * rule.factor >= found[rule.larger]:
-            yield Finding(_place(rule, given), _ordering_message(rule))
+            yield Finding(_place(rule, given), ordering_message(rule))
 
 
 def _place(rule: Ordering, given: Mapping[str, GivenText]) -> Place:
@@ -225,6 +234,7 @@
     return Place(rule.smaller)
 
 
-def _ordering_message(rule: Ordering) -> str:
+def ordering_message(rule: Ordering) -> str:
+    """Return what a rule asks for."""
     times = f'{rule.factor:g} times ' if rule.factor > 1 else ''
     return f'{times}{rule.smaller} must be below {rule.larger}'
