Reach peers from operators' commands over the gRPC links

Waiting and status need the links to peers, wire/peer_client.GrpcLinks, which are imported when a command needs them. Stand-ins' help names no environment variables, since they read none, and the list of peers is checked like the other settings.

--- a/pomelogauge/app/connections.py
+++ b/pomelogauge/app/connections.py
@@ -3,14 +3,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..model.errors import UserError
-from ..model.ids import Address
+from ..model.ids import Address, NodeName
 from ..platform.protocols import Platform
 from ..tasks.links import PeerLinks
 from .late_import import late_import
 
-#: Name under which operators' commands call the platform.
-OPERATOR_NODE = 'operator'
+#: Name under which operators' commands call others.
+OPERATOR_NODE = NodeName('operator')
 
 
 def open_platform(address: Address, timeout_s: float) -> Platform:
@@ -21,17 +20,10 @@
 
 
 def open_links(timeout_s: float) -> PeerLinks:
-    """Return links to peers.
-
-    Raises
-    ------
-    UserError
-        Operators' commands have no links to peers yet.
-
-    """
-    raise UserError(
-        f'links to peers (--peer-timeout-s {timeout_s:g}) not built'
-    )
+    """Return links to peers; they connect with their first calls."""
+    client = late_import('wire.peer_client', 'GrpcLinks')
+    links: PeerLinks = client(OPERATOR_NODE, timeout_s)
+    return links
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/app/operator_settings.py
+++ b/pomelogauge/app/operator_settings.py
@@ -4,11 +4,16 @@
 from dataclasses import dataclass
 
 from ..model.ids import Address
-from .setting_fields import Hint, setting
+from .setting_fields import Form, Hint, setting
 from .settings import address_hint, period_hint
 
 _PEERS_HELP = 'Addresses of peers for gRPC, host:port, separated by commas.'
 
+_PEERS = Form(
+    'list of host:port, separated by commas',
+    r'([^\s:/,]+:[0-9]{1,5}(\s*,\s*|$))*',
+)
+
 
 @dataclass(frozen=True, kw_only=True)
 class DrainSettings:
@@ -32,7 +37,7 @@
 class PeersSettings:
     """Settings of the commands that ask peers."""
 
-    peers: str = setting(Hint(_PEERS_HELP), '')
+    peers: str = setting(Hint(_PEERS_HELP, form=_PEERS), '')
     peer_timeout_s: float = setting(
         period_hint('Deadline of a call to a peer'), 1.0
     )
--- a/pomelogauge/app/setting_options.py
+++ b/pomelogauge/app/setting_options.py
@@ -25,9 +25,12 @@
 
 
 def parameters(record: type) -> list[click.Parameter]:
-    """Return a record's options for a command that is built at run time."""
+    """Return a record's options, without variables, for a built command."""
     return [
-        click.Option([_declaration(definition)], **_attributes(definition))
+        click.Option(
+            [_declaration(definition)],
+            **_attributes(definition, _notes(definition)),
+        )
         for definition in definitions(record)
     ]
 
@@ -72,8 +75,10 @@
 
 
 def _option(definition: Definition) -> Callable[[CommandT], CommandT]:
-    attributes = _attributes(definition)
-    return click.option(_declaration(definition), **attributes)
+    notes = (*_notes(definition), definition.variable)
+    return click.option(
+        _declaration(definition), **_attributes(definition, notes)
+    )
 
 
 def _declaration(definition: Definition) -> str:
@@ -83,22 +88,21 @@
     return definition.flag
 
 
-def _attributes(definition: Definition) -> dict[str, Any]:
+def _attributes(
+    definition: Definition,
+    notes: tuple[str, ...],
+) -> dict[str, Any]:
     # Texts are parsed by the settings' own definition, all together.
-    shared = {'default': None, 'help': _help(definition)}
+    joined = '; '.join(notes)
+    shared = {'default': None, 'help': f'{definition.hint.help} [{joined}]'}
     if definition.kind is bool:
         return {**shared, 'is_flag': True}
     return {**shared, 'metavar': definition.kind.__name__.upper()}
 
 
-def _help(definition: Definition) -> str:
-    notes = (
-        _default(definition),
-        bounds_text(definition.hint),
-        definition.variable,
-    )
-    joined = '; '.join(note for note in notes if note)
-    return f'{definition.hint.help} [{joined}]'
+def _notes(definition: Definition) -> tuple[str, ...]:
+    notes = (_default(definition), bounds_text(definition.hint))
+    return tuple(note for note in notes if note)
 
 
 def _default(definition: Definition) -> str:
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -148,6 +148,10 @@
         self.assertIn('r1: router in klang-1', outcome.stdout)
         self.assertIn('dead:1: no answer: refused', outcome.stdout)
 
+        outcome = self.run_cli('status', '--peers', 'a:1,b')
+        self.assertEqual(outcome.exit_code, 2)
+        self.assertIn('is no list of host:port', outcome.stderr)
+
     def test_hashes_a_key_without_its_line_end(self) -> None:
         hashed = self.run_cli('hash-key', stdin='counter-demo-key\n').stdout
         self.assertIn(hashed.strip(), Path(GOOD).read_text())
