--- /dev/null
+++ b/pomelogauge/platform/http_platform.py
@@ -0,0 +1,266 @@
+"""Client of the platform's HTTP interface."""
+
+from collections.abc import Callable
+from typing import TypeVar
+from urllib.parse import quote
+
+from returns.result import Failure, Result, Success
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+from urllib3.response import BaseHTTPResponse
+
+from ..model.ids import ABSENT_ROW, Address, RowVersion
+from ..model.topology import Instance
+from ..wire.json_fields import WireError
+from ..wire.platform_json import (
+    decode_committed,
+    decode_instances,
+    decode_row,
+    decode_rows,
+    encode_transaction,
+)
+from .protocols import (
+    Committed,
+    PlatformError,
+    PlatformFault,
+    Row,
+    RowKey,
+    Transaction,
+)
+
+RecordT = TypeVar('RecordT')
+_Answer = Result[BaseHTTPResponse, PlatformError]
+
+#: Idle connections kept for the tasks of one process.
+_POOL_SIZE = 8
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 409
+_UNAVAILABLE = 503
+
+
+class HttpPlatform:
+    """Tables, objects and the instance list over one connection pool.
+
+    Safe for several tasks.
+
+    Parameters
+    ----------
+    address
+        ``host:port`` of the platform.
+    client
+        Node name, sent with every call.
+    timeout_s
+        Seconds to connect, and seconds between bytes of an answer.
+
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        client: str,
+        timeout_s: float,
+    ) -> None:
+        """Prepare the pool; connections open with the first calls."""
+        host, _, port = address.rpartition(':')
+        self._pool = HTTPConnectionPool(
+            host,
+            int(port),
+            timeout=Timeout(connect=timeout_s, read=timeout_s),
+            maxsize=_POOL_SIZE,
+            retries=False,
+            headers={'X-Client': client},
+        )
+
+    def read(self, key: RowKey) -> Result[Row | None, PlatformError]:
+        """Read one row; ``None`` when absent."""
+        answer = self._call('GET', f'{_table(key.table)}/{_quoted(key.key)}')
+        return answer.bind(lambda found: _row_or_none(key.table, found))
+
+    def scan(
+        self,
+        table: str,
+        prefix: str = '',
+    ) -> Result[tuple[Row, ...], PlatformError]:
+        """Read all rows whose keys start with a prefix, by key."""
+        answer = self._call('GET', f'{_table(table)}?prefix={_quoted(prefix)}')
+        return answer.bind(
+            lambda found: _body(found, lambda body: decode_rows(table, body)),
+        )
+
+    def commit(
+        self,
+        transaction: Transaction,
+    ) -> Result[Committed, PlatformError]:
+        """Write once; a lost answer is settled by reading back."""
+        answer = self._call(
+            'POST',
+            '/v1/transactions',
+            encode_transaction(transaction),
+        )
+        committed = answer.bind(
+            lambda found: _body(found, decode_committed),
+        )
+        if _is_unsettled(committed):
+            return self._settle(transaction)
+        return committed
+
+    def put(self, name: str, body: bytes) -> Result[None, PlatformError]:
+        """Store an object; an unsettled write may be repeated."""
+        answer = self._call('PUT', _object(name), body)
+        return answer.bind(lambda found: _body(found, _ignored))
+
+    def get(self, name: str) -> Result[bytes | None, PlatformError]:
+        """Return an object; ``None`` when absent."""
+        answer = self._call('GET', _object(name))
+        return answer.bind(_bytes_or_none)
+
+    def instances(self) -> Result[tuple[Instance, ...], PlatformError]:
+        """Return the list as the platform has it now."""
+        answer = self._call('GET', '/v1/instances')
+        return answer.bind(lambda found: _body(found, decode_instances))
+
+    def _call(self, method: str, path: str, body: bytes = b'') -> _Answer:
+        try:
+            answer = self._pool.request(method, path, body=body or None)
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            return _failure(PlatformFault.UNAVAILABLE, str(exc))
+        except (HTTPError, OSError) as exc:
+            # The call has left; a read took no effect in any case.
+            return _failure(_fault_of_lost_answer(method), str(exc))
+        return _checked(answer)
+
+    def _settle(
+        self,
+        transaction: Transaction,
+    ) -> Result[Committed, PlatformError]:
+        found: dict[RowKey, Row | None] = {}
+        for key in _keys(transaction):
+            row = self.read(key)
+            if isinstance(row, Failure):
+                return _failure(
+                    PlatformFault.UNSETTLED,
+                    f'no read-back of {key.table}/{key.key}',
+                )
+            found[key] = row.unwrap()
+        return _settled(transaction, found)
+
+
+def _settled(
+    transaction: Transaction,
+    found: dict[RowKey, Row | None],
+) -> Result[Committed, PlatformError]:
+    # All rows that one transaction writes take the same version.
+    for write in transaction.writes:
+        row = found[write.key]
+        if row and row.transaction == transaction.transaction:
+            versions = (row.version,) * len(transaction.writes)
+            return Success(Committed(versions))
+    if _conditions_hold(transaction, found):
+        return _failure(
+            PlatformFault.UNSETTLED,
+            'the write is not seen and may still arrive',
+        )
+    return _failure(PlatformFault.CONFLICT, 'another write was first')
+
+
+def _conditions_hold(
+    transaction: Transaction,
+    found: dict[RowKey, Row | None],
+) -> bool:
+    return all(
+        _version(found[condition.key]) == condition.version
+        for condition in transaction.conditions
+    )
+
+
+def _version(row: Row | None) -> RowVersion:
+    return row.version if row else ABSENT_ROW
+
+
+def _keys(transaction: Transaction) -> tuple[RowKey, ...]:
+    written = [write.key for write in transaction.writes]
+    conditioned = [condition.key for condition in transaction.conditions]
+    return tuple(dict.fromkeys(written + conditioned))
+
+
+def _is_unsettled(outcome: Result[Committed, PlatformError]) -> bool:
+    if isinstance(outcome, Success):
+        return False
+    return outcome.failure().fault in {
+        PlatformFault.UNSETTLED,
+        PlatformFault.MALFORMED,
+    }
+
+
+def _fault_of_lost_answer(method: str) -> PlatformFault:
+    if method == 'GET':
+        return PlatformFault.UNAVAILABLE
+    return PlatformFault.UNSETTLED
+
+
+def _checked(answer: BaseHTTPResponse) -> _Answer:
+    if answer.status in {_OK, _NOT_FOUND}:
+        return Success(answer)
+    message = answer.data.decode(errors='replace')
+    if answer.status == _CONFLICT:
+        return _failure(PlatformFault.CONFLICT, message)
+    if answer.status == _UNAVAILABLE:
+        return _failure(PlatformFault.UNAVAILABLE, message)
+    return _failure(PlatformFault.MALFORMED, f'{answer.status}: {message}')
+
+
+def _body(
+    answer: BaseHTTPResponse,
+    decode: Callable[[bytes], Result[RecordT, WireError]],
+) -> Result[RecordT, PlatformError]:
+    if answer.status == _NOT_FOUND:
+        return _failure(PlatformFault.MALFORMED, 'no such call')
+    return decode(answer.data).alt(_malformed)
+
+
+def _row_or_none(
+    table: str,
+    answer: BaseHTTPResponse,
+) -> Result[Row | None, PlatformError]:
+    if answer.status == _NOT_FOUND:
+        return Success(None)
+    return decode_row(table, answer.data).alt(_malformed)
+
+
+def _bytes_or_none(
+    answer: BaseHTTPResponse,
+) -> Result[bytes | None, PlatformError]:
+    return Success(None if answer.status == _NOT_FOUND else answer.data)
+
+
+def _ignored(_: bytes) -> Result[None, WireError]:
+    return Success(None)
+
+
+def _malformed(error: WireError) -> PlatformError:
+    return PlatformError(PlatformFault.MALFORMED, error.message)
+
+
+def _failure(
+    fault: PlatformFault,
+    message: str,
+) -> Result[RecordT, PlatformError]:
+    return Failure(PlatformError(fault, message))
+
+
+def _table(table: str) -> str:
+    return f'/v1/tables/{_quoted(table)}/rows'
+
+
+def _object(name: str) -> str:
+    return f'/v1/objects/{_quoted(name)}'
+
+
+def _quoted(text: str) -> str:
+    return quote(text, safe='')
--- /dev/null
+++ b/pomelogauge/standins/http_app.py
@@ -0,0 +1,302 @@
+"""HTTP server that the stand-ins share: routes, JSON and cut connections."""
+
+import errno
+import json
+import signal
+import threading
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Protocol
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.wsgi import Gateway_10, Server
+
+from ..model.ids import Address
+from ..tasks.mailbox import Mailbox
+
+#: Seconds for which an idle connection is kept.
+_IDLE_TIMEOUT_S = 60
+#: Seconds for which a closing server waits for its threads.
+_SHUTDOWN_TIMEOUT_S = 1
+#: Connections that wait to be accepted.
+_BACKLOG = 128
+_CONNECTION_ENTRY = 'pomelogauge.connection'
+
+
+@dataclass(frozen=True)
+class HttpAsk:
+    """One call.
+
+    Parameters
+    ----------
+    method
+        Verb of the call.
+    names
+        Parts of the path that stand for the names in the route.
+    query
+        First value of each query field.
+    headers
+        Header fields by their lower-case names.
+    body
+        The whole body.
+    client
+        Node that calls; empty when it does not say.
+    connection
+        Held by whoever keeps the caller waiting for ever.
+
+    """
+
+    method: str
+    names: tuple[str, ...]
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    client: str
+    connection: HTTPConnection
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: HTTPStatus = HTTPStatus.OK
+    body: bytes = b''
+    media_type: str = 'application/json'
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True)
+class HttpStream:
+    """An answer whose parts are sent as they come."""
+
+    parts: Iterator[bytes]
+    headers: tuple[tuple[str, str], ...] = ()
+    media_type: str = 'text/event-stream'
+
+
+class Cut(ConnectionResetError):  # noqa: N818
+    """The connection is to be closed without an answer."""
+
+    def __init__(self) -> None:
+        """Use the error number that cheroot takes for a lost caller."""
+        super().__init__(errno.ECONNRESET, 'cut')
+
+
+class BadCallError(ValueError):
+    """A call that can't be read."""
+
+
+class RefusedError(Exception):
+    """A call that is answered with an error from deep inside."""
+
+    def __init__(self, answer: HttpAnswer) -> None:
+        """Keep the answer."""
+        super().__init__(answer.status.phrase)
+        self.answer = answer
+
+
+class Handler(Protocol):
+    """Answers the calls of one route in a thread of the server."""
+
+    def __call__(self, ask: HttpAsk) -> HttpAnswer | HttpStream:
+        """Answer one call; may raise `Cut` or `BadCallError`."""
+
+
+@dataclass(frozen=True)
+class Route:
+    """Calls of one method to one path; ``*`` stands for any name."""
+
+    method: str
+    path: str
+    handler: Handler
+
+    def names(self, method: str, parts: tuple[str, ...]) -> 'Names':
+        """Return the names in a path; ``None`` when it does not match."""
+        wanted = _parts(self.path)
+        if method != self.method or len(parts) != len(wanted):
+            return None
+        pairs = tuple(zip(wanted, parts, strict=True))
+        if any(known not in {'*', part} for known, part in pairs):
+            return None
+        return tuple(part for known, part in pairs if known == '*')
+
+
+Names = tuple[str, ...] | None
+_Environment = dict[str, Any]
+_StartResponse = Callable[..., Callable[[bytes], None]]
+
+
+class HttpServer:
+    """A cheroot server on a port that it binds itself.
+
+    Parameters
+    ----------
+    port
+        Zero takes a free port.
+    routes
+        Calls that it answers.
+    threads
+        Threads that answer calls.
+
+    """
+
+    def __init__(
+        self,
+        port: int,
+        routes: tuple[Route, ...],
+        threads: int,
+    ) -> None:
+        """Bind the port."""
+        self._routes = routes
+        self._server = Server(
+            ('127.0.0.1', port),
+            self._serve,
+            numthreads=threads,
+            request_queue_size=_BACKLOG,
+            timeout=_IDLE_TIMEOUT_S,
+            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+        )
+        self._server.gateway = _Gateway
+        self._server.prepare()
+        bound_host, bound_port = self._server.bind_addr
+        self.address = Address(f'{bound_host}:{bound_port}')
+        self._thread = threading.Thread(
+            target=self._server.serve,
+            name=f'http-{bound_port}',
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Answer calls."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the port and all connections."""
+        self._server.stop()
+
+    def _serve(
+        self,
+        environ: _Environment,
+        start_response: _StartResponse,
+    ) -> Iterator[bytes] | tuple[bytes, ...]:
+        answer = self._answer(environ)
+        headers = [('Content-Type', answer.media_type), *answer.headers]
+        if isinstance(answer, HttpStream):
+            write = start_response('200 OK', headers)
+            # An empty part sends the headers before the first token.
+            write(b'')
+            return answer.parts
+        status = f'{answer.status.value} {answer.status.phrase}'
+        if answer.status is not HTTPStatus.NO_CONTENT:
+            headers.append(('Content-Length', str(len(answer.body))))
+        start_response(status, headers)
+        return (answer.body,)
+
+    def _answer(self, environ: _Environment) -> HttpAnswer | HttpStream:
+        method = environ['REQUEST_METHOD']
+        parts = _parts(urlsplit(environ['REQUEST_URI']).path)
+        for route in self._routes:
+            names = route.names(method, parts)
+            if names is not None:
+                return _handled(route.handler, _ask(environ, names))
+        return error(HTTPStatus.NOT_FOUND, 'no_such_call', environ['PATH_INFO'])
+
+
+class _Gateway(Gateway_10):
+    """Hands the connection to the handlers."""
+
+    def __init__(self, req: HTTPRequest) -> None:
+        """Add the connection to what cheroot passes on."""
+        super().__init__(req)
+        self.env[_CONNECTION_ENTRY] = req.conn
+
+
+def json_answer(
+    fields: Any,
+    status: HTTPStatus = HTTPStatus.OK,
+) -> HttpAnswer:
+    """Answer with a JSON body."""
+    return HttpAnswer(status, json.dumps(fields).encode())
+
+
+def error(status: HTTPStatus, code: str, message: str) -> HttpAnswer:
+    """Answer with an error body."""
+    return json_answer({'error': {'code': code, 'message': message}}, status)
+
+
+def json_body(ask: HttpAsk) -> dict[str, Any]:
+    """Return the fields of a call's body."""
+    try:
+        fields = json.loads(ask.body or b'{}')
+    except ValueError as exc:
+        raise BadCallError(str(exc)) from exc
+    if isinstance(fields, dict):
+        return fields
+    raise BadCallError('the body is not an object')
+
+
+def keep_open(connection: HTTPConnection) -> Cut:
+    """Leave a connection open when its thread turns to other calls.
+
+    Returns
+    -------
+    Cut
+        To be raised by the handler. The connection stays open for as long
+        as somebody holds it.
+
+    """
+    connection.linger = True
+    return Cut()
+
+
+def close(connection: HTTPConnection) -> None:
+    """Close a connection that was kept open."""
+    connection.linger = False
+    connection.close()
+
+
+def print_ready(role: str, name: str, address: Address) -> None:
+    """Print the line that says that a stand-in listens."""
+    ready = {'ready': True, 'role': role, 'name': name, 'address': address}
+    print(json.dumps(ready), flush=True)
+
+
+def wait_for_signal() -> None:
+    """Block until the process is told to end."""
+    stops: Mailbox[int] = Mailbox()
+    signal.signal(signal.SIGTERM, lambda got, _frame: stops.post(got))
+    signal.signal(signal.SIGINT, lambda got, _frame: stops.post(got))
+    stops.take()
+
+
+def _handled(handler: Handler, ask: HttpAsk) -> HttpAnswer | HttpStream:
+    try:
+        return handler(ask)
+    except RefusedError as exc:
+        return exc.answer
+    except (LookupError, TypeError, ValueError) as exc:
+        return error(HTTPStatus.BAD_REQUEST, 'malformed', repr(exc))
+
+
+def _ask(environ: _Environment, names: tuple[str, ...]) -> HttpAsk:
+    headers = {
+        name.removeprefix('HTTP_').replace('_', '-').lower(): text
+        for name, text in environ.items()
+        if name.startswith('HTTP_')
+    }
+    query = parse_qs(environ['QUERY_STRING'], keep_blank_values=True)
+    return HttpAsk(
+        method=environ['REQUEST_METHOD'],
+        names=names,
+        query={name: texts[0] for name, texts in query.items()},
+        headers=headers,
+        body=environ['wsgi.input'].read(),
+        client=headers.get('x-client', ''),
+        connection=environ[_CONNECTION_ENTRY],
+    )
+
+
+def _parts(path: str) -> tuple[str, ...]:
+    return tuple(unquote(part) for part in path.strip('/').split('/'))
