Add the stand-ins for engines and plain services

Tests of routing, leases and calls need targets that warm up, fall over, check fences or not, resume streams and cut answers. The engine's states stand in a chart; one task owns each engine or service, and the thread that serves a stream waits on its own mailbox between tokens.

--- /dev/null
+++ b/pomelogauge/standins/engine_json.py
@@ -0,0 +1,97 @@
+"""JSON encoding of a stand-in engine's records."""
+
+from typing import Any
+
+from ..model.ids import Address, Epoch, InstanceName, ReplicaId
+from .engine_load import CacheEvent
+from .engine_messages import (
+    EngineMode,
+    EngineModeName,
+    EngineRecord,
+    EngineReport,
+    StreamRecord,
+)
+from .engine_model import EngineOrder, OrderKind, OrderMember
+
+
+def report_fields(report: EngineReport) -> dict[str, Any]:
+    """Return the fields of a status."""
+    now = report.status
+    then = report.load.status
+    return {
+        'instance': now.instance,
+        'incarnation': now.incarnation,
+        'state': now.state,
+        'replica': now.replica,
+        'epoch': now.epoch,
+        'rank': now.rank,
+        'load': {
+            'running': then.running,
+            'completed': then.completed,
+            'bearable': then.bearable,
+            'capacity': then.capacity,
+            'age_s': report.load.age_s,
+        },
+    }
+
+
+def order_of(fields: dict[str, Any]) -> EngineOrder:
+    """Return the order that some fields describe."""
+    return EngineOrder(
+        order=str(fields['order']),
+        kind=OrderKind(fields['kind']),
+        replica=ReplicaId(fields['replica']),
+        epoch=Epoch(int(fields['epoch'])),
+        rank=int(fields.get('rank', 0)),
+        members=tuple(map(_member, fields.get('members') or ())),
+    )
+
+
+def mode_of(fields: dict[str, Any]) -> EngineMode:
+    """Return the mode that some fields describe."""
+    return EngineMode(
+        EngineModeName(fields['mode']),
+        float(fields.get('factor', 1)),
+    )
+
+
+def events_fields(after: int, events: tuple[CacheEvent, ...]) -> dict[str, Any]:
+    """Return the fields of some cache events."""
+    return {
+        'events': [
+            {
+                'sequence': event.sequence,
+                'kind': event.kind,
+                'prefix': event.prefix,
+            }
+            for event in events
+        ],
+        'next': max((event.sequence for event in events), default=after),
+    }
+
+
+def record_fields(record: EngineRecord) -> dict[str, Any]:
+    """Return the fields of a record."""
+    return {
+        'overfed': record.overfed,
+        'peak_running': record.peak_running,
+        'requests': [_stream_fields(stream) for stream in record.requests],
+    }
+
+
+def _stream_fields(stream: StreamRecord) -> dict[str, Any]:
+    return {
+        'request': stream.request,
+        'replica': stream.replica,
+        'first': stream.first,
+        'next': stream.next_index,
+        'end': stream.end,
+    }
+
+
+def _member(fields: dict[str, Any]) -> OrderMember:
+    return OrderMember(
+        instance=InstanceName(fields['instance']),
+        address=Address(fields['address']),
+        rank=int(fields['rank']),
+    )
--- /dev/null
+++ b/pomelogauge/standins/engine_stream.py
@@ -0,0 +1,173 @@
+"""One answer of a stand-in engine, sent token by token."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from ..model.ids import ReplicaId, RequestId
+from ..tasks.clock import Clock
+from ..tasks.mailbox import Mailbox, Outbox
+from .engine_messages import (
+    Pace,
+    StreamCancelled,
+    StreamCut,
+    StreamEnd,
+    StreamEnded,
+    StreamMessage,
+    StreamRecord,
+    StreamTaken,
+)
+from .http_app import Cut
+from .tokens import messages_digest, token_of
+
+_DONE = b'data: [DONE]\n\n'
+#: Tokens of an answer for which the caller sets no bound.
+_DEFAULT_TOKENS = 32
+
+
+@dataclass(frozen=True)
+class AnswerPlan:
+    """Which tokens are to be sent.
+
+    Parameters
+    ----------
+    request, replica
+        For the record.
+    model
+        Name that the chunks carry.
+    digest
+        Digest of the messages.
+    first
+        Index of the first token.
+    total
+        Number of tokens of the whole answer.
+
+    """
+
+    request: RequestId
+    replica: ReplicaId
+    model: str
+    digest: str
+    first: int
+    total: int
+
+
+def plan_answer(
+    request: RequestId,
+    replica: ReplicaId,
+    first: int,
+    fields: dict[str, Any],
+) -> AnswerPlan:
+    """Plan the answer to the fields of a chat body."""
+    return AnswerPlan(
+        request=request,
+        replica=replica,
+        model=str(fields.get('model', '')),
+        digest=messages_digest(fields['messages']),
+        first=first,
+        total=int(fields.get('max_tokens', _DEFAULT_TOKENS)),
+    )
+
+
+class AnswerParts:
+    """The parts of one answer; the thread that serves it owns them.
+
+    Parameters
+    ----------
+    plan
+        What to send.
+    taken
+        What the engine's task said.
+    inbox
+        What happens to the stream meanwhile.
+    engine
+        Takes the end of the stream.
+    clock
+        Clock of this process.
+
+    """
+
+    def __init__(
+        self,
+        plan: AnswerPlan,
+        taken: StreamTaken,
+        inbox: Mailbox[StreamMessage],
+        engine: Outbox[StreamEnded],
+        clock: Clock,
+    ) -> None:
+        """Send nothing yet."""
+        self._plan = plan
+        self._serial = taken.serial
+        self._interval_s = taken.interval_s
+        self._inbox = inbox
+        self._engine = engine
+        self._clock = clock
+        self._next_index = plan.first
+        self._end = StreamEnd.CUT
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield one event for each token, then the explicit end."""
+        for index in range(self._plan.first, self._plan.total):
+            self._await_turn()
+            yield self._chunk(index)
+            self._next_index = index + 1
+        # The place is free before the caller can know that it is.
+        self._end = StreamEnd.WHOLE
+        self._report()
+        yield _DONE
+
+    def close(self) -> None:
+        """Report an end that was not reported yet."""
+        if self._end is not StreamEnd.WHOLE:
+            self._report()
+
+    def _report(self) -> None:
+        record = StreamRecord(
+            request=self._plan.request,
+            replica=self._plan.replica,
+            first=self._plan.first,
+            next_index=self._next_index,
+            end=self._end,
+        )
+        self._engine.post(StreamEnded(self._serial, record))
+
+    def _await_turn(self) -> None:
+        started_s = self._clock.now_s()
+        while True:
+            message = self._inbox.take(self._left_s(started_s))
+            if message is None:
+                return
+            self._on_message(message)
+
+    def _left_s(self, started_s: float) -> float | None:
+        if self._interval_s is None:
+            return None
+        return max(started_s + self._interval_s - self._clock.now_s(), 0)
+
+    def _on_message(self, message: StreamMessage) -> None:
+        match message:
+            case Pace(interval_s):
+                self._interval_s = interval_s
+            case StreamCut():
+                raise Cut
+            case StreamCancelled():
+                self._end = StreamEnd.CANCELLED
+                raise Cut
+
+    def _chunk(self, index: int) -> bytes:
+        text = token_of(self._plan.digest, index)
+        last = index + 1 == self._plan.total
+        choice = {
+            'index': 0,
+            'delta': {'content': text},
+            'finish_reason': 'length' if last else None,
+        }
+        chunk = {
+            'id': self._plan.request,
+            'object': 'chat.completion.chunk',
+            'model': self._plan.model,
+            'choices': [choice],
+            'token': index,
+        }
+        return f'data: {json.dumps(chunk)}\n\n'.encode()
--- /dev/null
+++ b/pomelogauge/standins/engine_task.py
@@ -0,0 +1,227 @@
+"""The task that owns a stand-in engine's state."""
+
+from dataclasses import dataclass
+
+from ..model.ids import InstanceName, RequestId
+from ..tasks.clock import Clock
+from ..tasks.mailbox import Outbox
+from .engine_gate import EngineGate
+from .engine_load import LoadHistory, PrefixCache
+from .engine_messages import (
+    CancelAsked,
+    CutsSet,
+    EngineMessage,
+    EngineMode,
+    EngineModeName,
+    EngineReport,
+    EventsAsked,
+    GateAsked,
+    Held,
+    MembersLost,
+    MembersWatched,
+    ModeSet,
+    OrderGiven,
+    Pace,
+    RecordAsked,
+    StatusAsked,
+    StreamAsked,
+    StreamEnd,
+    StreamEnded,
+    StreamTaken,
+)
+from .engine_model import Admission, EngineLimits, EngineModel, OldFence
+from .engine_requests import RunningRequests
+
+
+@dataclass(frozen=True)
+class EngineTimes:
+    """How long things take at an engine.
+
+    Parameters
+    ----------
+    load_s
+        Seconds that a load takes.
+    token_interval_s
+        Seconds between two tokens of one answer.
+    load_lag_s
+        Seconds by which the reported load lags.
+
+    """
+
+    load_s: float = 0.3
+    token_interval_s: float = 0.01
+    load_lag_s: float = 0.5
+
+
+class EngineActor:
+    """Owns what one engine holds and says who is served.
+
+    Parameters
+    ----------
+    name
+        Name of the instance.
+    limits
+        What the engine bears.
+    times
+        How long things take.
+    clock
+        Clock of this process.
+
+    """
+
+    def __init__(
+        self,
+        name: InstanceName,
+        limits: EngineLimits,
+        times: EngineTimes,
+        clock: Clock,
+    ) -> None:
+        """Start empty and up."""
+        self._name = name
+        self._times = times
+        self._clock = clock
+        self._model = EngineModel(name, limits)
+        self._generation = self._model.generation
+        self._history = LoadHistory(times.load_lag_s)
+        self._cache = PrefixCache()
+        self._requests = RunningRequests()
+        self._gate = EngineGate()
+        self._watch: Outbox[MembersWatched] | None = None
+
+    def watch_with(self, watch: Outbox[MembersWatched]) -> None:
+        """Take the task that watches members, before the start."""
+        self._watch = watch
+
+    def on_start(self) -> None:
+        """Publish the first load."""
+        self._settle()
+
+    def on_message(self, message: EngineMessage) -> None:
+        """Take one message."""
+        self._model.tick(self._clock.now_s())
+        match message:
+            case GateAsked(client, reply):
+                reply.post(self._gate.verdict(client))
+            case Held(connection):
+                self._gate.hold(connection)
+            case ModeSet(mode):
+                self._enter(mode)
+            case CutsSet(clients):
+                self._gate.cut(clients)
+                self._requests.cut_clients(clients)
+            case StatusAsked(reply):
+                reply.post(self._report())
+            case OrderGiven():
+                self._on_order(message)
+            case RecordAsked(reply):
+                reply.post(self._requests.record())
+            case _:
+                self._on_stream_message(message)
+        self._settle()
+
+    def on_timer(self) -> float | None:
+        """Finish a load that is due."""
+        now_s = self._clock.now_s()
+        self._model.tick(now_s)
+        self._settle()
+        if self._model.load_due_s is None:
+            return None
+        return max(self._model.load_due_s - now_s, 0)
+
+    def on_stop(self) -> None:
+        """Cut all streams and close what was kept open."""
+        self._requests.cut_all()
+        self._gate.close()
+
+    def _on_stream_message(self, message: EngineMessage) -> None:
+        match message:
+            case StreamAsked():
+                self._on_stream(message)
+            case StreamEnded():
+                self._on_end(message)
+            case CancelAsked(request):
+                self._on_cancel(request)
+            case EventsAsked(after, reply):
+                now_s = self._clock.now_s()
+                reply.post(self._cache.events(after, now_s))
+            case MembersLost(replica, epoch):
+                status = self._model.status
+                if (replica, epoch) == (status.replica, status.epoch):
+                    self._requests.cut_all()
+
+    def _on_order(self, given: OrderGiven) -> None:
+        load_s = self._times.load_s * self._gate.factor()
+        due_s = self._clock.now_s() + load_s
+        outcome = self._model.order(given.order, due_s)
+        self._settle()
+        if isinstance(outcome, OldFence):
+            given.reply.post(outcome)
+        else:
+            given.reply.post(self._report())
+
+    def _on_stream(self, asked: StreamAsked) -> None:
+        admission = self._model.admit(asked.replica, asked.epoch)
+        if admission is Admission.ACCEPTED:
+            taken = StreamTaken(
+                serial=self._requests.add(asked, self._model.status.running),
+                incarnation=self._model.status.incarnation,
+                interval_s=self._interval_s(),
+            )
+            self._cache.store(asked.prefix, self._clock.now_s())
+            self._watch_members()
+            asked.reply.post(taken)
+        elif admission is Admission.FELL_OVER:
+            self._requests.overfed += 1
+            asked.reply.post(admission)
+        else:
+            asked.reply.post(admission)
+
+    def _on_end(self, ended: StreamEnded) -> None:
+        if self._requests.end(ended):
+            whole = ended.record.end is StreamEnd.WHOLE
+            self._model.end(whole=whole)
+        self._watch_members()
+
+    def _on_cancel(self, request: RequestId) -> None:
+        # The places are free at once, before the threads have noticed.
+        for _ in range(self._requests.cancel(request)):
+            self._model.end(whole=False)
+        self._watch_members()
+
+    def _enter(self, mode: EngineMode) -> None:
+        if mode.mode is EngineModeName.CRASH:
+            self._model.fall_over()
+        elif mode.mode is EngineModeName.COLD:
+            self._model.cool()
+        self._gate.enter(mode)
+        self._requests.tell(Pace(self._interval_s()))
+
+    def _interval_s(self) -> float | None:
+        if self._gate.is_hanging():
+            return None
+        return self._times.token_interval_s * self._gate.factor()
+
+    def _settle(self) -> None:
+        # Whatever loses the requests in progress raises the generation.
+        if self._generation != self._model.generation:
+            self._generation = self._model.generation
+            self._requests.lose_all()
+            self._cache.clear()
+            self._watch_members()
+        self._history.note(self._model.status, self._clock.now_s())
+
+    def _watch_members(self) -> None:
+        status = self._model.status
+        members = self._model.members if status.running else ()
+        watched = MembersWatched(
+            instance=self._name,
+            replica=status.replica,
+            epoch=status.epoch,
+            members=members,
+        )
+        if self._watch:
+            self._watch.post(watched)
+
+    def _report(self) -> EngineReport:
+        now_s = self._clock.now_s()
+        return EngineReport(self._model.status, self._history.report(now_s))
--- /dev/null
+++ b/pomelogauge/standins/engine_watch.py
@@ -0,0 +1,82 @@
+"""Task that watches the other members of a stand-in engine's replica."""
+
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError
+
+from ..tasks.clock import Clock
+from ..tasks.mailbox import Outbox
+from .engine_messages import MembersLost, MembersWatched
+from .engine_model import OrderMember
+
+#: Seconds between two rounds of questions.
+_ROUND_S = 0.2
+#: Seconds after which a member that does not answer is lost.
+_TIMEOUT_S = 1
+
+
+class MemberWatchActor:
+    """Asks the other members for their status while streams run.
+
+    Parameters
+    ----------
+    clock
+        Clock of this process.
+    engine
+        Takes the news of a lost member.
+
+    """
+
+    def __init__(self, clock: Clock, engine: Outbox[MembersLost]) -> None:
+        """Watch nobody yet."""
+        self._clock = clock
+        self._engine = engine
+        self._watched: MembersWatched | None = None
+        self._due_s = clock.now_s()
+        self._pool = PoolManager(
+            timeout=Timeout(connect=_TIMEOUT_S, read=_TIMEOUT_S),
+            retries=False,
+        )
+
+    def on_start(self) -> None:
+        """Have nothing to prepare."""
+
+    def on_message(self, message: MembersWatched) -> None:
+        """Watch other members from now on."""
+        if message != self._watched:
+            self._due_s = self._clock.now_s()
+        self._watched = message
+
+    def on_timer(self) -> float | None:
+        """Ask all members when it is time."""
+        if self._watched is None or not self._watched.members:
+            return None
+        if self._due_s <= self._clock.now_s():
+            self._ask_members(self._watched)
+            self._due_s = self._clock.now_s() + _ROUND_S
+        return max(self._due_s - self._clock.now_s(), 0)
+
+    def on_stop(self) -> None:
+        """Close the connections."""
+        self._pool.clear()
+
+    def _ask_members(self, watched: MembersWatched) -> None:
+        others = [
+            member
+            for member in watched.members
+            if member.instance != watched.instance
+        ]
+        if not all(self._is_there(member, watched) for member in others):
+            self._engine.post(MembersLost(watched.replica, watched.epoch))
+
+    def _is_there(self, member: OrderMember, watched: MembersWatched) -> bool:
+        try:
+            answer = self._pool.request(
+                'GET',
+                f'http://{member.address}/v1/status',
+                headers={'X-Client': watched.instance},
+            )
+            fields = answer.json()
+        except (HTTPError, OSError, ValueError):
+            return False
+        named = (fields.get('replica'), fields.get('epoch'))
+        return named == (watched.replica, watched.epoch)
--- a/pomelogauge/standins/http_app.py
+++ b/pomelogauge/standins/http_app.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from cheroot.server import HTTPConnection, HTTPRequest
@@ -16,12 +16,16 @@
 from ..model.ids import Address
 from ..tasks.mailbox import Mailbox
 
+ReplyT = TypeVar('ReplyT')
+
 #: Seconds for which an idle connection is kept.
 _IDLE_TIMEOUT_S = 60
 #: Seconds for which a closing server waits for its threads.
 _SHUTDOWN_TIMEOUT_S = 1
 #: Connections that wait to be accepted.
 _BACKLOG = 128
+#: Seconds after which a task that does not answer has ended.
+_REPLY_TIMEOUT_S = 30
 _CONNECTION_ENTRY = 'pomelogauge.connection'
 
 
@@ -67,11 +71,21 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
+class Parts(Protocol):
+    """Parts of a body, and the end of their sending."""
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the parts; `Cut` ends the connection with them."""
+
+    def close(self) -> None:
+        """Take note that nothing more is sent."""
+
+
 @dataclass(frozen=True)
 class HttpStream:
     """An answer whose parts are sent as they come."""
 
-    parts: Iterator[bytes]
+    parts: Parts
     headers: tuple[tuple[str, str], ...] = ()
     media_type: str = 'text/event-stream'
 
@@ -180,13 +194,11 @@
         self,
         environ: _Environment,
         start_response: _StartResponse,
-    ) -> Iterator[bytes] | tuple[bytes, ...]:
+    ) -> Parts | tuple[bytes, ...]:
         answer = self._answer(environ)
         headers = [('Content-Type', answer.media_type), *answer.headers]
         if isinstance(answer, HttpStream):
-            write = start_response('200 OK', headers)
-            # An empty part sends the headers before the first token.
-            write(b'')
+            _send_headers(start_response('200 OK', headers), answer.parts)
             return answer.parts
         status = f'{answer.status.value} {answer.status.phrase}'
         if answer.status is not HTTPStatus.NO_CONTENT:
@@ -221,6 +233,18 @@
     return HttpAnswer(status, json.dumps(fields).encode())
 
 
+#: Answer to a change that was taken.
+NO_CONTENT = HttpAnswer(HTTPStatus.NO_CONTENT)
+
+
+def answer_of(reply: Mailbox[ReplyT]) -> ReplyT:
+    """Wait for the answer of a stand-in's own task."""
+    answer = reply.take(_REPLY_TIMEOUT_S)
+    if answer is None:
+        raise Cut
+    return answer
+
+
 def error(status: HTTPStatus, code: str, message: str) -> HttpAnswer:
     """Answer with an error body."""
     return json_answer({'error': {'code': code, 'message': message}}, status)
@@ -271,6 +295,15 @@
     stops.take()
 
 
+def _send_headers(write: Callable[[bytes], None], parts: Parts) -> None:
+    # An empty part sends the headers before the first part is there.
+    try:
+        write(b'')
+    except OSError:
+        parts.close()
+        raise
+
+
 def _handled(handler: Handler, ask: HttpAsk) -> HttpAnswer | HttpStream:
     try:
         return handler(ask)
--- a/pomelogauge/standins/platform.py
+++ b/pomelogauge/standins/platform.py
@@ -22,6 +22,7 @@
     encode_rows,
 )
 from .http_app import (
+    NO_CONTENT,
     BadCallError,
     Cut,
     HttpAnswer,
@@ -29,6 +30,7 @@
     HttpServer,
     RefusedError,
     Route,
+    answer_of,
     error,
     json_answer,
     json_body,
@@ -63,7 +65,6 @@
 
 OutcomeT = TypeVar('OutcomeT')
 
-_NO_CONTENT = HttpAnswer(HTTPStatus.NO_CONTENT)
 _DOWN = error(HTTPStatus.SERVICE_UNAVAILABLE, 'down', 'nothing took effect')
 
 
@@ -146,7 +147,7 @@
     def _outcome(self, ask: HttpAsk, query: Query[OutcomeT]) -> OutcomeT:
         reply: Mailbox[Found[OutcomeT] | Verdict] = Mailbox()
         self._task.post(Call(ask.client, query, reply))
-        found = reply.take()
+        found = answer_of(reply)
         if isinstance(found, Found):
             return found.outcome
         if found is Verdict.DOWN:
@@ -197,13 +198,12 @@
     def _stats(self, ask: HttpAsk) -> HttpAnswer:
         reply: Mailbox[PlatformStats] = Mailbox()
         self._task.post(StatsAsked(reply))
-        stats = reply.take()
-        return json_answer(asdict(stats) if stats else {})
+        return json_answer(asdict(answer_of(reply)))
 
     def _change(self, message: PlatformMessage) -> HttpAnswer:
         # The mailbox keeps the order, so later calls meet the change.
         self._task.post(message)
-        return _NO_CONTENT
+        return NO_CONTENT
 
 
 class PlatformStandin:
--- a/pomelogauge/standins/platform_store.py
+++ b/pomelogauge/standins/platform_store.py
@@ -3,12 +3,10 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from cheroot.server import HTTPConnection
-
 from ..model.ids import InstanceName
 from ..model.topology import Instance
 from ..tasks.clock import Clock
-from .http_app import close
+from .caller_links import CallerLinks
 from .memory_platform import MemoryPlatform
 from .platform_messages import (
     Call,
@@ -63,11 +61,10 @@
         self._list_lag_s = list_lag_s
         self._store = MemoryPlatform()
         self._mode = PlatformMode()
-        self._cuts: frozenset[str] = frozenset()
+        self._links = CallerLinks()
         self._instances: dict[InstanceName, Instance] = {}
         self._late_lists: list[_LateList] = []
         self._late_calls: list[_LateCall] = []
-        self._held: list[HTTPConnection] = []
         self._meter = _Meter()
 
     def on_start(self) -> None:
@@ -80,12 +77,12 @@
             case Call():
                 self._on_call(message)
             case Held(connection):
-                self._hold(connection)
+                self._links.hold(connection)
+                self._enter(self._mode)
             case ModeSet(mode):
-                self._mode = mode
-                self._release()
+                self._enter(mode)
             case CutsSet(clients):
-                self._cuts = clients
+                self._links.cut(clients)
             case StatsAsked(reply):
                 reply.post(self._meter.stats)
             case _:
@@ -102,8 +99,7 @@
 
     def on_stop(self) -> None:
         """Close the connections that were kept open."""
-        self._mode = PlatformMode()
-        self._release()
+        self._links.release()
 
     def _on_call(self, call: Call[Any]) -> None:
         verdict = self._verdict(call.client)
@@ -116,7 +112,7 @@
             self._run(call)
 
     def _verdict(self, client: str) -> Verdict | None:
-        if client in self._cuts:
+        if self._links.is_cut(client):
             return Verdict.CUT
         if self._mode.mode is PlatformModeName.DOWN:
             return Verdict.DOWN
@@ -142,16 +138,10 @@
         self._mode = replace(self._mode, count=self._mode.count - 1)
         return True
 
-    def _hold(self, connection: HTTPConnection) -> None:
-        self._held.append(connection)
-        self._release()
-
-    def _release(self) -> None:
-        if self._mode.mode is PlatformModeName.HANG:
-            return
-        for connection in self._held:
-            close(connection)
-        self._held = []
+    def _enter(self, mode: PlatformMode) -> None:
+        self._mode = mode
+        if mode.mode is not PlatformModeName.HANG:
+            self._links.release()
 
     def _change_list(self, message: PlatformMessage) -> None:
         match message:
