--- /dev/null
+++ b/pomelogauge/wire/peer_channels.py
@@ -0,0 +1,58 @@
+"""Channels to peers, kept while they are in use."""
+
+from collections import OrderedDict
+
+import grpc
+
+from ..model.ids import Address
+from .peer_pb2_grpc import PeerStub
+
+#: Channels kept at once; the one that waited longest is closed first.
+MAX_CHANNELS = 32
+#: Largest message, in bytes; a configuration is the largest.
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+_OPTIONS = (
+    ('grpc.enable_retries', 0),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.initial_reconnect_backoff_ms', 200),
+    ('grpc.min_reconnect_backoff_ms', 200),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
+)
+
+
+class PeerChannels:
+    """One channel for each address; owned by one task."""
+
+    def __init__(self) -> None:
+        """Start without channels."""
+        self._channels: OrderedDict[Address, grpc.Channel] = OrderedDict()
+
+    def stub(self, address: Address) -> PeerStub:
+        """Return a stub over the channel to an address."""
+        channel = self._channels.get(address)
+        if channel is None:
+            self._make_room()
+            channel = grpc.insecure_channel(address, options=_OPTIONS)
+            self._channels[address] = channel
+        self._channels.move_to_end(address)
+        # The generated stub has no types.
+        return PeerStub(channel)  # type: ignore[no-untyped-call]
+
+    def drop(self, address: Address) -> None:
+        """Close the channel to an address."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        for address in tuple(self._channels):
+            self.drop(address)
+
+    def _make_room(self) -> None:
+        if len(self._channels) >= MAX_CHANNELS:
+            self.drop(next(iter(self._channels)))
--- /dev/null
+++ b/pomelogauge/wire/peer_server.py
@@ -0,0 +1,85 @@
+"""The gRPC interface of a process towards its peers."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import grpc
+
+from .cuts import LinkCuts
+from .peer_channels import MAX_MESSAGE_BYTES
+from .peer_pb2_grpc import add_PeerServicer_to_server
+from .peer_ports import PeerPorts
+from .peer_servicer import PeerServicer
+
+#: Threads that serve calls; none waits longer than the servicer's deadline.
+POOL_THREADS = 16
+#: Calls at once; more are refused rather than queued behind slow ones.
+MAX_CALLS = 64
+
+_OPTIONS = (
+    ('grpc.so_reuseport', 0),
+    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
+)
+
+
+class PeerServer:
+    """Serves peers until it is stopped.
+
+    Parameters
+    ----------
+    ports
+        Where asks go.
+    cuts
+        Peers whose calls are refused.
+    may_cut
+        Calls may set the cuts; tests only.
+
+    """
+
+    def __init__(
+        self,
+        ports: PeerPorts,
+        cuts: LinkCuts | None = None,
+        may_cut: bool = False,
+    ) -> None:
+        """Prepare the server without a port."""
+        pool = ThreadPoolExecutor(POOL_THREADS, thread_name_prefix='peer')
+        self._server = grpc.server(
+            pool,
+            options=_OPTIONS,
+            maximum_concurrent_rpcs=MAX_CALLS,
+        )
+        servicer = PeerServicer(ports, cuts or LinkCuts(), may_cut)
+        # The generated function has no types.
+        add_PeerServicer_to_server(  # type: ignore[no-untyped-call]
+            servicer, self._server
+        )
+
+    def start(self, host: str, port: int) -> int:
+        """Listen and serve.
+
+        Parameters
+        ----------
+        host
+            Address to bind.
+        port
+            Port to bind; zero for any.
+
+        Returns
+        -------
+        int
+            The bound port.
+
+        Raises
+        ------
+        RuntimeError
+            The port can't be bound.
+
+        """
+        bound: int = self._server.add_insecure_port(f'{host}:{port}')
+        self._server.start()
+        return bound
+
+    def stop(self, grace_s: float) -> None:
+        """Refuse new calls and wait for those in progress."""
+        self._server.stop(grace_s).wait()
--- /dev/null
+++ b/test/test_peer_codec.py
@@ -0,0 +1,112 @@
+"""Tests of the encodings between peers."""
+
+import unittest
+
+from pomelogauge.model.ids import (
+    Address,
+    ConfigVersion,
+    DataCentreName,
+    DeploymentName,
+    DomainName,
+    Epoch,
+    Incarnation,
+    InstanceName,
+    NodeName,
+    ReplicaId,
+    ShardName,
+)
+from pomelogauge.model.peers import (
+    Demand,
+    ExchangeAnswer,
+    ExchangeAsk,
+    NodePhase,
+    NodeReport,
+    PeerView,
+    ReplicaUse,
+)
+from pomelogauge.model.placement import (
+    Grant,
+    Member,
+    Replica,
+    ReplicaState,
+    ReplicaView,
+)
+from pomelogauge.model.topology import InstanceRole
+from pomelogauge.tasks.messages import (
+    ConfigurationDocument,
+    Gossip,
+    NodeStatus,
+)
+from pomelogauge.wire import peer_codec, report_codec
+
+REPORT = NodeReport(
+    NodeName('r1'),
+    InstanceRole.ROUTER,
+    Incarnation('i1'),
+    7,
+    DataCentreName('dc1'),
+    Address('10.0.0.1:80'),
+    Address('10.0.0.1:90'),
+    ConfigVersion(3),
+    NodePhase.LEAVING,
+)
+MEMBER = Member(
+    InstanceName('e1'),
+    Address('10.0.0.2:80'),
+    DataCentreName('dc1'),
+    DomainName('f1'),
+    1,
+)
+REPLICA = Replica(
+    ReplicaId('p1'),
+    DeploymentName('d1'),
+    Epoch(4),
+    ShardName('s1'),
+    (MEMBER,),
+    ReplicaState.SERVING,
+)
+VIEW = ReplicaView(REPLICA, True, 2, 5, 0.5, Incarnation('i2'))
+
+
+class PeerCodecTest(unittest.TestCase):
+    def test_gossip(self) -> None:
+        gossip = Gossip(REPORT, (PeerView(REPORT, 1.5),))
+        for encode in (
+            report_codec.encode_gossip_ask,
+            report_codec.encode_gossip_answer,
+        ):
+            self.assertEqual(report_codec.decode_gossip(encode(gossip)), gossip)
+
+    def test_document(self) -> None:
+        document = ConfigurationDocument(
+            ConfigVersion(3), b'\x00x', NodeName('r1')
+        )
+        message = report_codec.encode_document(document)
+        self.assertEqual(report_codec.decode_document(message), document)
+
+    def test_exchange(self) -> None:
+        ask = ExchangeAsk(
+            REPORT,
+            (Demand(DeploymentName('d1'), 3, 2),),
+            (ReplicaUse(ReplicaId('p1'), 2),),
+            (ReplicaId('p2'),),
+        )
+        message = peer_codec.encode_exchange_ask(ask)
+        self.assertEqual(peer_codec.decode_exchange_ask(message), ask)
+        grant = Grant(ReplicaId('p1'), 2, 1.5, Epoch(6))
+        answer = ExchangeAnswer(REPORT, (VIEW,), (grant,))
+        encoded = peer_codec.encode_exchange_answer(answer)
+        self.assertEqual(peer_codec.decode_exchange_answer(encoded), answer)
+
+    def test_status(self) -> None:
+        status = NodeStatus(
+            REPORT, (PeerView(REPORT, 0.5),), (VIEW,), (ShardName('s1'),)
+        )
+        message = peer_codec.encode_status(status)
+        self.assertEqual(peer_codec.decode_status(message), status)
+
+    def test_unknown_phase_is_an_error(self) -> None:
+        message = report_codec.encode_report(REPORT)
+        message.phase = 'asleep'
+        with self.assertRaises(ValueError):
+            report_codec.decode_report(message)
