Add membership by gossip and the choice of routers for callers

A process had no knowledge of its peers. It also names routers to callers: live, ready, staying, outside drained data centres and at the own version.

--- /dev/null
+++ b/pomelogauge/decide/resolve.py
@@ -0,0 +1,115 @@
+"""Which routers to name to a caller."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from ..model.ids import Address, DataCentreName, NodeName
+from ..model.peers import NodePhase, NodeReport, PeerView
+from ..model.topology import InstanceRole
+
+
+@dataclass(frozen=True)
+class EntryFacts:
+    """What the choice of routers depends on.
+
+    Parameters
+    ----------
+    own
+        Report of this process.
+    peers
+        Live peers.
+    leaving
+        Nodes that the instance list announces as leaving.
+    drained
+        Data centres that receive no new work.
+
+    """
+
+    own: NodeReport
+    peers: tuple[PeerView, ...]
+    leaving: frozenset[NodeName] = frozenset()
+    drained: frozenset[DataCentreName] = frozenset()
+
+
+@dataclass(frozen=True)
+class EntryChoice:
+    """Routers that may be named.
+
+    Parameters
+    ----------
+    near
+        In the own data centre.
+    far
+        In other data centres.
+
+    """
+
+    near: tuple[Address, ...]
+    far: tuple[Address, ...]
+
+
+def choose_entries(facts: EntryFacts) -> EntryChoice:
+    """Return the routers that take new work; else this one, if it stays."""
+    reports = (facts.own, *(view.report for view in facts.peers))
+    fit = [report for report in reports if _takes_work(report, facts)]
+    if not fit and _stays(facts.own, facts):
+        fit = [facts.own]
+    own_centre = facts.own.data_centre
+    return EntryChoice(
+        _addresses(at for at in fit if at.data_centre == own_centre),
+        _addresses(at for at in fit if at.data_centre != own_centre),
+    )
+
+
+def order_entries(
+    choice: EntryChoice,
+    turn: int,
+    limit: int,
+) -> tuple[Address, ...]:
+    """Return addresses for one caller, best first.
+
+    Parameters
+    ----------
+    choice
+        Routers that may be named.
+    turn
+        Rises with each answer, so that callers spread over the routers.
+    limit
+        Most addresses in one answer.
+
+    """
+    near = _rotated(choice.near, turn)
+    far = _rotated(choice.far, turn)
+    return (near + far)[:limit]
+
+
+def _takes_work(report: NodeReport, facts: EntryFacts) -> bool:
+    # A router behind the own version may not know yet what was taken out.
+    return (
+        _stays(report, facts)
+        and report.phase is NodePhase.READY
+        and report.version >= facts.own.version
+        and report.data_centre not in facts.drained
+    )
+
+
+def _stays(report: NodeReport, facts: EntryFacts) -> bool:
+    return (
+        report.role is InstanceRole.ROUTER
+        and report.phase is not NodePhase.LEAVING
+        and report.node not in facts.leaving
+    )
+
+
+def _addresses(reports: Iterable[NodeReport]) -> tuple[Address, ...]:
+    return tuple(sorted(report.address for report in reports))
+
+
+def _rotated(
+    addresses: Sequence[Address],
+    turn: int,
+) -> tuple[Address, ...]:
+    if not addresses:
+        return ()
+    start = turn % len(addresses)
+    return (*addresses[start:], *addresses[:start])
--- /dev/null
+++ b/pomelogauge/tasks/entry_namer.py
@@ -0,0 +1,73 @@
+"""Answers to callers that ask which routers to use."""
+
+from ..decide.resolve import (
+    EntryChoice,
+    EntryFacts,
+    choose_entries,
+    order_entries,
+)
+from ..model.ids import DataCentreName, NodeName
+from ..model.peers import NodeReport, PeerView
+from .messages import ConfigurationInForce, Entries, InstancesListed
+
+#: Most addresses in one answer to a caller.
+ENTRY_LIMIT = 8
+
+
+class EntryNamer:
+    """Keeps the choice of routers until something changes.
+
+    Owned by the membership task.
+
+    Parameters
+    ----------
+    ttl_s
+        Seconds for which callers may keep an answer.
+    turn
+        First turn of the rotation; random, so that routers differ.
+
+    """
+
+    def __init__(self, ttl_s: float, turn: int) -> None:
+        """Start without a choice."""
+        self._ttl_s = ttl_s
+        self._turn = turn
+        self._choice: EntryChoice | None = None
+        self._leaving: frozenset[NodeName] = frozenset()
+        self._drained: frozenset[DataCentreName] = frozenset()
+
+    @property
+    def is_chosen(self) -> bool:
+        """Return whether the last choice still holds."""
+        return self._choice is not None
+
+    def forget(self) -> None:
+        """Drop the choice, as peers or the own report have changed."""
+        self._choice = None
+
+    def take_list(self, message: InstancesListed) -> None:
+        """Learn who is leaving."""
+        self._leaving = frozenset(
+            NodeName(instance.name)
+            for instance in message.instances
+            if instance.leaving
+        )
+        self.forget()
+
+    def take_configuration(self, message: ConfigurationInForce) -> None:
+        """Learn which data centres receive no new work."""
+        self._drained = frozenset(message.configuration.drained)
+        self.forget()
+
+    def choose(self, own: NodeReport, peers: tuple[PeerView, ...]) -> None:
+        """Choose among this process and its live peers."""
+        facts = EntryFacts(own, peers, self._leaving, self._drained)
+        self._choice = choose_entries(facts)
+
+    def entries(self) -> Entries:
+        """Return the next answer."""
+        if self._choice is None:
+            return Entries((), self._ttl_s)
+        self._turn += 1
+        addresses = order_entries(self._choice, self._turn, ENTRY_LIMIT)
+        return Entries(addresses, self._ttl_s)
--- /dev/null
+++ b/pomelogauge/tasks/membership.py
@@ -0,0 +1,282 @@
+"""The task that knows the live peers and gossips with them."""
+
+from dataclasses import dataclass, replace
+from random import Random
+
+from ..decide.membership import (
+    GossipSettings,
+    Seen,
+    forget_old,
+    live_views,
+    merge_views,
+    pick_targets,
+    sample_views,
+    silent_addresses,
+)
+from ..model.ids import Address, ConfigVersion, Incarnation, NodeName
+from ..model.peers import NodePhase, NodeReport, PeerView
+from ..model.topology import Instance
+from .clock import Clock
+from .entry_namer import EntryNamer
+from .mailbox import Outbox
+from .messages import (
+    ConfigurationInForce,
+    EntriesAsked,
+    Gossip,
+    InstancesListed,
+    NodeStatus,
+    PeerHeard,
+    PeersChanged,
+    PhaseChanged,
+    StatusAsked,
+)
+from .peer_messages import GossipEnded, SendGossip
+
+#: Most seconds between two messages to the subscribers.
+PUBLISH_INTERVAL_S = 1.0
+#: Range of the first turn of the answers to callers.
+_FIRST_TURNS = 1000
+
+MembershipMessage = (
+    InstancesListed
+    | PhaseChanged
+    | ConfigurationInForce
+    | PeerHeard
+    | GossipEnded
+    | EntriesAsked
+    | StatusAsked
+)
+
+
+@dataclass(frozen=True)
+class MembershipSettings:
+    """Settings of the membership task.
+
+    Parameters
+    ----------
+    gossip
+        How to gossip.
+    entries_ttl_s
+        Seconds for which callers may keep an answer.
+
+    """
+
+    gossip: GossipSettings
+    entries_ttl_s: float
+
+
+@dataclass(frozen=True)
+class MembershipPorts:
+    """Whom the membership task talks to.
+
+    Parameters
+    ----------
+    senders
+        Gossip senders.
+    subscribers
+        Learn of live peers.
+
+    """
+
+    senders: tuple[Outbox[SendGossip], ...]
+    subscribers: tuple[Outbox[PeersChanged], ...]
+
+
+@dataclass(frozen=True)
+class _Notable:
+    """What subscribers hear of at once when it changes."""
+
+    node: NodeName
+    incarnation: Incarnation
+    version: ConfigVersion
+    phase: NodePhase
+
+
+@dataclass(frozen=True)
+class _Published:
+    """What subscribers heard last."""
+
+    notable: frozenset[_Notable] = frozenset()
+    at_s: float = float('-inf')
+
+    def is_due(self, notable: frozenset[_Notable], now_s: float) -> bool:
+        """Return whether subscribers should hear again."""
+        late = now_s - self.at_s >= PUBLISH_INTERVAL_S
+        return late or notable != self.notable
+
+
+class Membership:
+    """Owns the own report and what is known of peers.
+
+    Parameters
+    ----------
+    own
+        First report of this process.
+    ports
+        Senders and subscribers.
+    settings
+        Times and sizes.
+    clock
+        Own clock.
+    rng
+        Source of samples, targets and the first turn of entries.
+
+    """
+
+    def __init__(
+        self,
+        own: NodeReport,
+        ports: MembershipPorts,
+        settings: MembershipSettings,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        """Start without peers."""
+        self._report = own
+        self._ports = ports
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._known: dict[NodeName, Seen] = {}
+        self._instances: tuple[Instance, ...] = ()
+        self._idle = set(range(len(ports.senders)))
+        self._round_due_s = clock.now_s()
+        self._published = _Published()
+        self._entries = EntryNamer(
+            settings.entries_ttl_s, rng.randrange(_FIRST_TURNS)
+        )
+        self._own: Outbox[PeerHeard | GossipEnded] | None = None
+
+    def listen_on(self, own: Outbox[PeerHeard | GossipEnded]) -> None:
+        """Set where answers to this task are left; before the start."""
+        self._own = own
+
+    def on_start(self) -> None:
+        """Open nothing; the senders own the links."""
+
+    def on_message(self, message: MembershipMessage) -> None:
+        """Take news, or answer from what is known."""
+        if isinstance(message, EntriesAsked):
+            self._name_entries(message)
+        elif isinstance(message, StatusAsked):
+            message.reply.post(NodeStatus(self._next_report(), self._live()))
+        elif isinstance(message, GossipEnded):
+            self._idle.add(message.sender)
+        else:
+            self._learn(message)
+            self._entries.forget()
+            self._publish()
+
+    def on_timer(self) -> float | None:
+        """Start a round when it is due."""
+        now_s = self._clock.now_s()
+        if now_s >= self._round_due_s:
+            self._round_due_s = now_s + self._settings.gossip.interval_s
+            self._known = forget_old(self._known, self._bound_s(), now_s)
+            self._entries.forget()
+            self._gossip_round()
+        self._publish()
+        due_s = min(
+            self._round_due_s,
+            self._published.at_s + PUBLISH_INTERVAL_S,
+        )
+        return max(0, due_s - self._clock.now_s())
+
+    def on_stop(self) -> None:
+        """Close nothing; the senders own the links."""
+
+    def _learn(
+        self,
+        message: (
+            InstancesListed | PhaseChanged | ConfigurationInForce | PeerHeard
+        ),
+    ) -> None:
+        if isinstance(message, InstancesListed):
+            self._instances = message.instances
+            self._entries.take_list(message)
+        elif isinstance(message, PhaseChanged):
+            self._report = _in_phase(self._report, message.phase)
+        elif isinstance(message, ConfigurationInForce):
+            version = message.configuration.version
+            self._report = replace(self._report, version=version)
+            self._entries.take_configuration(message)
+        else:
+            self._hear(message)
+
+    def _hear(self, message: PeerHeard) -> None:
+        heard = (PeerView(message.sender, 0, direct=True), *message.others)
+        self._known = merge_views(
+            self._known,
+            self._report.node,
+            heard,
+            self._clock.now_s(),
+        )
+        if message.reply:
+            message.reply.post(self._gossip())
+
+    def _gossip_round(self) -> None:
+        live = self._live()
+        targets = pick_targets(
+            live,
+            silent_addresses(self._instances, live, self._report.node),
+            self._settings.gossip.targets(len(live)),
+            self._rng,
+        )
+        # A sender that still waits for a dead peer gets nothing more to do.
+        for address, sender in zip(targets, sorted(self._idle), strict=False):
+            self._send(sender, address)
+
+    def _send(self, sender: int, address: Address) -> None:
+        if self._own is None:
+            return
+        self._idle.discard(sender)
+        ask = SendGossip(address, self._gossip(), sender, self._own)
+        self._ports.senders[sender].post(ask)
+
+    def _gossip(self) -> Gossip:
+        size = self._settings.gossip.sample
+        sample = sample_views(self._live(), size, self._rng)
+        return Gossip(self._next_report(), sample)
+
+    def _next_report(self) -> NodeReport:
+        """Return the own report under a new sequence."""
+        sequence = self._report.sequence + 1
+        self._report = replace(self._report, sequence=sequence)
+        return self._report
+
+    def _live(self) -> tuple[PeerView, ...]:
+        return live_views(self._known, self._bound_s(), self._clock.now_s())
+
+    def _bound_s(self) -> float:
+        return self._settings.gossip.bound_s(len(self._known))
+
+    def _publish(self) -> None:
+        live = self._live()
+        notable = frozenset(_notable(view.report) for view in live)
+        now_s = self._clock.now_s()
+        if not self._published.is_due(notable, now_s):
+            return
+        self._published = _Published(notable, now_s)
+        for subscriber in self._ports.subscribers:
+            subscriber.post(PeersChanged(live))
+
+    def _name_entries(self, message: EntriesAsked) -> None:
+        if not self._entries.is_chosen:
+            self._entries.choose(self._report, self._live())
+        message.reply.post(self._entries.entries())
+
+
+def _notable(report: NodeReport) -> _Notable:
+    return _Notable(
+        report.node,
+        report.incarnation,
+        report.version,
+        report.phase,
+    )
+
+
+def _in_phase(report: NodeReport, phase: NodePhase) -> NodeReport:
+    # A process that leaves stays leaving, whatever confirms it later.
+    if report.phase is NodePhase.LEAVING:
+        return report
+    return replace(report, phase=phase)
--- /dev/null
+++ b/test/test_resolve.py
@@ -0,0 +1,54 @@
+"""Tests of the choice of routers for callers."""
+
+import unittest
+
+from pomelogauge.decide.resolve import (
+    EntryFacts,
+    choose_entries,
+    order_entries,
+)
+from pomelogauge.model.ids import DataCentreName, NodeName
+from pomelogauge.model.peers import NodePhase
+from pomelogauge.model.topology import InstanceRole
+
+from .peer_fakes import report, view
+
+FAR = DataCentreName('dc2')
+
+
+class ResolveTest(unittest.TestCase):
+    def test_names_near_routers_first_and_rotates(self) -> None:
+        peers = (view('b'), view('c', data_centre=FAR))
+        choice = choose_entries(EntryFacts(report('a'), peers))
+        self.assertEqual(order_entries(choice, 0, 8), ('a:80', 'b:80', 'c:80'))
+        self.assertEqual(order_entries(choice, 1, 8), ('b:80', 'a:80', 'c:80'))
+        self.assertEqual(order_entries(choice, 0, 1), ('a:80',))
+
+    def test_leaves_out_who_takes_no_work(self) -> None:
+        peers = (
+            view('leaving', 1, phase=NodePhase.LEAVING),
+            view('cut', 1, phase=NodePhase.CUT_OFF),
+            view('starting', 1, phase=NodePhase.STARTING),
+            view('listed', 1),
+            view('behind', 0),
+            view('drained', 1, data_centre=FAR),
+            view('controller', 1, role=InstanceRole.CONTROLLER),
+            view('fit', 2),
+        )
+        facts = EntryFacts(
+            report('a', 1, phase=NodePhase.CUT_OFF),
+            peers,
+            frozenset((NodeName('listed'),)),
+            frozenset((FAR,)),
+        )
+        choice = choose_entries(facts)
+        self.assertEqual(order_entries(choice, 0, 8), ('fit:80',))
+
+    def test_names_itself_alone_unless_leaving(self) -> None:
+        cut_off = report('a', phase=NodePhase.CUT_OFF)
+        self.assertEqual(
+            choose_entries(EntryFacts(cut_off, ())).near, ('a:80',)
+        )
+        leaving = report('a', phase=NodePhase.LEAVING)
+        choice = choose_entries(EntryFacts(leaving, ()))
+        self.assertEqual(order_entries(choice, 0, 8), ())
