Add the configuration keeper and the settings version chart

Configurations had no way into a process. The keeper adopts only newer versions, pushes what it adopts to some peers, fetches what a peer or the store names as newer and reads the store at an interval that grows with the number of processes. Without confirmation for cut_off_after_s the process is cut off; a version known to be newer is not confirmed away.

--- /dev/null
+++ b/test/test_configuration_keeper.py
@@ -0,0 +1,183 @@
+"""Tests of the configuration keeper."""
+
+import unittest
+from random import Random
+
+from returns.result import Failure, Success
+
+from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide.spread import SpreadSettings
+from pomelogauge.decide.version_chart import VERSION_WORDS
+from pomelogauge.model.errors import Finding, Place
+from pomelogauge.model.ids import ConfigVersion, NodeName
+from pomelogauge.model.manifest import Configuration
+from pomelogauge.model.peers import NodePhase, PeerView
+from pomelogauge.platform.protocols import PlatformError, PlatformFault
+from pomelogauge.tasks.configuration_courier import ConfigurationCourier
+from pomelogauge.tasks.configuration_errands import (
+    ConfigurationErrands,
+    ErrandPorts,
+)
+from pomelogauge.tasks.configuration_keeper import (
+    ConfigurationKeeper,
+    KeeperPorts,
+)
+from pomelogauge.tasks.configuration_reader import ConfigurationReader
+from pomelogauge.tasks.mailbox import Mailbox
+from pomelogauge.tasks.messages import (
+    ConfigurationAsked,
+    ConfigurationDocument,
+    ConfigurationPushed,
+    PeersChanged,
+)
+
+from .peer_fakes import FakeClock, FakeLinks, report, view
+
+SETTINGS = SpreadSettings()
+DOWN = Failure(PlatformError(PlatformFault.UNAVAILABLE, 'down'))
+
+
+class FakeSource:
+    def __init__(self) -> None:
+        self.version: int | None = None
+
+    def current_version(self):
+        return DOWN if self.version is None else Success(self.version)
+
+    def document(self, version: ConfigVersion):
+        return DOWN if self.version is None else Success(b'good')
+
+
+def decode(document: bytes):
+    if document == b'good':
+        return Success(Configuration())
+    return Failure((Finding(Place('document'), 'is bad'),))
+
+
+def document(version: int, encoded: bytes = b'good') -> ConfigurationDocument:
+    return ConfigurationDocument(ConfigVersion(version), encoded, NodeName('b'))
+
+
+class KeeperTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.source = FakeSource()
+        self.links = FakeLinks()
+        self.asked = Mailbox()
+        self.carried = Mailbox()
+        self.adopted = Mailbox()
+        self.phases = Mailbox()
+        self.inbox = Mailbox()
+        ports = ErrandPorts(self.asked, self.carried, (self.carried,))
+        errands = ConfigurationErrands(ports, SETTINGS, self.clock, Random(1))
+        self.keeper = ConfigurationKeeper(
+            NodeName('a'),
+            load_chart('settings_version', VERSION_WORDS),
+            decode,
+            errands,
+            KeeperPorts((self.adopted,), (self.phases,)),
+            SETTINGS.cut_off_after_s,
+            self.clock,
+        )
+        self.keeper.listen_on(self.inbox)
+        self.reader = ConfigurationReader(self.source, NodeName('a'))
+        self.courier = ConfigurationCourier(self.links)
+
+    def run_errands(self, seconds: float = 0) -> None:
+        """Let time pass and all errands end."""
+        self.clock.time_s += seconds
+        self.keeper.on_timer()
+        for mailbox, actor in (
+            (self.asked, self.reader),
+            (self.carried, self.courier),
+            (self.inbox, self.keeper),
+        ) * 3:
+            while message := mailbox.take(0):
+                actor.on_message(message)
+                self.keeper.on_timer()
+
+    def hear(self, *peers: PeerView) -> None:
+        self.keeper.on_message(PeersChanged(peers))
+        self.run_errands()
+
+    def version(self) -> int:
+        reply = Mailbox()
+        self.keeper.on_message(ConfigurationAsked(reply))
+        return reply.take(0).version
+
+    def push(self, pushed: ConfigurationDocument) -> int:
+        reply = Mailbox()
+        self.keeper.on_message(ConfigurationPushed(pushed, reply))
+        return reply.take(0)
+
+    def phase(self) -> NodePhase | None:
+        told = None
+        while message := self.phases.take(0):
+            told = message.phase
+        return told
+
+    def test_starts_from_the_store(self) -> None:
+        self.source.version = 4
+        self.run_errands()
+        self.assertEqual(self.version(), 4)
+        self.assertIs(self.phase(), NodePhase.READY)
+        self.assertEqual(self.adopted.take(0).configuration.version, 4)
+
+    def test_nothing_published_is_confirmed_by_the_store_or_a_peer(
+        self,
+    ) -> None:
+        self.run_errands()
+        self.hear(view('b', 0, phase=NodePhase.STARTING))
+        self.assertIsNone(self.phase())
+        self.hear(view('b', 0))
+        self.assertIs(self.phase(), NodePhase.READY)
+        self.setUp()
+        self.source.version = 0
+        self.run_errands()
+        self.assertIs(self.phase(), NodePhase.READY)
+
+    def test_starts_from_a_peer_while_the_store_is_down(self) -> None:
+        self.links.documents['b:90'] = document(5)
+        self.run_errands()
+        self.hear(view('b', 5), view('c', 4))
+        self.assertEqual(self.version(), 5)
+        self.assertIn('c:90', self.links.pushed)
+
+    def test_falls_back_to_the_store_when_a_peer_fails(self) -> None:
+        self.source.version = 5
+        self.hear(view('b', 5))
+        self.assertEqual(self.version(), 0)
+        self.run_errands(1)
+        self.assertEqual(self.version(), 5)
+
+    def test_version_never_falls(self) -> None:
+        self.assertEqual(self.push(document(5)), 5)
+        self.assertEqual(self.push(document(4)), 5)
+        self.source.version = 3
+        self.run_errands(10)
+        self.assertEqual(self.version(), 5)
+
+    def test_a_bad_document_is_not_adopted_and_cuts_off(self) -> None:
+        self.push(document(5))
+        self.assertEqual(self.push(document(6, b'bad')), 5)
+        self.links.documents['b:90'] = document(6, b'bad')
+        self.hear(view('b', 6), view('c', 5))
+        self.assertIs(self.phase(), NodePhase.READY)
+        self.run_errands(SETTINGS.cut_off_after_s + 1)
+        self.assertIs(self.phase(), NodePhase.CUT_OFF)
+
+    def test_cut_off_and_confirmed_again(self) -> None:
+        self.push(document(5))
+        self.run_errands(SETTINGS.cut_off_after_s + 1)
+        self.assertIs(self.phase(), NodePhase.CUT_OFF)
+        self.hear(PeerView(report('b', 5), SETTINGS.cut_off_after_s + 1))
+        self.assertIsNone(self.phase())
+        self.hear(view('b', 5))
+        self.assertIs(self.phase(), NodePhase.READY)
+
+    def test_the_store_confirms(self) -> None:
+        self.source.version = 5
+        self.run_errands()
+        for _ in range(3):
+            self.run_errands(SETTINGS.cut_off_after_s / 2)
+        self.assertIs(self.phase(), NodePhase.READY)
--- /dev/null
+++ b/test/test_spread.py
@@ -0,0 +1,86 @@
+"""Tests of how configurations spread, and of the settings version chart."""
+
+import unittest
+from random import Random
+
+from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide import spread
+from pomelogauge.decide.known_versions import KnownVersions
+from pomelogauge.decide.version_chart import (
+    VERSION_WORDS,
+    VersionAction,
+    VersionEvent,
+    VersionFacts,
+    VersionState,
+)
+from pomelogauge.model.ids import ConfigVersion
+from pomelogauge.model.peers import NodePhase
+
+from .peer_fakes import view
+
+PEERS = (view('b', 3), view('c', 5), view('d', 4))
+
+
+class SpreadTest(unittest.TestCase):
+    def test_reads_are_bounded_over_all_processes(self) -> None:
+        settings = spread.SpreadSettings()
+        for processes in (1, 16, 420):
+            interval_s = settings.interval_s(processes - 1, 0)
+            self.assertLessEqual(processes / interval_s, settings.reads_per_s)
+        nearly_cut_off = settings.interval_s(419, settings.cut_off_after_s)
+        self.assertEqual(nearly_cut_off, settings.pull_interval_s)
+
+    def test_pushes_to_those_behind_and_fetches_from_those_ahead(self) -> None:
+        rng = Random(1)
+        behind = spread.push_targets(PEERS, ConfigVersion(5), 4, rng)
+        self.assertCountEqual(behind, ('b:90', 'd:90'))
+        self.assertEqual(len(spread.push_targets(PEERS, 9, 2, rng)), 2)
+        self.assertEqual(spread.pick_source(PEERS, 5, rng), 'c:90')
+        self.assertIsNone(spread.pick_source(PEERS, 6, rng))
+
+    def test_a_starting_peer_confirms_nothing(self) -> None:
+        starting = (view('b', 0, phase=NodePhase.STARTING),)
+        self.assertIsNone(spread.confirmation_age_s(starting, 0))
+        self.assertIsNone(spread.confirmation_age_s(PEERS, 2))
+        self.assertEqual(spread.confirmation_age_s(PEERS, 3), 0)
+
+    def test_an_older_version_than_known_is_not_confirmed(self) -> None:
+        known = KnownVersions(1, in_force=ConfigVersion(3)).with_peers(PEERS)
+        self.assertTrue(known.is_behind)
+        known = known.with_adopted(ConfigVersion(4), 9)
+        self.assertEqual(known.unconfirmed_s(9), 8)
+        known = known.with_adopted(ConfigVersion(5), 9)
+        self.assertEqual(known.unconfirmed_s(9), 0)
+
+
+class VersionChartTest(unittest.TestCase):
+    def test_moves(self) -> None:
+        newest = VersionFacts(ConfigVersion(3), ConfigVersion(4), 4)
+        older = VersionFacts(ConfigVersion(3), ConfigVersion(4), 3)
+        unknown, in_force, cut_off = VersionState
+        offered, confirmed, silent = VersionEvent
+        for case in (
+            (unknown, offered, older, unknown, None),
+            (unknown, offered, newest, in_force, 'adopt_and_serve'),
+            (unknown, silent, newest, unknown, None),
+            (in_force, offered, older, in_force, None),
+            (in_force, offered, newest, in_force, 'adopt'),
+            (in_force, silent, newest, cut_off, 'stop_serving'),
+            (cut_off, offered, newest, cut_off, 'adopt'),
+            (cut_off, offered, older, cut_off, None),
+            (cut_off, confirmed, older, in_force, 'serve'),
+        ):
+            with self.subTest(case):
+                self.check(*case)
+
+    def check(
+        self,
+        state: VersionState,
+        event: VersionEvent,
+        facts: VersionFacts,
+        after: VersionState,
+        action: VersionAction | None,
+    ) -> None:
+        chart = load_chart('settings_version', VERSION_WORDS)
+        move = chart.step(state, event, facts)
+        self.assertEqual((move.state, move.action), (after, action))
