Keep shard leases by heartbeat rows and conditional writes

A lease row changes only when it is taken or handed over; a holder renews all leases by its row of holders. A taker waits by its own clock until the holder's row has not changed for the term and the margin, and its write is conditional on both rows. A superseded incarnation drops its leases and waits until its successor is silent. Unreadable rows are left alone.

--- /dev/null
+++ b/pomelogauge/tasks/lease_keeper.py
@@ -0,0 +1,294 @@
+"""The task that renews, takes and hands over the leases of a controller."""
+
+import logging
+from dataclasses import dataclass, replace
+
+from ..decide.lease_chart import (
+    LeaseAction,
+    LeaseEvent,
+    LeaseFacts,
+    LeaseState,
+)
+from ..decide.leases import (
+    HolderSeen,
+    Standing,
+    is_silent,
+    is_wanted,
+    observe,
+    shards_of,
+    should_hand_over,
+)
+from ..model.chart import Chart
+from ..model.ids import ABSENT_ROW, Incarnation, NodeName, ShardName
+from ..model.placement import Lease
+from ..model.times import ControlTimes
+from ..platform.protocols import Condition, RowKey, TableService
+from ..wire.rows import HOLDERS
+from .clock import Clock
+from .control_messages import LeaseHeld, LeasePaused, ShardTask, ShardTasks
+from .holder_row import HolderRow, Renewal
+from .lease_rows import LeaseRows, LeaseScan
+from .messages import ConfigurationInForce, InstancesListed
+from .settle import TransactionNames
+
+LeaseChart = Chart[LeaseState, LeaseEvent, LeaseAction, LeaseFacts]
+KeeperMessage = ConfigurationInForce | InstancesListed
+
+_log = logging.getLogger(__name__)
+
+_OWNED = frozenset((LeaseState.HELD, LeaseState.LAPSED))
+
+
+@dataclass(frozen=True)
+class _Machine:
+    """One shard's chart machine.
+
+    Parameters
+    ----------
+    lease
+        The row as last scanned or written.
+    state
+        State in the chart.
+    taken
+        The row as this process wrote it.
+
+    """
+
+    lease: Lease
+    state: LeaseState
+    taken: Lease | None = None
+
+
+class LeaseKeeper:  # noqa: WPS214 (one short method an action)
+    """Owns one connection to the platform and all leases of a controller.
+
+    Parameters
+    ----------
+    node, incarnation
+        Name and life of this process.
+    tables
+        Touched by this task only.
+    owners
+        Starts the owners of shards.
+    chart
+        The shard lease chart.
+    times
+        Periods.
+    clock
+        Own clock.
+
+    """
+
+    def __init__(
+        self,
+        node: NodeName,
+        incarnation: Incarnation,
+        tables: TableService,
+        owners: ShardTasks,
+        chart: LeaseChart,
+        times: ControlTimes,
+        clock: Clock,
+    ) -> None:
+        """Start without leases."""
+        names = TransactionNames(f'{node} leases', incarnation)
+        self._row = HolderRow(node, incarnation, tables, times, clock)
+        self._leases = LeaseRows(tables, names)
+        self._owners = owners
+        self._chart = chart
+        self._times = times
+        self._clock = clock
+        self._due_s = float('-inf')
+        self._handed_over_s = float('-inf')
+        self._known: dict[type[KeeperMessage], KeeperMessage] = {}
+        self._holders: dict[NodeName, HolderSeen] = {}
+        self._machines: dict[ShardName, _Machine] = {}
+        self._tasks: dict[ShardName, ShardTask] = {}
+
+    def on_start(self) -> None:
+        """Do nothing; the first renewal is due at once."""
+
+    def on_message(self, message: KeeperMessage) -> None:
+        """Remember and pass on what the owners of shards need."""
+        self._known[type(message)] = message
+        for task in self._tasks.values():
+            task.post(message)
+
+    def on_timer(self) -> float | None:
+        """Renew, look and act once a period."""
+        now_s = self._clock.now_s()
+        if now_s < self._due_s:
+            return self._due_s - now_s
+        self._due_s = now_s + self._times.renewal_s
+        self._lapse()
+        self._renew()
+        self._lapse()
+        self._tell_owners()
+        return max(self._due_s - self._clock.now_s(), 0)
+
+    def on_stop(self) -> None:
+        """Hand all leases over and withdraw the own row."""
+        for task in self._tasks.values():
+            task.stop(0)
+        for shard, task in self._tasks.items():
+            task.stop(2 * self._times.order_timeout_s)
+            self._leases.release(self._machines[shard].lease)
+        self._tasks.clear()
+        self._row.delete()
+
+    def _renew(self) -> None:
+        renewal = self._row.renew()
+        if renewal == Renewal.SUPERSEDED:
+            self._start_anew()
+        if renewal != Renewal.DONE:
+            return
+        scan = self._leases.scan()
+        if scan is not None:
+            self._see(scan)
+
+    def _start_anew(self) -> None:
+        _log.warning('leases: the own row was changed by another incarnation')
+        for task in self._tasks.values():
+            task.stop(0)
+        self._tasks.clear()
+        self._machines.clear()
+
+    def _see(self, scan: LeaseScan) -> None:
+        now_s = self._clock.now_s()
+        self._holders = observe(
+            self._holders, scan.heartbeats, now_s, self._times
+        )
+        rows = {lease.shard: lease for lease in scan.leases}
+        wanted = rows.keys() | self._listed_shards()
+        for shard in sorted(wanted.difference(scan.unreadable)):
+            self._see_shard(rows.get(shard, Lease(shard)))
+        for unreadable in scan.unreadable:
+            _log.error('leases: the row of %s is malformed', unreadable)
+        if not scan.unreadable:
+            self._sweep()
+
+    def _listed_shards(self) -> frozenset[ShardName]:
+        listed = self._known.get(InstancesListed)
+        if isinstance(listed, InstancesListed):
+            return shards_of(listed.instances)
+        return frozenset()
+
+    def _see_shard(self, lease: Lease) -> None:
+        machine = self._machines.get(lease.shard)
+        if machine is None:
+            machine = _Machine(lease, self._chart.initial)
+        self._machines[lease.shard] = replace(machine, lease=lease)
+        if machine.state in _OWNED:
+            self._see_own(lease)
+        elif is_wanted(lease, self._standing(), self._times):
+            self._step(lease.shard, LeaseEvent.WANTED)
+
+    def _see_own(self, lease: Lease) -> None:
+        taken = self._machines[lease.shard].taken
+        if taken is None or lease.version != taken.version:
+            self._step(lease.shard, LeaseEvent.TAKEN_BY_OTHER)
+            return
+        if self._clock.now_s() < self._row.held_until_s:
+            self._step(lease.shard, LeaseEvent.RENEWED)
+        if should_hand_over(lease.shard, self._standing(), self._times):
+            self._step(lease.shard, LeaseEvent.UNWANTED)
+
+    def _step(self, shard: ShardName, event: LeaseEvent) -> None:
+        machine = self._machines[shard]
+        move = self._chart.step(machine.state, event, self._facts(machine))
+        self._machines[shard] = replace(machine, state=move.state)
+        if move.action is not None:
+            self._act(shard, move.action)
+
+    def _act(self, shard: ShardName, action: LeaseAction) -> None:
+        match action:
+            case LeaseAction.TAKE:
+                self._take(shard)
+            case LeaseAction.START_OWNER:
+                self._start_owner(shard)
+            case LeaseAction.STOP_OWNER:
+                self._tasks.pop(shard).stop(0)
+            case LeaseAction.PAUSE_OWNER:
+                self._tasks[shard].post(LeasePaused())
+            case LeaseAction.RESUME_OWNER:
+                self._tell(shard)
+            case LeaseAction.HAND_OVER:
+                self._hand_over(shard)
+
+    def _facts(self, machine: _Machine) -> LeaseFacts:
+        now_s = self._clock.now_s()
+        lease = machine.lease
+        silent = is_silent(self._holders.get(lease.holder), now_s, self._times)
+        if lease.holder == self._row.heartbeat.holder:
+            # An earlier incarnation may believe in this lease for a term.
+            term_s = self._times.lease_term_s + self._times.lease_margin_s
+            silent = now_s - self._row.registered_s >= term_s
+        return LeaseFacts(holder_silent=silent, unheld=not lease.holder)
+
+    def _take(self, shard: ShardName) -> None:
+        old = self._machines[shard].lease
+        holder = self._row.heartbeat.holder
+        conditions = [self._row.condition]
+        if old.holder not in {'', holder}:
+            conditions.append(self._unchanged(old.holder))
+        taken = self._leases.take(old, holder, conditions)
+        if taken is None:
+            self._step(shard, LeaseEvent.TAKE_FAILED)
+            return
+        self._machines[shard] = replace(
+            self._machines[shard], lease=taken, taken=taken
+        )
+        self._step(shard, LeaseEvent.TAKEN)
+
+    def _unchanged(self, holder: NodeName) -> Condition:
+        seen = self._holders.get(holder)
+        version = seen.heartbeat.version if seen else ABSENT_ROW
+        return Condition(RowKey(HOLDERS, holder), version)
+
+    def _start_owner(self, shard: ShardName) -> None:
+        lease = self._machines[shard].lease
+        _log.info('leases: took %s with epoch %d', shard, lease.epoch)
+        task = self._owners.start(lease)
+        self._tasks[shard] = task
+        for message in self._known.values():
+            task.post(message)
+        self._tell(shard)
+
+    def _hand_over(self, shard: ShardName) -> None:
+        # An order on its way must end before another controller may act.
+        self._tasks.pop(shard).stop(2 * self._times.order_timeout_s)
+        self._leases.release(self._machines[shard].lease)
+        self._handed_over_s = self._clock.now_s()
+        _log.info('leases: handed %s over', shard)
+
+    def _lapse(self) -> None:
+        if self._clock.now_s() < self._row.held_until_s:
+            return
+        for shard in self._tasks:
+            self._step(shard, LeaseEvent.LAPSED)
+
+    def _tell_owners(self) -> None:
+        for shard in self._tasks:
+            if self._machines[shard].state == LeaseState.HELD:
+                self._tell(shard)
+
+    def _tell(self, shard: ShardName) -> None:
+        lease = self._machines[shard].lease
+        self._tasks[shard].post(LeaseHeld(lease, self._row.held_until_s))
+
+    def _sweep(self) -> None:
+        """Delete the row of one silent holder that no lease names."""
+        kept = {machine.lease.holder for machine in self._machines.values()}
+        kept.add(self._row.heartbeat.holder)
+        now_s = self._clock.now_s()
+        for node, seen in self._holders.items():
+            if node not in kept and is_silent(seen, now_s, self._times):
+                self._leases.forget(seen.heartbeat)
+                return
+
+    def _standing(self) -> Standing:
+        return Standing(
+            self._row.heartbeat.holder,
+            self._holders,
+            self._handed_over_s,
+            self._clock.now_s(),
+        )
--- /dev/null
+++ b/test/control_fakes.py
@@ -0,0 +1,99 @@
+"""Fakes that the tests of the controller share."""
+
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from pomelogauge.engines.protocols import (
+    EngineError,
+    EngineFault,
+    LoadOrder,
+    UnloadOrder,
+)
+from pomelogauge.model.ids import (
+    Address,
+    DataCentreName,
+    DomainName,
+    Incarnation,
+    InstanceName,
+)
+from pomelogauge.model.placement import EngineState, EngineStatus
+from pomelogauge.model.topology import Instance, InstanceRole
+
+PostedT = TypeVar('PostedT')
+
+
+@dataclass
+class FakeClock:
+    now: float = 100.0
+
+    def now_s(self) -> float:
+        return self.now
+
+
+@dataclass
+class Box(Generic[PostedT]):
+    posted: list[PostedT] = field(default_factory=list)
+    stopped: int = 0
+
+    def post(self, message: PostedT) -> None:
+        self.posted.append(message)
+
+    def stop(self, timeout_s: float | None = None) -> None:
+        self.stopped += 1
+
+
+class FakeEngines:
+    """Engines that load at once and check the fencing number."""
+
+    def __init__(self, *instances: Instance) -> None:
+        self.orders: list[LoadOrder | UnloadOrder] = []
+        self.down: set[Address] = set()
+        self.reports = {
+            instance.address: EngineStatus(
+                instance.name, Incarnation('i1'), EngineState.EMPTY
+            )
+            for instance in instances
+        }
+
+    def status(self, address: Address) -> Result[EngineStatus, EngineError]:
+        if address in self.down:
+            return Failure(EngineError(EngineFault.UNREACHABLE, 'down'))
+        return Success(self.reports[address])
+
+    def load(
+        self, address: Address, order: LoadOrder
+    ) -> Result[EngineStatus, EngineError]:
+        self.orders.append(order)
+        report = self.reports[address]
+        if order.replica.epoch < report.epoch:
+            return Failure(EngineError(EngineFault.OLD_FENCE, 'old'))
+        self.reports[address] = EngineStatus(
+            report.instance,
+            report.incarnation,
+            EngineState.READY,
+            order.replica.replica,
+            order.replica.epoch,
+            order.rank,
+            bearable=1,
+            capacity=4,
+        )
+        return self.status(address)
+
+    def unload(
+        self, address: Address, order: UnloadOrder
+    ) -> Result[EngineStatus, EngineError]:
+        self.orders.append(order)
+        return self.status(address)
+
+
+def engine(number: int) -> Instance:
+    return Instance(
+        InstanceName(f'e{number}'),
+        InstanceRole.ENGINE,
+        Address(f'127.0.0.1:{number}'),
+        DataCentreName('a'),
+        DomainName('d'),
+        8,
+    )
--- /dev/null
+++ b/test/test_lease_keeper.py
@@ -0,0 +1,127 @@
+"""Tests of the task that keeps the leases."""
+
+import unittest
+
+from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide.lease_chart import LEASE_WORDS
+from pomelogauge.model.ids import Incarnation, NodeName, RowVersion
+from pomelogauge.model.placement import Lease
+from pomelogauge.model.times import ControlTimes
+from pomelogauge.platform.protocols import (
+    Condition,
+    PlatformError,
+    PlatformFault,
+    RowKey,
+    Transaction,
+)
+from pomelogauge.standins.memory_platform import MemoryPlatform
+from pomelogauge.tasks.control_messages import (
+    LeaseHeld,
+    LeasePaused,
+    ShardMessage,
+)
+from pomelogauge.tasks.lease_keeper import LeaseKeeper
+from pomelogauge.tasks.messages import InstancesListed
+from pomelogauge.wire.rows import LEASES, decode_lease
+
+from .control_fakes import Box, FakeClock, engine
+
+DOWN = PlatformError(PlatformFault.UNAVAILABLE, 'down')
+KEY = RowKey(LEASES, 'a/d')
+
+
+class Owners:
+    def __init__(self) -> None:
+        self.started: list[Lease] = []
+        self.box: Box[ShardMessage] = Box()
+
+    def start(self, lease: Lease) -> Box[ShardMessage]:
+        self.started.append(lease)
+        self.box = Box()
+        return self.box
+
+
+class LeaseKeeperTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = MemoryPlatform()
+        self.clock = FakeClock()
+        self.owners = {name: Owners() for name in ('n1', 'n2', 'again')}
+        self.first = self.keeper('n1', 'n1')
+        self.second = self.keeper('n2', 'n2')
+
+    def keeper(self, node: str, owners: str) -> LeaseKeeper:
+        keeper = LeaseKeeper(
+            NodeName(node),
+            Incarnation(owners),
+            self.platform,
+            self.owners[owners],
+            load_chart('shard_lease', LEASE_WORDS),
+            ControlTimes(),
+            self.clock,
+        )
+        keeper.on_message(InstancesListed((engine(1),)))
+        return keeper
+
+    def run_for(self, seconds: float, *keepers: LeaseKeeper) -> None:
+        end_s = self.clock.now + seconds
+        while self.clock.now < end_s:
+            self.clock.now += 0.5
+            for keeper in keepers:
+                keeper.on_timer()
+
+    def lease(self) -> Lease:
+        row = self.platform.read(KEY).unwrap()
+        assert row is not None
+        return decode_lease(row).unwrap()
+
+    def test_takes_over_from_a_silent_holder(self) -> None:
+        self.run_for(1, self.first)
+        self.run_for(2.5, self.second)
+        self.assertEqual(self.owners['n2'].started, [])
+        old = self.lease()
+        self.run_for(2, self.second)
+        taken = self.lease()
+        self.assertEqual((taken.holder, taken.epoch), ('n2', old.epoch + 1))
+        late = Transaction('late', (Condition(KEY, old.version),), ())
+        self.assertEqual(
+            self.platform.commit(late).failure().fault, PlatformFault.CONFLICT
+        )
+        self.run_for(0.5, self.first)
+        self.assertEqual(self.owners['n1'].box.stopped, 1)
+
+    def test_pauses_in_an_outage_and_resumes(self) -> None:
+        self.run_for(1, self.first)
+        self.platform.fault = DOWN
+        self.run_for(3, self.first)
+        box = self.owners['n1'].box
+        self.assertIsInstance(box.posted[-1], LeasePaused)
+        self.platform.fault = None
+        self.run_for(0.5, self.first)
+        self.assertIsInstance(box.posted[-1], LeaseHeld)
+        self.assertEqual(len(self.owners['n1'].started), 1)
+
+    def test_hands_over_at_shutdown(self) -> None:
+        self.run_for(1, self.first)
+        self.first.on_stop()
+        self.assertEqual(self.owners['n1'].box.stopped, 2)
+        self.assertEqual((self.lease().holder, self.lease().epoch), ('', 1))
+        self.run_for(0.5, self.second)
+        self.assertEqual(self.lease().epoch, 2)
+
+    def test_superseded_incarnation_drops_its_leases(self) -> None:
+        self.run_for(1, self.first)
+        again = self.keeper('n1', 'again')
+        self.run_for(1, again, self.first)
+        self.assertEqual(self.owners['n1'].box.stopped, 1)
+        self.assertEqual(self.owners['again'].started, [])
+        self.run_for(3, again, self.first)
+        self.assertEqual(len(self.owners['again'].started), 1)
+        self.assertEqual(self.lease().epoch, 2)
+
+    def test_malformed_lease_is_left_alone(self) -> None:
+        self.run_for(0.5, self.first)
+        before = self.platform.version(KEY)
+        self.platform._store(KEY, '[]', 'broken')
+        self.run_for(5, self.second)
+        self.assertEqual(self.owners['n2'].started, [])
+        self.assertGreaterEqual(before, RowVersion(1))
