Grant slots of replicas to routers by demand

The desk shares what a replica bears among the routers that ask. An earlier grant counts until it ends, a router that has fallen silent counts with its live grants or its unexplained requests, and a desk waits a grant's life on replicas that it has not granted under this lease. While the lease has lapsed only warm replicas are granted.

--- /dev/null
+++ b/pomelogauge/tasks/grant_desk.py
@@ -0,0 +1,229 @@
+"""The task that grants capacity of replicas to routers."""
+
+from dataclasses import dataclass, replace
+
+from ..decide.grants import Account, issue, note_ask, slots_for
+from ..model.ids import Epoch, NodeName, ReplicaId, ShardName
+from ..model.peers import ExchangeAnswer, ExchangeAsk, NodeReport, PeerView
+from ..model.placement import Grant, ReplicaView
+from ..model.times import ControlTimes
+from .clock import Clock
+from .messages import (
+    ConfigurationInForce,
+    ExchangeAsked,
+    NodeStatus,
+    PeersChanged,
+    PhaseChanged,
+    ShardViews,
+    StatusAsked,
+)
+
+DeskMessage = (
+    ShardViews
+    | ExchangeAsked
+    | ConfigurationInForce
+    | PhaseChanged
+    | PeersChanged
+    | StatusAsked
+)
+
+
+@dataclass(frozen=True)
+class _Ledger:
+    """The accounts of one replica.
+
+    Parameters
+    ----------
+    lease_epoch
+        Lease under which this desk grants.
+    opens_at_s
+        Grants of an earlier granter have ended by then.
+    accounts
+        One for each router.
+
+    """
+
+    lease_epoch: Epoch
+    opens_at_s: float
+    accounts: tuple[Account, ...] = ()
+
+    def account(self, router: NodeName) -> Account:
+        """Return a router's account."""
+        for account in self.accounts:
+            if account.router == router:
+                return account
+        return Account(router)
+
+    def having(self, changed: Account) -> '_Ledger':
+        """Return the ledger with a changed account of a router that asks."""
+        forgotten_s = changed.asked_at_s - _FORGET_S
+        others = tuple(
+            account
+            for account in self.accounts
+            if account.router != changed.router
+            and account.asked_at_s > forgotten_s
+        )
+        return replace(self, accounts=(*others, changed))
+
+
+class GrantDesk:
+    """Owns all grants of one controller.
+
+    Parameters
+    ----------
+    report
+        The controller's report of itself, for its answers.
+    times
+        Periods.
+    clock
+        Own clock.
+
+    """
+
+    def __init__(
+        self,
+        report: NodeReport,
+        times: ControlTimes,
+        clock: Clock,
+    ) -> None:
+        """Start without shards."""
+        self._report = report
+        self._times = times
+        self._clock = clock
+        self._peers: tuple[PeerView, ...] = ()
+        self._shards: dict[ShardName, ShardViews] = {}
+        self._ledgers: dict[ReplicaId, _Ledger] = {}
+
+    def on_start(self) -> None:
+        """Do nothing."""
+
+    def on_message(self, message: DeskMessage) -> None:
+        """Take views, and answer routers."""
+        match message:
+            case ShardViews():
+                self._take_views(message)
+            case ExchangeAsked():
+                self._answer(message)
+            case ConfigurationInForce():
+                version = message.configuration.version
+                self._report = replace(self._report, version=version)
+            case PhaseChanged():
+                self._report = replace(self._report, phase=message.phase)
+            case PeersChanged():
+                self._peers = message.peers
+            case StatusAsked():
+                message.reply.post(self._status())
+
+    def on_timer(self) -> float | None:
+        """Wait for messages only."""
+        return _NEVER_S
+
+    def on_stop(self) -> None:
+        """Let the grants lapse."""
+
+    def _take_views(self, views: ShardViews) -> None:
+        known = self._shards.get(views.shard)
+        if known and known.lease_epoch > views.lease_epoch:
+            # A former owner's task has ended after its successor began.
+            return
+        self._shards[views.shard] = views
+        if not (views.views or views.held):
+            self._shards.pop(views.shard)
+        for view in views.views:
+            self._open_ledger(view, views.lease_epoch)
+        self._close_ledgers()
+
+    def _open_ledger(self, view: ReplicaView, lease_epoch: Epoch) -> None:
+        """Wait a grant's life for what another granter may have granted."""
+        ledger = self._ledgers.get(view.replica.replica)
+        if ledger is None or ledger.lease_epoch != lease_epoch:
+            opens_at_s = self._clock.now_s() + self._times.grant_life_s
+            accounts = ledger.accounts if ledger else ()
+            self._ledgers[view.replica.replica] = _Ledger(
+                lease_epoch, opens_at_s, accounts
+            )
+
+    def _close_ledgers(self) -> None:
+        named = {
+            view.replica.replica
+            for shard in self._shards.values()
+            for view in shard.views
+        }
+        for gone in self._ledgers.keys() - named:
+            self._ledgers.pop(gone)
+
+    def _answer(self, asked: ExchangeAsked) -> None:
+        grants = tuple(
+            grant
+            for shard in self._shards.values()
+            for view in shard.views
+            if (grant := self._grant(shard, view, asked.ask))
+        )
+        answer = ExchangeAnswer(self._report, self._views(), grants)
+        asked.reply.post(answer)
+
+    def _views(self) -> tuple[ReplicaView, ...]:
+        return tuple(
+            view for shard in self._shards.values() for view in shard.views
+        )
+
+    def _grant(
+        self,
+        shard: ShardViews,
+        view: ReplicaView,
+        ask: ExchangeAsk,
+    ) -> Grant | None:
+        now_s = self._clock.now_s()
+        replica = view.replica
+        ledger = self._ledgers[replica.replica]
+        router = ask.sender.node
+        account = note_ask(
+            ledger.account(router),
+            ask,
+            replica.replica,
+            replica.deployment,
+            now_s,
+        )
+        ledger = ledger.having(account)
+        slots = 0
+        if _may_grant(shard, view) and now_s >= ledger.opens_at_s:
+            slots = slots_for(
+                view, router, ledger.accounts, now_s, self._silent_after_s
+            )
+        if slots:
+            # The answer is not sent yet; the spare time covers its sending.
+            until_s = now_s + self._times.grant_life_s + _SENDING_S
+            ledger = ledger.having(issue(account, slots, until_s))
+        self._ledgers[replica.replica] = ledger
+        if not slots:
+            return None
+        life_s = self._times.grant_life_s
+        return Grant(replica.replica, slots, life_s, shard.lease_epoch)
+
+    @property
+    def _silent_after_s(self) -> float:
+        return 2 * self._times.grant_life_s
+
+    def _status(self) -> NodeStatus:
+        shards = tuple(self._shards)
+        return NodeStatus(self._report, self._peers, self._views(), shards)
+
+
+#: Timeout of a task that waits for messages only.
+_NEVER_S: float | None = None
+
+#: Seconds after which a router that asks no more is forgotten.
+_FORGET_S = 60.0
+
+#: Seconds by which the granter counts a grant longer than its router.
+_SENDING_S = 0.1
+
+
+def _may_grant(shard: ShardViews, view: ReplicaView) -> bool:
+    """Return whether a replica may be fed.
+
+    While the lease has lapsed another controller may grant as well; only a
+    warm target can bear that, until the routers have heard the new holder.
+    """
+    is_warm = 0 < view.capacity <= view.bearable
+    return view.serving and (shard.held or is_warm)
--- /dev/null
+++ b/test/test_grants.py
@@ -0,0 +1,134 @@
+"""Tests of the grants of capacity."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pomelogauge.model.ids import (
+    Address,
+    DataCentreName,
+    DeploymentName,
+    Epoch,
+    Incarnation,
+    NodeName,
+    ReplicaId,
+    ShardName,
+)
+from pomelogauge.model.peers import (
+    Demand,
+    ExchangeAnswer,
+    ExchangeAsk,
+    NodeReport,
+    ReplicaUse,
+)
+from pomelogauge.model.placement import Replica, ReplicaView
+from pomelogauge.model.times import ControlTimes
+from pomelogauge.model.topology import InstanceRole
+from pomelogauge.tasks.grant_desk import GrantDesk
+from pomelogauge.tasks.messages import ExchangeAsked, ShardViews
+
+from .control_fakes import Box, FakeClock
+
+TIMES = ControlTimes()
+QUOTES = DeploymentName('quotes')
+REPLICA = Replica(
+    ReplicaId('quotes#0.x'), QUOTES, Epoch(1), ShardName('a/d'), ()
+)
+
+
+def report(name: str, role: InstanceRole = InstanceRole.ROUTER) -> NodeReport:
+    return NodeReport(
+        NodeName(name),
+        role,
+        Incarnation('i'),
+        0,
+        DataCentreName('a'),
+        Address(''),
+        Address(''),
+    )
+
+
+class Bench:
+    """A desk with one replica and its routers."""
+
+    def __init__(self, bearable: int, *, held: bool = True) -> None:
+        self.clock = FakeClock()
+        controller = report('c', InstanceRole.CONTROLLER)
+        self.desk = GrantDesk(controller, TIMES, self.clock)
+        self.show(bearable, held=held)
+
+    def show(self, bearable: int, *, held: bool = True, epoch: int = 1) -> None:
+        view = ReplicaView(REPLICA, True, 0, bearable, capacity=8)
+        self.desk.on_message(
+            ShardViews(REPLICA.shard, Epoch(epoch), held, (view,))
+        )
+
+    def ask(self, router: str, waiting: int, running: int = 0) -> int:
+        box: Box[ExchangeAnswer] = Box()
+        ask = ExchangeAsk(
+            report(router),
+            (Demand(QUOTES, waiting, running),),
+            (ReplicaUse(REPLICA.replica, running),),
+        )
+        self.desk.on_message(ExchangeAsked(ask, box))
+        return sum(grant.slots for grant in box.posted[0].grants)
+
+
+class GrantsTest(unittest.TestCase):
+    def test_new_desk_waits_a_grants_life(self) -> None:
+        bench = Bench(8)
+        self.assertEqual(bench.ask('r1', 9), 0)
+        bench.clock.now += TIMES.grant_life_s
+        self.assertEqual(bench.ask('r1', 9), 8)
+        bench.show(8, epoch=2)
+        self.assertEqual(bench.ask('r1', 9), 0)
+
+    def test_idle_slots_go_to_the_hungry_router(self) -> None:
+        bench = Bench(8)
+        bench.clock.now += 2
+        self.assertEqual(bench.ask('r1', 0), 8)
+        bench.clock.now += 1
+        self.assertEqual(bench.ask('r2', 9), 0)
+        self.assertEqual(bench.ask('r1', 0), 1)
+        bench.clock.now += 1
+        self.assertEqual(bench.ask('r1', 0), 1)
+        self.assertEqual(bench.ask('r2', 9), 7)
+
+    def test_cold_target_gets_nothing_without_the_lease(self) -> None:
+        for bearable, slots in ((2, 0), (8, 8)):
+            bench = Bench(bearable, held=False)
+            bench.clock.now += 2
+            self.assertEqual(bench.ask('r1', 9), slots)
+
+    @settings(deadline=None, max_examples=200)
+    @given(
+        st.integers(1, 12),
+        st.lists(
+            st.tuples(st.integers(0, 4), st.integers(0, 9), st.floats(0, 1)),
+            max_size=40,
+        ),
+    )
+    def test_live_grants_never_exceed_what_is_bearable(
+        self, bearable: int, asks: list[tuple[int, int, float]]
+    ) -> None:
+        bench = Bench(bearable)
+        bench.clock.now += 2
+        granted: list[tuple[int, int, float]] = []
+        for router, waiting, wait_s in asks:
+            bench.clock.now += wait_s
+            slots = bench.ask(f'r{router}', waiting)
+            until_s = bench.clock.now + TIMES.grant_life_s
+            granted.append((router, slots, until_s))
+            peaks = [
+                max(
+                    (
+                        slots
+                        for at, slots, until_s in granted
+                        if at == name and until_s > bench.clock.now
+                    ),
+                    default=0,
+                )
+                for name in range(5)
+            ]
+            self.assertLessEqual(sum(peaks), bearable)
