Form, watch and repair replicas of a shard

Replicas take slots deployment#ordinal by a conditional insert together with their members' rows and under the lease row's version. The replica chart is stepped from the members' own reports; a lost or disagreeing member breaks the replica at once, and the shard forms anew with a higher epoch. A successor adopts what all members agree on without orders.

ReplicaState gains DRAINING and ReplicaView gains capacity.

--- /dev/null
+++ b/pomelogauge/decide/formation.py
@@ -0,0 +1,200 @@
+"""Which replicas a shard forms, and which it gives up."""
+
+from dataclasses import dataclass
+
+from ..model.ids import DataCentreName, DeploymentName, Epoch, ReplicaId
+from ..model.manifest import Configuration, Deployment
+from ..model.placement import Replica
+from ..model.topology import Instance
+
+_SLOT_MARK = '#'
+_REPLICA_MARK = '.'
+
+
+@dataclass(frozen=True)
+class ShardPicture:
+    """What the owner of a shard knows when it plans.
+
+    Parameters
+    ----------
+    data_centre
+        Where the shard stands.
+    configuration
+        In force.
+    replicas
+        All rows of ``replicas``, of every shard.
+    free
+        Live instances of the shard that belong to no replica.
+    patient
+        Deployments that have lacked replicas for the spread wait.
+
+    """
+
+    data_centre: DataCentreName
+    configuration: Configuration
+    replicas: tuple[Replica, ...]
+    free: tuple[Instance, ...] = ()
+    patient: frozenset[DeploymentName] = frozenset()
+
+
+@dataclass(frozen=True)
+class Formation:
+    """A replica to form.
+
+    Parameters
+    ----------
+    deployment
+        Deployment it will serve.
+    slot
+        Key of its row; only one shard can insert it.
+    instances
+        In the order of their ranks.
+
+    """
+
+    deployment: Deployment
+    slot: str
+    instances: tuple[Instance, ...]
+
+
+def slot_name(deployment: DeploymentName, ordinal: int) -> str:
+    """Return the key of a row of ``replicas``."""
+    return f'{deployment}{_SLOT_MARK}{ordinal}'
+
+
+def slot_of(replica: ReplicaId) -> str:
+    """Return the slot that a replica's identifier names."""
+    return replica.rpartition(_REPLICA_MARK)[0]
+
+
+def replica_id(slot: str, nonce: str) -> ReplicaId:
+    """Return a replica's identifier, unique by its nonce."""
+    return ReplicaId(f'{slot}{_REPLICA_MARK}{nonce}')
+
+
+def next_epoch(*seen: Epoch) -> Epoch:
+    """Return a fencing number above all that were seen."""
+    return Epoch(max(seen, default=0) + 1)
+
+
+def plan_formation(picture: ShardPicture) -> Formation | None:
+    """Return the next replica that the shard should form.
+
+    The deployment with the highest priority goes first. A deployment takes
+    instances only while replicas are missing over all shards.
+    """
+    if picture.data_centre in picture.configuration.drained:
+        return None
+    deployments = picture.configuration.manifest.deployments
+    for deployment in sorted(deployments, key=_by_priority):
+        slot = _open_slot(deployment, picture)
+        if slot is not None and len(picture.free) >= deployment.span:
+            instances = sorted(picture.free, key=_by_name)
+            return Formation(
+                deployment, slot, tuple(instances[: deployment.span])
+            )
+    return None
+
+
+def lacking(picture: ShardPicture) -> frozenset[DeploymentName]:
+    """Return the deployments that lack replicas."""
+    return frozenset(
+        deployment.name
+        for deployment in picture.configuration.manifest.deployments
+        if _open_ordinals(deployment, picture)
+    )
+
+
+def is_wanted(replica: Replica, picture: ShardPicture) -> bool:
+    """Return whether the configuration still asks for a replica.
+
+    Of too many replicas, those with the highest ordinals go.
+    """
+    deployment = find_deployment(replica.deployment, picture.configuration)
+    if deployment is None or len(replica.members) != deployment.span:
+        return False
+    counted = _counted(deployment, picture)
+    kept = sorted(counted, key=_ordinal)[: deployment.replicas]
+    return any(other.replica == replica.replica for other in kept)
+
+
+def find_deployment(
+    name: DeploymentName,
+    configuration: Configuration,
+) -> Deployment | None:
+    """Return a deployment of the manifest."""
+    for deployment in configuration.manifest.deployments:
+        if deployment.name == name:
+            return deployment
+    return None
+
+
+def _open_slot(deployment: Deployment, picture: ShardPicture) -> str | None:
+    """Return the slot that this shard should fill.
+
+    Ordinals go round the data centres, so that shards spread a deployment
+    without a word between them; another data centre steps in later.
+    """
+    allowed = _allowed(deployment, picture.configuration)
+    if picture.data_centre not in allowed:
+        return None
+    is_patient = deployment.name in picture.patient
+    for ordinal in _open_ordinals(deployment, picture):
+        preferred = allowed[ordinal % len(allowed)]
+        if is_patient or preferred == picture.data_centre:
+            return slot_name(deployment.name, ordinal)
+    return None
+
+
+def _open_ordinals(
+    deployment: Deployment,
+    picture: ShardPicture,
+) -> tuple[int, ...]:
+    """Return the lowest free ordinals, one for each missing replica."""
+    used = {
+        _ordinal(replica)
+        for replica in picture.replicas
+        if replica.deployment == deployment.name
+    }
+    missing = deployment.replicas - len(_counted(deployment, picture))
+    top = len(used) + max(missing, 0)
+    free = [ordinal for ordinal in range(top) if ordinal not in used]
+    return tuple(free[: max(missing, 0)])
+
+
+def _counted(
+    deployment: Deployment,
+    picture: ShardPicture,
+) -> tuple[Replica, ...]:
+    """Return the replicas that stand where the deployment may stand."""
+    allowed = _allowed(deployment, picture.configuration)
+    return tuple(
+        replica
+        for replica in picture.replicas
+        if replica.deployment == deployment.name
+        and all(member.data_centre in allowed for member in replica.members)
+    )
+
+
+def _allowed(
+    deployment: Deployment,
+    configuration: Configuration,
+) -> tuple[DataCentreName, ...]:
+    return tuple(
+        data_centre
+        for data_centre in deployment.data_centres
+        if data_centre not in configuration.drained
+    )
+
+
+def _by_priority(deployment: Deployment) -> tuple[int, str]:
+    return (-deployment.priority, deployment.name)
+
+
+def _by_name(instance: Instance) -> str:
+    return instance.name
+
+
+def _ordinal(replica: Replica) -> int:
+    number = slot_of(replica.replica).rpartition(_SLOT_MARK)[2]
+    return int(number) if number.isdecimal() else 0
--- /dev/null
+++ b/pomelogauge/decide/sightings.py
@@ -0,0 +1,71 @@
+"""What polls tell of an engine."""
+
+from dataclasses import dataclass, replace
+
+from ..model.ids import InstanceName
+from ..model.placement import EngineStatus
+from ..model.times import ControlTimes
+
+#: One failed poll may be the watcher's own pause.
+_LEAST_FAILURES = 2
+
+
+@dataclass(frozen=True)
+class Sighting:
+    """The newest report of an engine and the failed polls since.
+
+    Parameters
+    ----------
+    status
+        Newest report; ``None`` when it never answered.
+    seen_at_s
+        Own clock before that report was asked for.
+    failures
+        Failed polls since.
+    failed_since_s
+        Own clock before the first of them.
+
+    """
+
+    status: EngineStatus | None = None
+    seen_at_s: float = float('-inf')
+    failures: int = 0
+    failed_since_s: float = float('inf')
+
+
+def after_poll(
+    before: Sighting,
+    status: EngineStatus | None,
+    asked_at_s: float,
+) -> Sighting:
+    """Return what is known after one poll."""
+    if status is not None:
+        return Sighting(status, asked_at_s)
+    return replace(
+        before,
+        failures=before.failures + 1,
+        failed_since_s=min(before.failed_since_s, asked_at_s),
+    )
+
+
+def is_lost(sighting: Sighting, now_s: float, times: ControlTimes) -> bool:
+    """Return whether an engine has failed for too long."""
+    if sighting.failures < _LEAST_FAILURES:
+        return False
+    return now_s - sighting.failed_since_s >= times.lost_after_s
+
+
+def usable_status(
+    instance: InstanceName,
+    sighting: Sighting | None,
+) -> EngineStatus | None:
+    """Return the report of an engine whose last poll succeeded.
+
+    The report must be the instance's own: another engine may listen at an
+    address that was used before.
+    """
+    if sighting is None or sighting.failures or sighting.status is None:
+        return None
+    if sighting.status.instance != instance:
+        return None
+    return sighting.status
--- a/pomelogauge/model/placement.py
+++ b/pomelogauge/model/placement.py
@@ -70,6 +70,7 @@
     CLAIMED = 'claimed'
     LOADING = 'loading'
     SERVING = 'serving'
+    DRAINING = 'draining'
     BROKEN = 'broken'
     RELEASED = 'released'
 
@@ -219,6 +220,8 @@
         Requests at once in the present warmth.
     incarnation
         Incarnation of the leading member.
+    capacity
+        Requests at once when warm; zero when unknown.
 
     """
 
@@ -228,3 +231,4 @@
     bearable: int = 0
     waiting_s: float = 0
     incarnation: Incarnation = Incarnation('')
+    capacity: int = 0
--- /dev/null
+++ b/pomelogauge/tasks/controller_tasks.py
@@ -0,0 +1,135 @@
+"""Starts the tasks of a controller, each with connections of its own."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from ..decide.replica_chart import ReplicaChart
+from ..engines.protocols import EngineControl
+from ..model.ids import Incarnation, NodeName
+from ..model.placement import Lease
+from ..model.times import ControlTimes
+from ..model.topology import Instance
+from ..platform.protocols import TableService
+from .clock import Clock
+from .control_messages import EngineSeen, OwnerAddress, ShardMessage
+from .engine_watch import EngineWatch
+from .mailbox import Outbox
+from .messages import ShardViews
+from .settle import TransactionNames
+from .shard_owner import OwnerLinks, ShardOwner
+from .task import Task
+
+
+class Connections(Protocol):
+    """Opens connections; each call's result belongs to one task."""
+
+    def tables(self) -> TableService:
+        """Return a new connection to the platform's tables."""
+
+    def control(self, timeout_s: float) -> EngineControl:
+        """Return new connections to engines with this deadline."""
+
+
+@dataclass(frozen=True)
+class ControllerParts:
+    """What the tasks of a controller share; all of it is immutable.
+
+    Parameters
+    ----------
+    node, incarnation
+        Name and life of this process.
+    connections
+        Opens connections.
+    desk
+        Takes the views of the shards.
+    chart
+        The replica chart.
+    times
+        Periods.
+    clock
+        Own clock.
+
+    """
+
+    node: NodeName
+    incarnation: Incarnation
+    connections: Connections
+    desk: Outbox[ShardViews]
+    chart: ReplicaChart
+    times: ControlTimes
+    clock: Clock
+
+
+class WatchThreads:
+    """Starts watches in threads."""
+
+    def __init__(self, parts: ControllerParts) -> None:
+        """Take the parts."""
+        self._parts = parts
+
+    def start(
+        self,
+        instance: Instance,
+        owner: Outbox[EngineSeen],
+    ) -> Task[EngineSeen]:
+        """Start to watch an engine."""
+        times = self._parts.times
+        watch = EngineWatch(
+            instance,
+            self._parts.connections.control(times.watch_timeout_s),
+            owner,
+            times,
+            self._parts.clock,
+        )
+        task = Task[EngineSeen](f'watch {instance.name}', watch)
+        task.start()
+        return task
+
+
+class ShardThreads:
+    """Starts owners of shards in threads; used by the lease keeper.
+
+    Parameters
+    ----------
+    parts
+        Shared parts.
+    rng
+        Gives each owner a random generator of its own.
+
+    """
+
+    def __init__(self, parts: ControllerParts, rng: Random) -> None:
+        """Take the parts."""
+        self._parts = parts
+        self._rng = rng
+
+    def start(self, lease: Lease) -> Task[ShardMessage]:
+        """Start the owner of a shard."""
+        parts = self._parts
+        links = OwnerLinks(
+            parts.connections.tables(),
+            parts.connections.control(parts.times.order_timeout_s),
+            WatchThreads(parts),
+            parts.desk,
+        )
+        owner = ShardOwner(
+            lease,
+            TransactionNames(
+                f'{parts.node} {lease.shard} {lease.epoch}',
+                parts.incarnation,
+            ),
+            links,
+            parts.chart,
+            parts.times,
+            parts.clock,
+            Random(self._rng.getrandbits(_SEED_BITS)),
+        )
+        task = Task[ShardMessage](f'shard {lease.shard}', owner)
+        task.start()
+        task.post(OwnerAddress(task))
+        return task
+
+
+#: Bits of a seed.
+_SEED_BITS = 64
--- a/pomelogauge/wire/rows.py
+++ b/pomelogauge/wire/rows.py
@@ -35,7 +35,7 @@
 REPLICAS = 'replicas'
 
 #: What reading a malformed text can raise.
-_UNREADABLE = (KeyError, TypeError, ValueError, RecursionError)
+UNREADABLE = (KeyError, TypeError, ValueError, RecursionError)
 
 RecordT = TypeVar('RecordT')
 Document = Mapping[str, object]
@@ -113,16 +113,16 @@
     build: Callable[[Row, Document], RecordT],
 ) -> Result[RecordT, RowError]:
     try:
-        return Success(build(row, _as_document(json.loads(row.text))))
-    except _UNREADABLE as exc:
+        return Success(build(row, as_document(json.loads(row.text))))
+    except UNREADABLE as exc:
         return Failure(RowError(row.key, repr(exc)))
 
 
 def _lease(row: Row, document: Document) -> Lease:
     return Lease(
         ShardName(row.key.key),
-        NodeName(_text(document, 'holder')),
-        Epoch(_number(document, 'epoch')),
+        NodeName(text(document, 'holder')),
+        Epoch(number(document, 'epoch')),
         row.version,
     )
 
@@ -130,8 +130,8 @@
 def _heartbeat(row: Row, document: Document) -> Heartbeat:
     return Heartbeat(
         NodeName(row.key.key),
-        Incarnation(_text(document, 'incarnation')),
-        _number(document, 'count'),
+        Incarnation(text(document, 'incarnation')),
+        number(document, 'count'),
         row.version,
     )
 
@@ -139,8 +139,8 @@
 def _membership(row: Row, document: Document) -> Membership:
     return Membership(
         InstanceName(row.key.key),
-        ReplicaId(_text(document, 'replica')),
-        Epoch(_number(document, 'epoch')),
+        ReplicaId(text(document, 'replica')),
+        Epoch(number(document, 'epoch')),
         row.version,
     )
 
@@ -150,23 +150,23 @@
     if not isinstance(members, list):
         raise TypeError('members is no list')
     return Replica(
-        ReplicaId(_text(document, 'replica')),
-        DeploymentName(_text(document, 'deployment')),
-        Epoch(_number(document, 'epoch')),
-        ShardName(_text(document, 'shard')),
-        tuple(_member(_as_document(member)) for member in members),
-        ReplicaState(_text(document, 'state')),
+        ReplicaId(text(document, 'replica')),
+        DeploymentName(text(document, 'deployment')),
+        Epoch(number(document, 'epoch')),
+        ShardName(text(document, 'shard')),
+        tuple(_member(as_document(member)) for member in members),
+        ReplicaState(text(document, 'state')),
         row.version,
     )
 
 
 def _member(document: Document) -> Member:
     return Member(
-        InstanceName(_text(document, 'instance')),
-        Address(_text(document, 'address')),
-        DataCentreName(_text(document, 'data_centre')),
-        DomainName(_text(document, 'domain')),
-        _number(document, 'rank'),
+        InstanceName(text(document, 'instance')),
+        Address(text(document, 'address')),
+        DataCentreName(text(document, 'data_centre')),
+        DomainName(text(document, 'domain')),
+        number(document, 'rank'),
     )
 
 
@@ -180,20 +180,23 @@
     }
 
 
-def _as_document(loaded: object) -> Document:
+def as_document(loaded: object) -> Document:
+    """Return a JSON object; anything else raises ``TypeError``."""
     if not isinstance(loaded, dict):
         raise TypeError('no JSON object')
     return loaded
 
 
-def _text(document: Document, name: str) -> str:
+def text(document: Document, name: str) -> str:
+    """Return a text of an object; raises where there is none."""
     found = document[name]
     if not isinstance(found, str):
         raise TypeError(f'{name} is no text')
     return found
 
 
-def _number(document: Document, name: str) -> int:
+def number(document: Document, name: str) -> int:
+    """Return an integer of an object; raises where there is none."""
     found = document[name]
     if not isinstance(found, int) or isinstance(found, bool):
         raise TypeError(f'{name} is no number')
--- /dev/null
+++ b/test/test_formation.py
@@ -0,0 +1,89 @@
+"""Tests of the plans of replicas."""
+
+import unittest
+from dataclasses import replace
+
+from pomelogauge.decide.formation import (
+    ShardPicture,
+    is_wanted,
+    plan_formation,
+    replica_id,
+)
+from pomelogauge.model.ids import (
+    ConfigVersion,
+    DataCentreName,
+    DeploymentName,
+    Epoch,
+    ModelName,
+    ShardName,
+)
+from pomelogauge.model.manifest import Configuration, Deployment, Manifest
+from pomelogauge.model.placement import Member, Replica
+
+from .control_fakes import engine
+
+A = DataCentreName('a')
+B = DataCentreName('b')
+QUOTES = Deployment(DeploymentName('quotes'), ModelName('m'), '1', 2, 2, (A, B))
+URGENT = replace(QUOTES, name=DeploymentName('urgent'), priority=1)
+FREE = tuple(engine(number) for number in (3, 1, 2))
+
+
+def picture(*replicas: Replica, drained: tuple[DataCentreName, ...] = ()):
+    manifest = Manifest(deployments=(QUOTES,))
+    configuration = Configuration(ConfigVersion(1), manifest, drained=drained)
+    return ShardPicture(A, configuration, replicas, FREE)
+
+
+def replica(ordinal: int, data_centre: DataCentreName) -> Replica:
+    members = tuple(
+        Member(at.name, at.address, data_centre, at.domain, rank)
+        for rank, at in enumerate(FREE[:2])
+    )
+    return Replica(
+        replica_id(f'quotes#{ordinal}', 'x'),
+        QUOTES.name,
+        Epoch(1),
+        ShardName(f'{data_centre}/d'),
+        members,
+    )
+
+
+class FormationTest(unittest.TestCase):
+    def test_data_centres_take_turns(self) -> None:
+        plan = plan_formation(picture())
+        assert plan is not None
+        self.assertEqual(plan.slot, 'quotes#0')
+        self.assertEqual([at.name for at in plan.instances], ['e1', 'e2'])
+        self.assertIsNone(plan_formation(picture(replica(0, A))))
+
+    def test_steps_in_for_another_data_centre_after_a_wait(self) -> None:
+        waited = replace(
+            picture(replica(0, A)), patient=frozenset((QUOTES.name,))
+        )
+        plan = plan_formation(waited)
+        assert plan is not None
+        self.assertEqual(plan.slot, 'quotes#1')
+
+    def test_highest_priority_first(self) -> None:
+        both = Configuration(manifest=Manifest(deployments=(QUOTES, URGENT)))
+        plan = plan_formation(replace(picture(), configuration=both))
+        assert plan is not None
+        self.assertEqual(plan.deployment, URGENT)
+
+    def test_never_a_partial_group(self) -> None:
+        few = replace(picture(), free=FREE[:1])
+        self.assertIsNone(plan_formation(few))
+
+    def test_drained_data_centre_is_replaced_before_it_is_empty(self) -> None:
+        rows = (replica(0, B), replica(1, B))
+        drained = picture(*rows, drained=(B,))
+        plan = plan_formation(drained)
+        assert plan is not None
+        self.assertEqual(plan.slot, 'quotes#2')
+        self.assertFalse(is_wanted(rows[0], drained))
+
+    def test_too_many_replicas_lose_the_highest_ordinal(self) -> None:
+        rows = tuple(replica(ordinal, A) for ordinal in (5, 0, 2))
+        kept = [is_wanted(row, picture(*rows)) for row in rows]
+        self.assertEqual(kept, [False, True, True])
--- /dev/null
+++ b/test/test_shard_owner.py
@@ -0,0 +1,202 @@
+"""Tests of the owner of a shard."""
+
+import unittest
+from dataclasses import replace
+from random import Random
+
+from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide.replica_chart import REPLICA_WORDS
+from pomelogauge.model.ids import (
+    ConfigVersion,
+    DataCentreName,
+    DeploymentName,
+    Epoch,
+    Incarnation,
+    ModelName,
+    NodeName,
+    ShardName,
+)
+from pomelogauge.model.manifest import Configuration, Deployment, Manifest
+from pomelogauge.model.placement import (
+    EngineState,
+    Lease,
+    ReplicaState,
+    ReplicaView,
+)
+from pomelogauge.model.times import ControlTimes
+from pomelogauge.platform.protocols import RowKey, Transaction, Write
+from pomelogauge.standins.memory_platform import MemoryPlatform
+from pomelogauge.tasks.control_messages import (
+    EngineSeen,
+    LeaseHeld,
+    LeasePaused,
+    OwnerAddress,
+)
+from pomelogauge.tasks.mailbox import Outbox
+from pomelogauge.tasks.messages import (
+    ConfigurationInForce,
+    InstancesListed,
+    ShardViews,
+)
+from pomelogauge.tasks.settle import TransactionNames
+from pomelogauge.tasks.shard_owner import OwnerLinks, ShardOwner
+from pomelogauge.wire.rows import LEASES, MEMBERS, decode_membership
+
+from .control_fakes import Box, FakeClock, FakeEngines, engine
+
+ENGINES = tuple(engine(number) for number in range(1, 6))
+CONFIGURATION = Configuration(
+    ConfigVersion(1),
+    Manifest(
+        deployments=(
+            Deployment(
+                DeploymentName('quotes'),
+                ModelName('m'),
+                '1',
+                4,
+                1,
+                (DataCentreName('a'),),
+            ),
+        )
+    ),
+)
+
+
+class Watches:
+    def start(
+        self, instance: object, owner: Outbox[EngineSeen]
+    ) -> Box[EngineSeen]:
+        return Box()
+
+
+class ShardOwnerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = MemoryPlatform()
+        self.clock = FakeClock()
+        self.engines = FakeEngines(*ENGINES)
+        self.desk: Box[ShardViews] = Box()
+        self.lease = self.take_lease(1)
+        self.owner = self.start_owner()
+
+    def take_lease(self, epoch: int) -> Lease:
+        write = Write(RowKey(LEASES, 'a/d'), 'x')
+        done = self.platform.commit(Transaction(f'l{epoch}', (), (write,)))
+        return Lease(
+            ShardName('a/d'),
+            NodeName('n'),
+            Epoch(epoch),
+            done.unwrap().versions[0],
+        )
+
+    def start_owner(self) -> ShardOwner:
+        owner = ShardOwner(
+            self.lease,
+            TransactionNames('n', f'{self.lease.epoch}'),
+            OwnerLinks(self.platform, self.engines, Watches(), self.desk),
+            load_chart('replica', REPLICA_WORDS),
+            ControlTimes(),
+            self.clock,
+            Random(self.lease.epoch),
+        )
+        owner.on_message(OwnerAddress(Box()))
+        owner.on_message(ConfigurationInForce(CONFIGURATION))
+        owner.on_message(InstancesListed(ENGINES))
+        return owner
+
+    def run_for(self, seconds: float, *, held: bool = True) -> None:
+        end_s = self.clock.now + seconds
+        while self.clock.now < end_s:
+            self.clock.now += 0.25
+            if held:
+                until_s = self.clock.now + 2
+                self.owner.on_message(LeaseHeld(self.lease, until_s))
+            for at in ENGINES:
+                status = self.engines.status(at.address).value_or(None)
+                seen = EngineSeen(at.name, status, self.clock.now)
+                self.owner.on_message(seen)
+            self.owner.on_timer()
+
+    def view(self) -> ReplicaView:
+        views = self.desk.posted[-1].views
+        self.assertEqual(len(views), 1)
+        return views[0]
+
+    def test_forms_one_replica_of_four(self) -> None:
+        self.run_for(2)
+        view = self.view()
+        self.assertTrue(view.serving)
+        self.assertEqual(len(view.replica.members), 4)
+        self.assertEqual(len(self.engines.orders), 4)
+        self.assertEqual((view.bearable, view.capacity), (1, 4))
+
+    def test_lost_member_is_replaced_with_a_higher_epoch(self) -> None:
+        self.run_for(2)
+        old = self.view().replica
+        self.engines.down.add(old.members[0].address)
+        self.run_for(1)
+        self.assertTrue(self.view().serving)
+        self.run_for(2)
+        new = self.view()
+        self.assertTrue(new.serving)
+        self.assertGreater(new.replica.epoch, old.epoch)
+        names = {member.instance for member in new.replica.members}
+        self.assertNotIn(old.members[0].instance, names)
+        rows = self.platform.scan(MEMBERS).unwrap()
+        owned = [decode_membership(row).unwrap() for row in rows]
+        named = [row.instance for row in owned if row.replica]
+        self.assertEqual(set(named), names)
+
+    def test_restarted_member_breaks_the_replica_at_once(self) -> None:
+        self.run_for(2)
+        old = self.view().replica
+        address = old.members[1].address
+        self.engines.reports[address] = replace(
+            self.engines.reports[address],
+            incarnation=Incarnation('i2'),
+            state=EngineState.EMPTY,
+        )
+        self.run_for(0.25)
+        self.run_for(1)
+        self.assertGreater(self.view().replica.epoch, old.epoch)
+
+    def test_successor_adopts_without_orders(self) -> None:
+        self.run_for(2)
+        old = self.view().replica
+        orders = len(self.engines.orders)
+        self.lease = self.take_lease(2)
+        self.owner = self.start_owner()
+        self.run_for(1)
+        self.assertEqual(self.view().replica.replica, old.replica)
+        self.assertTrue(self.view().serving)
+        self.assertEqual(len(self.engines.orders), orders)
+
+    def test_former_holder_changes_no_rows(self) -> None:
+        self.take_lease(2)
+        self.run_for(3)
+        self.assertEqual(self.engines.orders, [])
+        self.assertEqual(self.platform.scan(MEMBERS).unwrap(), ())
+
+    def test_paused_owner_serves_but_forms_nothing(self) -> None:
+        self.run_for(2)
+        orders = len(self.engines.orders)
+        self.owner.on_message(LeasePaused())
+        self.run_for(2, held=False)
+        self.assertTrue(self.view().serving)
+        self.assertFalse(self.desk.posted[-1].held)
+        self.engines.down.add(self.view().replica.members[0].address)
+        self.run_for(3, held=False)
+        self.assertFalse(self.view().serving)
+        self.engines.down.clear()
+        self.run_for(3, held=False)
+        self.assertTrue(self.view().serving)
+        self.assertEqual(len(self.engines.orders), orders)
+
+    def test_drained_data_centre_is_emptied_after_what_runs(self) -> None:
+        self.run_for(2)
+        drained = replace(CONFIGURATION, drained=(DataCentreName('a'),))
+        self.owner.on_message(ConfigurationInForce(drained))
+        self.run_for(0.5)
+        self.assertEqual(self.view().replica.state, ReplicaState.DRAINING)
+        self.assertFalse(self.view().serving)
+        self.run_for(4)
+        self.assertEqual(self.desk.posted[-1].views, ())
