Split the owner of a shard, and replace leaving replicas early

The owner held knowledge, chart machines and input in one class; knowledge is now a pure record of decide/ and the machines have a module. Replicas with leaving members do not count, so that replacements form while they drain. After an unsettled write rows are read again before the next write, while the last scan still says what is wanted. Replicas formed under the present lease are granted without a wait. OwnedEngineControl adds close for tasks that own their connections; ShardViews gains the set of replicas formed.

--- a/pomelogauge/decide/formation.py
+++ b/pomelogauge/decide/formation.py
@@ -2,9 +2,15 @@
 
 from dataclasses import dataclass
 
-from ..model.ids import DataCentreName, DeploymentName, Epoch, ReplicaId
+from ..model.ids import (
+    DataCentreName,
+    DeploymentName,
+    Epoch,
+    InstanceName,
+    ReplicaId,
+)
 from ..model.manifest import Configuration, Deployment
-from ..model.placement import Replica
+from ..model.placement import Member, Replica
 from ..model.topology import Instance
 
 _SLOT_MARK = '#'
@@ -27,6 +33,8 @@
         Live instances of the shard that belong to no replica.
     patient
         Deployments that have lacked replicas for the spread wait.
+    leaving
+        Instances that the platform will take away, of every shard.
 
     """
 
@@ -35,6 +43,7 @@
     replicas: tuple[Replica, ...]
     free: tuple[Instance, ...] = ()
     patient: frozenset[DeploymentName] = frozenset()
+    leaving: frozenset[InstanceName] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -166,16 +175,25 @@
     deployment: Deployment,
     picture: ShardPicture,
 ) -> tuple[Replica, ...]:
-    """Return the replicas that stand where the deployment may stand."""
+    """Return the replicas that may stay where they stand."""
     allowed = _allowed(deployment, picture.configuration)
     return tuple(
         replica
         for replica in picture.replicas
         if replica.deployment == deployment.name
-        and all(member.data_centre in allowed for member in replica.members)
+        and all(_may_stay(at, allowed, picture) for at in replica.members)
     )
 
 
+def _may_stay(
+    member: Member,
+    allowed: tuple[DataCentreName, ...],
+    picture: ShardPicture,
+) -> bool:
+    is_leaving = member.instance in picture.leaving
+    return member.data_centre in allowed and not is_leaving
+
+
 def _allowed(
     deployment: Deployment,
     configuration: Configuration,
--- a/pomelogauge/decide/replica_check.py
+++ b/pomelogauge/decide/replica_check.py
@@ -1,9 +1,8 @@
 """What the members' own reports mean for their replica."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..model.ids import InstanceName
 from ..model.placement import (
     EngineState,
     EngineStatus,
@@ -13,9 +12,7 @@
 )
 from ..model.times import ControlTimes
 from .replica_chart import ReplicaEvent
-from .sightings import Sighting, is_lost
-
-Sightings = Mapping[InstanceName, Sighting]
+from .sightings import Sighting, Sightings, is_lost
 
 _FORMING = frozenset((ReplicaState.CLAIMED, ReplicaState.LOADING))
 _IN_SERVICE = frozenset((ReplicaState.SERVING, ReplicaState.DRAINING))
--- a/pomelogauge/decide/replica_view.py
+++ b/pomelogauge/decide/replica_view.py
@@ -1,8 +1,7 @@
 """What routers learn of a replica."""
 
 from ..model.placement import Replica, ReplicaState, ReplicaView
-from .replica_check import Sightings
-from .sightings import Sighting
+from .sightings import Sighting, Sightings
 
 
 def view_of(
--- a/pomelogauge/decide/sightings.py
+++ b/pomelogauge/decide/sightings.py
@@ -1,5 +1,6 @@
 """What polls tell of an engine."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from ..model.ids import InstanceName
@@ -33,6 +34,9 @@
     failed_since_s: float = float('inf')
 
 
+Sightings = Mapping[InstanceName, Sighting]
+
+
 def after_poll(
     before: Sighting,
     status: EngineStatus | None,
--- a/pomelogauge/engines/protocols.py
+++ b/pomelogauge/engines/protocols.py
@@ -86,6 +86,13 @@
         """Order one member to leave its replica."""
 
 
+class OwnedEngineControl(EngineControl, Protocol):
+    """Orders and reports over connections that one task owns."""
+
+    def close(self) -> None:
+        """Close the connections."""
+
+
 @dataclass(frozen=True)
 class Token:
     """One token of an answer.
--- a/pomelogauge/tasks/controller_tasks.py
+++ b/pomelogauge/tasks/controller_tasks.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from ..decide.replica_chart import ReplicaChart
-from ..engines.protocols import EngineControl
+from ..engines.protocols import OwnedEngineControl
 from ..model.ids import Incarnation, NodeName
 from ..model.placement import Lease
 from ..model.times import ControlTimes
@@ -27,7 +27,7 @@
     def tables(self) -> TableService:
         """Return a new connection to the platform's tables."""
 
-    def control(self, timeout_s: float) -> EngineControl:
+    def control(self, timeout_s: float) -> OwnedEngineControl:
         """Return new connections to engines with this deadline."""
 
 
--- a/pomelogauge/tasks/engine_watch.py
+++ b/pomelogauge/tasks/engine_watch.py
@@ -1,6 +1,6 @@
 """The task that polls one engine."""
 
-from ..engines.protocols import EngineControl
+from ..engines.protocols import OwnedEngineControl
 from ..model.times import ControlTimes
 from ..model.topology import Instance
 from .clock import Clock
@@ -29,7 +29,7 @@
     def __init__(
         self,
         instance: Instance,
-        control: EngineControl,
+        control: OwnedEngineControl,
         owner: Outbox[EngineSeen],
         times: ControlTimes,
         clock: Clock,
@@ -60,4 +60,5 @@
         return max(self._due_s - self._clock.now_s(), 0)
 
     def on_stop(self) -> None:
-        """Leave the connection to its pool's end."""
+        """Close the connection."""
+        self._control.close()
--- a/pomelogauge/tasks/grant_desk.py
+++ b/pomelogauge/tasks/grant_desk.py
@@ -130,18 +130,21 @@
         if not (views.views or views.held):
             self._shards.pop(views.shard)
         for view in views.views:
-            self._open_ledger(view, views.lease_epoch)
+            self._open_ledger(view.replica.replica, views)
         self._close_ledgers()
 
-    def _open_ledger(self, view: ReplicaView, lease_epoch: Epoch) -> None:
+    def _open_ledger(self, replica: ReplicaId, views: ShardViews) -> None:
         """Wait a grant's life for what another granter may have granted."""
-        ledger = self._ledgers.get(view.replica.replica)
-        if ledger is None or ledger.lease_epoch != lease_epoch:
-            opens_at_s = self._clock.now_s() + self._times.grant_life_s
-            accounts = ledger.accounts if ledger else ()
-            self._ledgers[view.replica.replica] = _Ledger(
-                lease_epoch, opens_at_s, accounts
-            )
+        ledger = self._ledgers.get(replica)
+        if ledger and ledger.lease_epoch == views.lease_epoch:
+            return
+        opens_at_s = self._clock.now_s()
+        if replica not in views.formed:
+            opens_at_s += self._times.grant_life_s + _SENDING_S
+        accounts = ledger.accounts if ledger else ()
+        self._ledgers[replica] = _Ledger(
+            views.lease_epoch, opens_at_s, accounts
+        )
 
     def _close_ledgers(self) -> None:
         named = {
--- a/pomelogauge/tasks/messages.py
+++ b/pomelogauge/tasks/messages.py
@@ -165,6 +165,8 @@
         The lease is held; ``False`` once it lapsed or was lost.
     views
         All replicas of the shard.
+    formed
+        Those formed under this lease, so that no other granter knew them.
 
     """
 
@@ -172,6 +174,7 @@
     lease_epoch: Epoch
     held: bool
     views: tuple[ReplicaView, ...]
+    formed: frozenset[ReplicaId] = frozenset()
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/pomelogauge/tasks/replica_machines.py
@@ -0,0 +1,168 @@
+"""The chart machines of the replicas of one shard."""
+
+import logging
+from collections.abc import Collection
+from dataclasses import dataclass, replace
+
+from ..decide.replica_chart import (
+    ReplicaAction,
+    ReplicaChart,
+    ReplicaEvent,
+    ReplicaFacts,
+)
+from ..decide.replica_check import ReplicaCase, assess, is_drained
+from ..decide.sightings import Sightings
+from ..model.ids import ReplicaId
+from ..model.placement import Replica
+from ..model.times import ControlTimes
+from .clock import Clock
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class _Machine:
+    """One machine.
+
+    Parameters
+    ----------
+    replica
+        With its state in the chart.
+    since_s
+        Own clock when it entered the state or was last acted on.
+    formed
+        Formed under the present lease.
+    release_tried
+        A write may have released the rows.
+
+    """
+
+    replica: Replica
+    since_s: float
+    formed: bool
+    release_tried: bool = False
+
+
+class ReplicaMachines:
+    """Steps the replica chart; part of the owner's task.
+
+    Parameters
+    ----------
+    chart
+        The replica chart.
+    sightings
+        What the owner knows of the members; read at each check.
+    times
+        Periods.
+    clock
+        Own clock.
+
+    """
+
+    def __init__(
+        self,
+        chart: ReplicaChart,
+        sightings: Sightings,
+        times: ControlTimes,
+        clock: Clock,
+    ) -> None:
+        """Start without replicas."""
+        #: Replicas that nobody asks for any more.
+        self.unwanted: frozenset[ReplicaId] = frozenset()
+        self._chart = chart
+        self._sightings = sightings
+        self._times = times
+        self._clock = clock
+        self._machines: dict[ReplicaId, _Machine] = {}
+
+    def replicas(self) -> tuple[Replica, ...]:
+        """Return the replicas with their states."""
+        return tuple(machine.replica for machine in self._machines.values())
+
+    def formed(self) -> frozenset[ReplicaId]:
+        """Return the replicas formed under the present lease."""
+        return frozenset(
+            name for name, machine in self._machines.items() if machine.formed
+        )
+
+    def replica(self, name: ReplicaId) -> Replica:
+        """Return one replica with its state."""
+        return self._machines[name].replica
+
+    def has(self, name: ReplicaId) -> bool:
+        """Return whether a replica is known."""
+        return name in self._machines
+
+    def add(self, replica: Replica, *, formed: bool) -> None:
+        """Add a replica in the chart's initial state."""
+        claimed = replace(replica, state=self._chart.initial)
+        self._machines[replica.replica] = _Machine(
+            claimed, self._clock.now_s(), formed
+        )
+
+    def keep(self, named: Collection[ReplicaId]) -> None:
+        """Drop the replicas whose rows are gone."""
+        for gone in self._machines.keys() - named:
+            self.step(gone, ReplicaEvent.RELEASED, held=True)
+            self._machines.pop(gone)
+
+    def clear(self) -> None:
+        """Drop all replicas."""
+        self._machines.clear()
+
+    def note_release(self, name: ReplicaId, *, tried: bool) -> None:
+        """Remember when a release was last due, and whether it was sent."""
+        machine = self._machines[name]
+        self._machines[name] = replace(
+            machine,
+            since_s=self._clock.now_s(),
+            release_tried=machine.release_tried or tried,
+        )
+
+    def check(self, name: ReplicaId) -> ReplicaEvent | None:
+        """Return the most urgent event of a replica; ``None`` for none."""
+        return assess(self._case(self._machines[name]), self._times)
+
+    def step(
+        self,
+        name: ReplicaId,
+        event: ReplicaEvent,
+        *,
+        held: bool,
+    ) -> ReplicaAction | None:
+        """Step a replica and return what the owner has to do.
+
+        Parameters
+        ----------
+        name
+            The replica.
+        event
+            What happened.
+        held
+            The lease is held.
+
+        """
+        machine = self._machines[name]
+        facts = ReplicaFacts(
+            is_drained(self._case(machine), self._times),
+            held,
+            machine.release_tried,
+        )
+        move = self._chart.step(machine.replica.state, event, facts)
+        if move.state != machine.replica.state:
+            _log.info('replicas: %s is %s: %s', name, move.state, event)
+            self._machines[name] = replace(
+                machine,
+                replica=replace(machine.replica, state=move.state),
+                since_s=self._clock.now_s(),
+            )
+        return move.action
+
+    def _case(self, machine: _Machine) -> ReplicaCase:
+        return ReplicaCase(
+            machine.replica,
+            machine.since_s,
+            machine.replica.replica not in self.unwanted,
+            self._sightings,
+            self._clock.now_s(),
+        )
--- a/pomelogauge/tasks/replica_rows.py
+++ b/pomelogauge/tasks/replica_rows.py
@@ -1,12 +1,13 @@
 """Reads and conditional writes of replicas and their members."""
 
 import logging
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from collections.abc import Sequence
+from dataclasses import replace
 
 from returns.result import Failure, Result, Success
 
 from ..decide.formation import slot_of
+from ..decide.shard_knowledge import ReplicaScan
 from ..model.ids import InstanceName, ReplicaId
 from ..model.placement import Lease, Membership, Replica
 from ..platform.protocols import (
@@ -33,36 +34,6 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True)
-class ReplicaScan:
-    """The rows of ``replicas`` and ``members``.
-
-    Parameters
-    ----------
-    replicas
-        Of every shard.
-    memberships
-        By instance; an instance without a row was never claimed.
-    unreadable
-        Instances whose rows are malformed; they are left alone.
-
-    """
-
-    replicas: tuple[Replica, ...] = ()
-    memberships: Mapping[InstanceName, Membership] = field(default_factory=dict)
-    unreadable: frozenset[InstanceName] = frozenset()
-
-    def membership(self, instance: InstanceName) -> Membership:
-        """Return the membership of an instance."""
-        return self.memberships.get(instance, Membership(instance))
-
-    def is_free(self, instance: InstanceName) -> bool:
-        """Return whether an instance belongs to no replica."""
-        if instance in self.unreadable:
-            return False
-        return not self.membership(instance).replica
-
-
 class ReplicaRows:
     """The tables on the connection of a shard's owner."""
 
@@ -106,12 +77,9 @@
     ) -> Result[Replica, PlatformError]:
         """Insert a replica's row and claim all its members, or nothing."""
         rows = [scan.membership(name) for name in _names(wanted)]
-        outcome = self._commit(
-            lease,
-            wanted,
-            encode_replica(wanted),
-            [replace(row, replica=wanted.replica) for row in rows],
-        )
+        claimed = [replace(row, replica=wanted.replica) for row in rows]
+        text = encode_replica(wanted)
+        outcome = self._commit(lease, wanted, text, claimed)
         return outcome.map(
             lambda committed: replace(wanted, version=committed.versions[0])
         )
@@ -124,16 +92,13 @@
     ) -> Result[Committed, PlatformError]:
         """Delete a replica's row and free all its members, or nothing."""
         rows = [scan.membership(name) for name in _names(gone)]
-        return self._commit(
-            lease,
-            gone,
-            None,
-            [
-                replace(row, replica=ReplicaId(''))
-                for row in rows
-                if row.replica == gone.replica
-            ],
-        )
+        freed = [
+            replace(row, replica=ReplicaId(''))
+            if row.replica == gone.replica
+            else row
+            for row in rows
+        ]
+        return self._commit(lease, gone, None, freed)
 
     def _commit(
         self,
@@ -182,7 +147,7 @@
 
 
 def _write(row: Membership, replica: Replica) -> Write:
-    claimed = replace(row, epoch=replica.epoch)
+    claimed = replace(row, epoch=max(row.epoch, replica.epoch))
     key = RowKey(MEMBERS, row.instance)
     return Write(key, encode_membership(claimed))
 
--- a/pomelogauge/tasks/shard_owner.py
+++ b/pomelogauge/tasks/shard_owner.py
@@ -1,35 +1,22 @@
 """The task that forms, watches and repairs the replicas of one shard."""
 
 import logging
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from random import Random
 
 from returns.result import Failure
 
 from ..decide.formation import (
     Formation,
-    ShardPicture,
     find_deployment,
-    is_wanted,
-    lacking,
-    next_epoch,
     plan_formation,
-    replica_id,
 )
-from ..decide.leases import shard_of
-from ..decide.replica_chart import (
-    ReplicaAction,
-    ReplicaChart,
-    ReplicaEvent,
-    ReplicaFacts,
-)
-from ..decide.replica_check import ReplicaCase, assess, is_drained
+from ..decide.replica_chart import ReplicaAction, ReplicaChart, ReplicaEvent
 from ..decide.replica_view import view_of
-from ..decide.sightings import usable_status
-from ..engines.protocols import EngineControl
-from ..model.ids import DataCentreName, DeploymentName, ReplicaId
-from ..model.manifest import Configuration
-from ..model.placement import Lease, Member, Replica, ReplicaState
+from ..decide.shard_knowledge import ShardKnowledge, build_replica
+from ..engines.protocols import OwnedEngineControl
+from ..model.ids import ReplicaId
+from ..model.placement import Lease, Member
 from ..model.times import ControlTimes
 from ..model.topology import Instance, InstanceRole
 from ..platform.protocols import TableService
@@ -45,8 +32,9 @@
 from .engine_watches import EngineWatches
 from .mailbox import Outbox
 from .messages import ConfigurationInForce, InstancesListed, ShardViews
+from .replica_machines import ReplicaMachines
 from .replica_orders import ReplicaOrders
-from .replica_rows import ReplicaRows, ReplicaScan
+from .replica_rows import ReplicaRows
 from .settle import TransactionNames
 
 _log = logging.getLogger(__name__)
@@ -70,30 +58,11 @@
     """
 
     tables: TableService
-    control: EngineControl
+    control: OwnedEngineControl
     watches: WatchTasks
     desk: Outbox[ShardViews]
 
 
-@dataclass(frozen=True)
-class _Known:
-    """What messages and scans have told the owner."""
-
-    configuration: Configuration | None = None
-    listed: tuple[Instance, ...] = ()
-    scan: ReplicaScan | None = None
-    lacking_since_s: dict[DeploymentName, float] = field(default_factory=dict)
-
-
-@dataclass(frozen=True)
-class _Machine:
-    """One replica's chart machine."""
-
-    replica: Replica
-    since_s: float
-    release_tried: bool = False
-
-
 @dataclass(frozen=True)
 class _Due:
     """Next times by the own clock."""
@@ -103,7 +72,7 @@
     held_until_s: float = float('-inf')
 
 
-class ShardOwner:  # noqa: WPS214 (one short method an action of the chart)
+class ShardOwner:  # noqa: WPS214 (one short method a message and an action)
     """Owns the replicas of one shard while its lease is held.
 
     Parameters
@@ -137,19 +106,20 @@
     ) -> None:
         """Start without knowledge of rows and engines."""
         self._lease = lease
-        self._rows = ReplicaRows(links.tables, names)
-        self._orders = ReplicaOrders(links.control, self._is_held)
-        self._watches = EngineWatches(links.watches)
-        self._desk = links.desk
-        self._chart = chart
+        self._links = links
         self._times = times
         self._clock = clock
         self._rng = rng
+        self._rows = ReplicaRows(links.tables, names)
+        self._orders = ReplicaOrders(links.control, self._is_held)
+        self._watches = EngineWatches(links.watches)
+        self._replicas = ReplicaMachines(
+            chart, self._watches.sightings, times, clock
+        )
         self._address: Outbox[EngineSeen] | None = None
-        self._known = _Known()
+        self._known = ShardKnowledge(lease.shard)
         self._due = _Due()
-        self._unwanted: frozenset[ReplicaId] = frozenset()
-        self._machines: dict[ReplicaId, _Machine] = {}
+        self._is_current = False
 
     def on_start(self) -> None:
         """Do nothing; the first scan is due once the lease is known."""
@@ -169,44 +139,46 @@
                 configuration = message.configuration
                 self._known = replace(self._known, configuration=configuration)
             case InstancesListed():
-                self._list(message.instances)
+                self._known = self._known.listing(message.instances)
             case OwnerAddress():
                 self._address = message.outbox
 
     def on_timer(self) -> float | None:
         """Check the replicas at once, and plan once an interval."""
-        changed = [self._check(replica) for replica in tuple(self._machines)]
+        before = self._replicas.replicas()
+        for replica in before:
+            self._check(replica.replica)
         now_s = self._clock.now_s()
         if now_s >= self._due.work_s:
             due_s = now_s + self._times.watch_interval_s
             self._due = replace(self._due, work_s=due_s)
-            self._scan()
-            self._judge()
-            self._watch()
-            self._form()
+            self._work()
             self._report()
-        elif any(changed):
+        elif self._replicas.replicas() != before:
             self._report()
         return max(self._due.work_s - self._clock.now_s(), 0)
 
     def on_stop(self) -> None:
-        """End the watches and withdraw the views."""
+        """End the watches, withdraw the views and close what is owned."""
         self._watches.stop()
-        self._machines.clear()
-        gone = ShardViews(self._lease.shard, self._lease.epoch, False, ())
-        self._desk.post(gone)
+        self._replicas.clear()
+        lease = self._lease
+        gone = ShardViews(lease.shard, lease.epoch, held=False, views=())
+        self._links.desk.post(gone)
+        self._links.control.close()
 
     def _is_held(self) -> bool:
         return self._clock.now_s() < self._due.held_until_s
 
-    def _list(self, instances: tuple[Instance, ...]) -> None:
-        listed = tuple(
-            instance
-            for instance in instances
-            if instance.role == InstanceRole.ENGINE
-            and shard_of(instance) == self._lease.shard
-        )
-        self._known = replace(self._known, listed=listed)
+    def _may_write(self) -> bool:
+        return self._is_current and self._is_held()
+
+    def _work(self) -> None:
+        self._scan()
+        replicas = self._replicas.replicas()
+        self._replicas.unwanted = self._known.unwanted(replicas)
+        self._watch()
+        self._form()
 
     def _scan(self) -> None:
         now_s = self._clock.now_s()
@@ -215,30 +187,32 @@
         # Jitter keeps the owners of many shards from reading at once.
         wait_s = self._times.scan_interval_s * self._rng.uniform(0.8, 1.2)
         self._due = replace(self._due, scan_s=now_s + wait_s)
-        scan = self._rows.scan(self._known.scan)
+        cached = self._known.scan if self._is_current else None
+        scan = self._rows.scan(cached)
         if scan is None:
             return
-        self._known = replace(self._known, scan=scan)
-        self._adopt(scan)
-        self._note_lacking(now_s)
+        self._is_current = True
+        self._known = self._known.scanned(scan, now_s)
+        self._adopt()
 
-    def _adopt(self, scan: ReplicaScan) -> None:
+    def _adopt(self) -> None:
         """Take over the shard's replicas that the rows name."""
-        now_s = self._clock.now_s()
-        for found in scan.replicas:
-            is_new = found.replica not in self._machines
-            if is_new and found.shard == self._lease.shard:
-                claimed = replace(found, state=ReplicaState.CLAIMED)
-                self._machines[found.replica] = _Machine(claimed, now_s)
+        scan = self._known.scan
+        if scan is None:
+            return
+        adopted = [
+            row for row in scan.replicas if row.shard == self._lease.shard
+        ]
         # A release whose answer was lost shows up as a missing row.
-        named = {row.replica for row in scan.replicas}
-        for gone in self._machines.keys() - named:
-            self._step(gone, ReplicaEvent.RELEASED)
-            self._machines.pop(gone)
+        self._replicas.keep({row.replica for row in adopted})
+        own = {replica.replica for replica in self._replicas.replicas()}
+        for row in adopted:
+            if row.replica not in own:
+                self._replicas.add(row, formed=False)
 
     def _forget_rows(self) -> None:
-        """Read all rows again before the next decision."""
-        self._known = replace(self._known, scan=None)
+        """Read all rows again before the next write."""
+        self._is_current = False
         self._due = replace(self._due, scan_s=float('-inf'))
 
     def _watch(self) -> None:
@@ -246,71 +220,28 @@
             return
         # The list lags; members of replicas are watched in any case.
         members = [
-            _member_instance(member)
-            for machine in self._machines.values()
-            for member in machine.replica.members
+            _instance(member)
+            for replica in self._replicas.replicas()
+            for member in replica.members
         ]
-        self._watches.adjust((*members, *self._known.listed), self._address)
-
-    def _check(self, name: ReplicaId) -> bool:
-        """Step one replica; return whether its state has changed."""
-        machine = self._machines[name]
-        case = self._case(machine)
-        event = assess(case, self._times)
-        if event is None:
-            return False
-        self._step(name, event)
-        after = self._machines.get(name)
-        return after is None or after.replica.state != machine.replica.state
-
-    def _case(self, machine: _Machine) -> ReplicaCase:
-        return ReplicaCase(
-            machine.replica,
-            machine.since_s,
-            machine.replica.replica not in self._unwanted,
-            self._watches.sightings,
-            self._clock.now_s(),
-        )
+        self._watches.adjust((*members, *self._known.engines), self._address)
 
-    def _judge(self) -> None:
-        """Find the replicas that nobody asks for any more."""
-        leaving = {
-            instance.name for instance in self._known.listed if instance.leaving
-        }
-        picture = self._picture()
-        if picture is None:
-            return
-        self._unwanted = frozenset(
-            name
-            for name, machine in self._machines.items()
-            if not is_wanted(machine.replica, picture)
-            or any(at.instance in leaving for at in machine.replica.members)
-        )
+    def _check(self, name: ReplicaId) -> None:
+        # A scan on behalf of another replica may have dropped this one.
+        event = self._replicas.check(name) if self._replicas.has(name) else None
+        if event is not None:
+            self._step(name, event)
 
     def _step(self, name: ReplicaId, event: ReplicaEvent) -> None:
-        machine = self._machines[name]
-        facts = ReplicaFacts(
-            is_drained(self._case(machine), self._times),
-            self._is_held(),
-            machine.release_tried,
-        )
-        before = machine.replica.state
-        move = self._chart.step(before, event, facts)
-        if move.state != before:
-            _log.info('replicas: %s is %s: %s', name, move.state, event)
-            self._machines[name] = replace(
-                machine,
-                replica=replace(machine.replica, state=move.state),
-                since_s=self._clock.now_s(),
-            )
-        match move.action:
+        action = self._replicas.step(name, event, held=self._is_held())
+        match action:
             case ReplicaAction.ORDER_MEMBERS:
                 self._order(name)
             case ReplicaAction.RELEASE:
                 self._release(name)
 
     def _order(self, name: ReplicaId) -> None:
-        replica = self._machines[name].replica
+        replica = self._replicas.replica(name)
         configuration = self._known.configuration
         if configuration is None or not self._is_held():
             return
@@ -323,73 +254,45 @@
         self._step(name, event)
 
     def _release(self, name: ReplicaId) -> None:
-        """Free the rows; while the lease is not held, try again later."""
-        machine = self._machines[name]
-        self._machines[name] = replace(machine, since_s=self._clock.now_s())
+        """Free the rows; while that can't be done, try again later."""
+        self._scan()
         scan = self._known.scan
-        if scan is None or not self._is_held():
+        if scan is None or not self._replicas.has(name):
+            return
+        is_possible = self._may_write()
+        self._replicas.note_release(name, tried=is_possible)
+        if not is_possible:
             return
-        self._machines[name] = replace(self._machines[name], release_tried=True)
-        outcome = self._rows.release(self._lease, machine.replica, scan)
+        replica = self._replicas.replica(name)
+        outcome = self._rows.release(self._lease, replica, scan)
         self._forget_rows()
         if isinstance(outcome, Failure):
             _log.warning(
                 'replicas: %s is not released: %s', name, outcome.failure()
             )
             return
-        self._step(name, ReplicaEvent.RELEASED)
-        self._machines.pop(name)
-        if name in self._unwanted:
-            self._orders.unload(machine.replica)
-
-    def _picture(self) -> ShardPicture | None:
-        known = self._known
-        if known.configuration is None or known.scan is None:
-            return None
-        waited_from_s = self._clock.now_s() - self._times.spread_wait_s
-        return ShardPicture(
-            DataCentreName(self._lease.shard.partition('/')[0]),
-            known.configuration,
-            known.scan.replicas,
-            self._free(known.scan),
-            frozenset(
-                name
-                for name, since_s in known.lacking_since_s.items()
-                if since_s <= waited_from_s
-            ),
-        )
-
-    def _free(self, scan: ReplicaScan) -> tuple[Instance, ...]:
-        sightings = self._watches.sightings
-        return tuple(
-            instance
-            for instance in self._known.listed
-            if not instance.leaving
-            and scan.is_free(instance.name)
-            and usable_status(instance.name, sightings.get(instance.name))
-        )
-
-    def _note_lacking(self, now_s: float) -> None:
-        picture = self._picture()
-        if picture is None:
-            return
-        since_s = {
-            name: self._known.lacking_since_s.get(name, now_s)
-            for name in lacking(picture)
-        }
-        self._known = replace(self._known, lacking_since_s=since_s)
+        remaining = {row.replica for row in self._replicas.replicas()}
+        self._replicas.keep(remaining - {name})
+        if name in self._replicas.unwanted:
+            self._orders.unload(replica)
 
     def _form(self) -> None:
-        picture = self._picture()
-        if picture is None or not self._is_held():
+        picture = self._known.picture_to_form(
+            self._watches.sightings, self._clock.now_s(), self._times
+        )
+        if picture is None or not self._may_write():
             return
         plan = plan_formation(picture)
         if plan is not None:
             self._claim(plan)
 
     def _claim(self, plan: Formation) -> None:
-        scan = self._known.scan or ReplicaScan()
-        wanted = self._replica(plan, scan)
+        scan = self._known.scan
+        if scan is None:
+            return
+        nonce = f'{self._rng.getrandbits(_NONCE_BITS):016x}'
+        sightings = self._watches.sightings
+        wanted = build_replica(plan, self._known, sightings, nonce)
         outcome = self._rows.claim(self._lease, wanted, scan)
         self._forget_rows()
         if isinstance(outcome, Failure):
@@ -397,52 +300,30 @@
             # scan tells, and a claim that took effect is adopted.
             _log.info('replicas: no claim of %s', wanted.replica)
             return
-        now_s = self._clock.now_s()
-        self._machines[wanted.replica] = _Machine(outcome.unwrap(), now_s)
+        self._replicas.add(outcome.unwrap(), formed=True)
         self._step(wanted.replica, ReplicaEvent.ORDERS_DUE)
 
-    def _replica(self, plan: Formation, scan: ReplicaScan) -> Replica:
-        nonce = f'{self._rng.getrandbits(_NONCE_BITS):016x}'
-        members = tuple(
-            Member(
-                instance.name,
-                instance.address,
-                instance.data_centre,
-                instance.domain,
-                rank,
-            )
-            for rank, instance in enumerate(plan.instances)
-        )
-        sightings = self._watches.sightings
-        reports = [sightings[member.instance].status for member in members]
-        return Replica(
-            replica_id(plan.slot, nonce),
-            plan.deployment.name,
-            next_epoch(
-                *(scan.membership(at.instance).epoch for at in members),
-                *(report.epoch for report in reports if report),
-            ),
-            self._lease.shard,
-            members,
-        )
-
     def _report(self) -> None:
         now_s = self._clock.now_s()
-        views = tuple(
-            view_of(machine.replica, self._watches.sightings, now_s)
-            for machine in self._machines.values()
-        )
-        lease = self._lease
-        self._desk.post(
-            ShardViews(lease.shard, lease.epoch, self._is_held(), views)
+        sightings = self._watches.sightings
+        views = ShardViews(
+            self._lease.shard,
+            self._lease.epoch,
+            self._is_held(),
+            tuple(
+                view_of(replica, sightings, now_s)
+                for replica in self._replicas.replicas()
+            ),
+            self._replicas.formed(),
         )
+        self._links.desk.post(views)
 
 
 #: Bits that make an identifier unique.
 _NONCE_BITS = 64
 
 
-def _member_instance(member: Member) -> Instance:
+def _instance(member: Member) -> Instance:
     return Instance(
         member.instance,
         InstanceRole.ENGINE,
--- a/test/control_fakes.py
+++ b/test/control_fakes.py
@@ -81,6 +81,9 @@
         )
         return self.status(address)
 
+    def close(self) -> None:
+        self.closed = True
+
     def unload(
         self, address: Address, order: UnloadOrder
     ) -> Result[EngineStatus, EngineError]:
--- a/test/test_formation.py
+++ b/test/test_formation.py
@@ -29,7 +29,9 @@
 FREE = tuple(engine(number) for number in (3, 1, 2))
 
 
-def picture(*replicas: Replica, drained: tuple[DataCentreName, ...] = ()):
+def picture(
+    *replicas: Replica, drained: tuple[DataCentreName, ...] = ()
+) -> ShardPicture:
     manifest = Manifest(deployments=(QUOTES,))
     configuration = Configuration(ConfigVersion(1), manifest, drained=drained)
     return ShardPicture(A, configuration, replicas, FREE)
@@ -83,6 +85,14 @@
         self.assertEqual(plan.slot, 'quotes#2')
         self.assertFalse(is_wanted(rows[0], drained))
 
+    def test_replica_with_a_leaving_member_is_replaced(self) -> None:
+        rows = (replica(0, A), replica(1, A))
+        leaving = replace(picture(*rows), leaving=frozenset((FREE[0].name,)))
+        plan = plan_formation(leaving)
+        assert plan is not None
+        self.assertEqual(plan.slot, 'quotes#2')
+        self.assertFalse(is_wanted(rows[0], leaving))
+
     def test_too_many_replicas_lose_the_highest_ordinal(self) -> None:
         rows = tuple(replica(ordinal, A) for ordinal in (5, 0, 2))
         kept = [is_wanted(row, picture(*rows)) for row in rows]
--- a/test/test_grants.py
+++ b/test/test_grants.py
@@ -58,10 +58,18 @@
         self.desk = GrantDesk(controller, TIMES, self.clock)
         self.show(bearable, held=held)
 
-    def show(self, bearable: int, *, held: bool = True, epoch: int = 1) -> None:
+    def show(
+        self,
+        bearable: int,
+        *,
+        held: bool = True,
+        epoch: int = 1,
+        formed: bool = False,
+    ) -> None:
         view = ReplicaView(REPLICA, True, 0, bearable, capacity=8)
+        own = frozenset((REPLICA.replica,) if formed else ())
         self.desk.on_message(
-            ShardViews(REPLICA.shard, Epoch(epoch), held, (view,))
+            ShardViews(REPLICA.shard, Epoch(epoch), held, (view,), own)
         )
 
     def ask(self, router: str, waiting: int, running: int = 0) -> int:
@@ -79,11 +87,16 @@
     def test_new_desk_waits_a_grants_life(self) -> None:
         bench = Bench(8)
         self.assertEqual(bench.ask('r1', 9), 0)
-        bench.clock.now += TIMES.grant_life_s
+        bench.clock.now += TIMES.grant_life_s + 0.2
         self.assertEqual(bench.ask('r1', 9), 8)
         bench.show(8, epoch=2)
         self.assertEqual(bench.ask('r1', 9), 0)
 
+    def test_replica_formed_under_the_own_lease_needs_no_wait(self) -> None:
+        bench = Bench(8)
+        bench.show(8, epoch=2, formed=True)
+        self.assertEqual(bench.ask('r1', 9), 8)
+
     def test_idle_slots_go_to_the_hungry_router(self) -> None:
         bench = Bench(8)
         bench.clock.now += 2
--- a/test/test_shard_owner.py
+++ b/test/test_shard_owner.py
@@ -24,7 +24,13 @@
     ReplicaView,
 )
 from pomelogauge.model.times import ControlTimes
-from pomelogauge.platform.protocols import RowKey, Transaction, Write
+from pomelogauge.platform.protocols import (
+    PlatformError,
+    PlatformFault,
+    RowKey,
+    Transaction,
+    Write,
+)
 from pomelogauge.standins.memory_platform import MemoryPlatform
 from pomelogauge.tasks.control_messages import (
     EngineSeen,
@@ -191,6 +197,17 @@
         self.assertTrue(self.view().serving)
         self.assertEqual(len(self.engines.orders), orders)
 
+    def test_drained_data_centre_stays_out_in_an_outage(self) -> None:
+        self.run_for(2)
+        drained = replace(CONFIGURATION, drained=(DataCentreName('a'),))
+        self.owner.on_message(ConfigurationInForce(drained))
+        self.platform.fault = PlatformError(PlatformFault.UNSETTLED, 'lost')
+        self.run_for(6)
+        self.assertFalse(self.view().serving)
+        self.platform.fault = None
+        self.run_for(3)
+        self.assertEqual(self.desk.posted[-1].views, ())
+
     def test_drained_data_centre_is_emptied_after_what_runs(self) -> None:
         self.run_for(2)
         drained = replace(CONFIGURATION, drained=(DataCentreName('a'),))
