--- /dev/null
+++ b/test/test_routing.py
@@ -0,0 +1,46 @@
+"""Tests of the choice of a replica."""
+
+import unittest
+
+from pomelogauge.decide.access import deployments_for
+from pomelogauge.decide.routing import LeastLoaded, Offer, usable_offers
+from pomelogauge.model.ids import OrganisationName, ReplicaId
+from pomelogauge.model.request import RefusalCode
+
+from .router_fixtures import NORTH, SOUTH, configuration, request, view
+
+
+class RoutingTest(unittest.TestCase):
+    def usable(self, *offers: Offer, drained=(), avoid=()) -> list[str]:
+        cfg = configuration(drained=drained)
+        allowed = deployments_for(cfg, request()).unwrap()
+        found = usable_offers(cfg, allowed, offers, avoid)
+        return [offer.replica for offer in found]
+
+    def test_offers_only_what_may_take_work(self) -> None:
+        good = Offer(view('good', SOUTH), slots=2, sent=1)
+        idle = Offer(view('idle', serving=False), slots=2)
+        full = Offer(view('full'), slots=2, sent=2)
+        self.assertEqual(self.usable(good, idle, full), ['good'])
+        self.assertEqual(self.usable(good, drained=('south',)), [])
+        self.assertEqual(self.usable(good, avoid=(ReplicaId('good'),)), [])
+
+    def test_counts_own_sends_that_the_report_misses(self) -> None:
+        stale = Offer(view('stale', running=1), slots=9, sent=4, sent_since=3)
+        fresh = Offer(view('fresh', running=3), slots=9, sent=3)
+        near = Offer(view('near', running=3), slots=9, sent=0)
+        far = Offer(view('far', SOUTH, running=3), slots=9, sent=0)
+        policy = LeastLoaded(NORTH)
+        self.assertEqual(policy.choose(request(), (stale, fresh)), fresh)
+        self.assertEqual(policy.choose(request(), (far, near)), near)
+        self.assertIsNone(policy.choose(request(), ()))
+
+    def test_says_why_nothing_may_answer(self) -> None:
+        cfg = configuration()
+        adapted = deployments_for(cfg, request(model='m:a'))
+        self.assertEqual(len(adapted.unwrap()), 1)
+        unknown = deployments_for(cfg, request(model='m:b')).failure()
+        self.assertEqual(unknown.code, RefusalCode.UNKNOWN_MODEL)
+        stranger = request(organisation=OrganisationName('stranger'))
+        refused = deployments_for(cfg, stranger).failure()
+        self.assertEqual(refused.code, RefusalCode.NOT_ALLOWED)
