--- /dev/null
+++ b/pomelogauge/decide/warmth_chart.py
@@ -0,0 +1,71 @@
+"""Names of the target warmth chart."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..model.chart import Vocabulary
+
+
+class WarmthState(StrEnum):
+    """What a router believes of a replica's warmth."""
+
+    UNKNOWN = 'unknown'
+    COLD = 'cold'
+    WARMING = 'warming'
+    WARM = 'warm'
+
+
+class WarmthEvent(StrEnum):
+    """What can happen to a replica's warmth."""
+
+    REPORT = 'report'
+    COMPLETED = 'completed'
+    NEW_INCARNATION = 'new_incarnation'
+    FELL_SILENT = 'fell_silent'
+
+
+class WarmthAction(StrEnum):
+    """How the router bounds its own sends."""
+
+    LIMIT = 'limit'
+    FOLLOW_GRANT = 'follow_grant'
+
+
+@dataclass(frozen=True)
+class WarmthFacts:
+    """What the guards of the warmth chart may ask.
+
+    Parameters
+    ----------
+    completed
+        Own requests completed in this incarnation.
+    wanted
+        Completions that prove a replica warm.
+    confirmed
+        The report names the incarnation that last answered.
+
+    """
+
+    completed: int = 0
+    wanted: int = 0
+    confirmed: bool = True
+
+    def is_proven(self) -> bool:
+        """Return whether completed work proves the replica warm."""
+        return self.completed >= self.wanted
+
+    def is_confirmed(self) -> bool:
+        """Return whether the report is of the present incarnation."""
+        return self.confirmed
+
+    def always(self) -> bool:
+        """Return true; an internal transition needs a guard or an action."""
+        return True
+
+
+WARMTH_WORDS = Vocabulary(
+    WarmthState,
+    WarmthEvent,
+    WarmthAction,
+    WarmthFacts,
+)
