Send requests to engines and plain services over HTTP

Each event is handed on as it arrives. A connection whose exchange did not end cleanly is closed. An error says whether the target may have run the request: only a connection that was not made, or the target's own word, counts as not run.

Tests of test_http_streams pass.

--- /dev/null
+++ b/pomelogauge/engines/http_streams.py
@@ -0,0 +1,241 @@
+"""Requests to engines over HTTP."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+from urllib3 import BaseHTTPResponse, PoolManager, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from ..model.ids import Address, Incarnation, NodeName, RequestId
+from ..model.request import Execution
+from ..wire.chat_events import EventReader, StreamEnd, parse_event
+from .protocols import EngineError, EngineFault, StreamAsk, Token, TokenStream
+
+_OK = 200
+_READ_SIZE_BYTES = 65536
+
+#: Refusals by which an engine says that it ran nothing.
+_NOT_RUN_FAULTS = {
+    409: EngineFault.WRONG_REPLICA,
+    503: EngineFault.OVERLOADED,
+}
+
+
+@dataclass(frozen=True)
+class StreamSettings:
+    """Settings of the streams from engines.
+
+    Parameters
+    ----------
+    node
+        Name of this node, told to engines.
+    connect_timeout_s
+        Seconds for the connection.
+    token_timeout_s
+        Seconds between two tokens, and until the first.
+    cancel_timeout_s
+        Seconds for a cancellation.
+    pooled
+        Idle connections kept for one address.
+
+    """
+
+    node: NodeName
+    connect_timeout_s: float = 1
+    token_timeout_s: float = 20
+    cancel_timeout_s: float = 1
+    pooled: int = 64
+
+
+class HttpEngineStreams:
+    """Opens answers in progress; the pool lends each to one task."""
+
+    def __init__(self, cfg: StreamSettings) -> None:
+        """Open no connection yet."""
+        self._cfg = cfg
+        self._pool = PoolManager(maxsize=cfg.pooled, retries=False)
+
+    def open(
+        self,
+        address: Address,
+        ask: StreamAsk,
+    ) -> Result[TokenStream, EngineError]:
+        """Send a request and return once the engine has accepted it."""
+        try:
+            resp = self._send(address, ask)
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            return Failure(
+                EngineError(
+                    EngineFault.UNREACHABLE,
+                    f'{address} could not be reached: {exc}',
+                    Execution.NOT_RUN,
+                )
+            )
+        except (HTTPError, OSError) as exc:
+            return Failure(
+                EngineError(EngineFault.CUT, f'{address} cut the call: {exc}')
+            )
+        fault = _open_fault(resp, ask)
+        if fault is None:
+            return Success(_HttpTokenStream(self, address, ask, resp))
+        discard(resp)
+        return Failure(fault)
+
+    def cancel(self, address: Address, request: RequestId) -> None:
+        """Ask an engine to drop a request; nothing tells whether it did."""
+        try:
+            self._pool.request(
+                'DELETE',
+                f'http://{address}/v1/requests/{request}',
+                headers={'X-Client': self._cfg.node},
+                timeout=Timeout(self._cfg.cancel_timeout_s),
+            )
+        except (HTTPError, OSError):
+            # The engine also notices that the connection was closed.
+            return
+
+    def _send(self, address: Address, ask: StreamAsk) -> BaseHTTPResponse:
+        timeout = Timeout(
+            connect=self._cfg.connect_timeout_s,
+            read=self._cfg.token_timeout_s,
+        )
+        headers = {
+            'Content-Type': 'application/json',
+            'X-Client': self._cfg.node,
+            'X-Request-Id': ask.request,
+            'X-Replica': ask.replica,
+            'X-Epoch': str(ask.epoch),
+            'X-Resume-At': str(ask.resume_at),
+        }
+        if ask.trace_parent:
+            headers['traceparent'] = ask.trace_parent
+        return self._pool.request(
+            'POST',
+            f'http://{address}/v1/chat/completions',
+            body=ask.body,
+            headers=headers,
+            timeout=timeout,
+            preload_content=False,
+            redirect=False,
+        )
+
+
+class _HttpTokenStream:
+    """One answer in progress and its connection."""
+
+    def __init__(
+        self,
+        streams: HttpEngineStreams,
+        address: Address,
+        ask: StreamAsk,
+        resp: BaseHTTPResponse,
+    ) -> None:
+        self._streams = streams
+        self._address = address
+        self._ask = ask
+        self._resp = resp
+        self._received = _received(resp)
+        self._is_whole = False
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Incarnation of the engine that answers."""
+        return Incarnation(self._resp.headers.get('X-Incarnation', ''))
+
+    def tokens(self) -> Iterator[Result[Token, EngineError]]:
+        """Yield tokens until the explicit end; a failure ends it."""
+        wanted = self._ask.resume_at
+        for parsed in self._events():
+            if isinstance(parsed, Failure):
+                yield parsed
+                return
+            event = parsed.unwrap()
+            if isinstance(event, StreamEnd):
+                self._is_whole = True
+                return
+            if event.index != wanted:
+                yield _crossed(f'token {event.index} instead of {wanted}')
+                return
+            yield Success(event)
+            wanted += 1
+        yield _cut('the stream ended without its explicit end')
+
+    def close(self, *, cancel: bool) -> None:
+        """Give the connection back after a clean end, else close it."""
+        if self._is_whole and self._drain():
+            self._resp.release_conn()
+            return
+        discard(self._resp)
+        if cancel:
+            self._streams.cancel(self._address, self._ask.request)
+
+    def _events(self) -> Iterator[Result[Token | StreamEnd, EngineError]]:
+        reader = EventReader()
+        try:
+            for received in self._received:
+                for event in reader.feed(received):
+                    yield parse_event(event).alt(_malformed)
+        except (HTTPError, OSError) as exc:
+            yield _cut(f'the stream was cut: {exc}')
+
+    def _drain(self) -> bool:
+        """Read the end of the body; false when bytes or an error follow."""
+        try:
+            return not any(self._received)
+        except (HTTPError, OSError):
+            return False
+
+
+def discard(resp: BaseHTTPResponse) -> None:
+    """Close the connection of an exchange that did not end cleanly."""
+    resp.close()
+    resp.release_conn()
+
+
+def _received(resp: BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield bytes as they arrive, without waiting for a full buffer."""
+    if getattr(resp, 'chunked', False):
+        yield from resp.read_chunked()
+        return
+    while True:
+        received = resp.read1(_READ_SIZE_BYTES)
+        if not received:
+            return
+        yield received
+
+
+def _open_fault(resp: BaseHTTPResponse, ask: StreamAsk) -> EngineError | None:
+    if resp.status in _NOT_RUN_FAULTS:
+        return EngineError(
+            _NOT_RUN_FAULTS[resp.status],
+            f'the engine refused with status {resp.status}',
+            Execution.NOT_RUN,
+        )
+    if resp.status != _OK:
+        return EngineError(
+            EngineFault.REFUSED,
+            f'the engine answered with status {resp.status}',
+        )
+    if resp.headers.get('X-Request-Id') != ask.request:
+        return EngineError(
+            EngineFault.CROSSED,
+            'the engine answered another request',
+        )
+    return None
+
+
+def _malformed(message: str) -> EngineError:
+    return EngineError(EngineFault.CUT, message)
+
+
+def _cut(message: str) -> Failure[EngineError]:
+    return Failure(EngineError(EngineFault.CUT, message))
+
+
+def _crossed(message: str) -> Failure[EngineError]:
+    return Failure(EngineError(EngineFault.CROSSED, message))
--- /dev/null
+++ b/pomelogauge/services/http_calls.py
@@ -0,0 +1,111 @@
+"""Calls to plain services over HTTP."""
+
+import json
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+from urllib3 import BaseHTTPResponse, PoolManager, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from ..model.ids import Address, NodeName
+from ..model.request import Execution
+from .protocols import ServiceAnswer, ServiceAsk, ServiceError
+
+_UNAVAILABLE = 503
+
+
+@dataclass(frozen=True)
+class CallSettings:
+    """Settings of the calls to plain services.
+
+    Parameters
+    ----------
+    node
+        Name of this node, told to services.
+    connect_timeout_s
+        Seconds for the connection.
+    answer_timeout_s
+        Seconds between two reads of the answer.
+    pooled
+        Connection objects kept for one address.
+
+    """
+
+    node: NodeName
+    connect_timeout_s: float = 1
+    answer_timeout_s: float = 20
+    pooled: int = 64
+
+
+class HttpServiceCalls:
+    """Sends each call once."""
+
+    def __init__(self, cfg: CallSettings) -> None:
+        """Open no connection yet."""
+        self._cfg = cfg
+        # A kept connection may be closed by its service just as a call
+        # leaves, which a call that may not be repeated can't afford.
+        self._pool = PoolManager(maxsize=cfg.pooled, retries=False)
+
+    def call(
+        self,
+        address: Address,
+        ask: ServiceAsk,
+    ) -> Result[ServiceAnswer, ServiceError]:
+        """Send a call once and return the whole answer."""
+        try:
+            resp = self._send(address, ask)
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            message = f'{address} could not be reached: {exc}'
+            return Failure(ServiceError(message, Execution.NOT_RUN))
+        except (HTTPError, OSError) as exc:
+            message = f'{address} cut the call: {exc}'
+            return Failure(ServiceError(message, Execution.MAY_HAVE_RUN))
+        return _answer(resp, ask)
+
+    def _send(self, address: Address, ask: ServiceAsk) -> BaseHTTPResponse:
+        headers = {
+            'Content-Type': 'application/json',
+            'Connection': 'close',
+            'X-Client': self._cfg.node,
+            'X-Request-Id': ask.request,
+            'Idempotency-Key': ask.idempotency_key,
+        }
+        if ask.trace_parent:
+            headers['traceparent'] = ask.trace_parent
+        return self._pool.request(
+            'POST',
+            f'http://{address}/v1/calls/{ask.call}',
+            body=ask.body,
+            headers=headers,
+            redirect=False,
+            timeout=Timeout(
+                connect=self._cfg.connect_timeout_s,
+                read=self._cfg.answer_timeout_s,
+            ),
+        )
+
+
+def _answer(
+    resp: BaseHTTPResponse,
+    ask: ServiceAsk,
+) -> Result[ServiceAnswer, ServiceError]:
+    if resp.status == _UNAVAILABLE and _error_code(resp.data) == 'refused':
+        message = 'the service refused the call'
+        return Failure(ServiceError(message, Execution.NOT_RUN))
+    if resp.headers.get('X-Request-Id') != ask.request:
+        message = 'the service answered another call'
+        return Failure(ServiceError(message, Execution.MAY_HAVE_RUN))
+    media_type = resp.headers.get('Content-Type', 'application/json')
+    return Success(ServiceAnswer(resp.status, resp.data, media_type))
+
+
+def _error_code(body: bytes) -> str:
+    try:
+        return str(json.loads(body)['error']['code'])
+    except (ValueError, KeyError, TypeError):
+        return ''
--- /dev/null
+++ b/test/test_http_streams.py
@@ -0,0 +1,195 @@
+"""Tests of streams from engines and calls to services over HTTP."""
+
+import json
+import socket
+import threading
+import unittest
+from collections.abc import Iterable
+
+from returns.result import Failure, Success
+
+from pomelogauge.engines.http_streams import HttpEngineStreams, StreamSettings
+from pomelogauge.engines.protocols import EngineFault, StreamAsk, Token
+from pomelogauge.model.ids import (
+    Address,
+    CallName,
+    Epoch,
+    NodeName,
+    ReplicaId,
+    RequestId,
+)
+from pomelogauge.model.request import Execution
+from pomelogauge.services.http_calls import CallSettings, HttpServiceCalls
+from pomelogauge.services.protocols import ServiceAsk
+
+NODE = NodeName('router-1')
+
+
+def head(request: str = 'r-1', status: str = '200 OK') -> bytes:
+    return (
+        f'HTTP/1.1 {status}\r\nTransfer-Encoding: chunked\r\n'
+        f'X-Request-Id: {request}\r\nX-Incarnation: one\r\n\r\n'
+    ).encode()
+
+
+def chunk(text: bytes) -> bytes:
+    return f'{len(text):x}\r\n'.encode() + text + b'\r\n'
+
+
+def token(index: int) -> bytes:
+    event = {'token': index, 'choices': [{'delta': {'content': f't{index}'}}]}
+    return chunk(b'data: ' + json.dumps(event).encode() + b'\n\n')
+
+
+DONE = chunk(b'data: [DONE]\n\n') + b'0\r\n\r\n'
+
+
+class RawServer:
+    """Gives one scripted answer after another and counts connections."""
+
+    def __init__(self, answers: Iterable[bytes]) -> None:
+        self.connections = 0
+        self.heads: list[bytes] = []
+        self._answers = list(answers)
+        self._socket = socket.create_server(('127.0.0.1', 0))
+        port = self._socket.getsockname()[1]
+        self.address = Address(f'127.0.0.1:{port}')
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        self._socket.close()
+
+    def _run(self) -> None:
+        while self._answers:
+            try:
+                conn, _ = self._socket.accept()
+            except OSError:
+                return
+            self.connections += 1
+            with conn:
+                self._serve(conn)
+
+    def _serve(self, conn: socket.socket) -> None:
+        while self._answers:
+            received = b''
+            while not received.endswith((b'{}', b'\r\n\r\n')):
+                more = conn.recv(65536)
+                if not more:
+                    return
+                received += more
+            if b'\r\n\r\n' in received and not received.endswith(b'{}'):
+                received += conn.recv(65536)
+            self.heads.append(received)
+            answer = self._answers.pop(0)
+            conn.sendall(answer)
+            if not answer.endswith(b'0\r\n\r\n'):
+                return
+
+
+class HttpStreamsTest(unittest.TestCase):
+    def serve(self, *answers: bytes) -> RawServer:
+        server = RawServer(answers)
+        self.addCleanup(server.close)
+        return server
+
+    def ask(self, resume_at: int = 0) -> StreamAsk:
+        return StreamAsk(
+            RequestId('r-1'), ReplicaId('p'), Epoch(3), b'{}', resume_at
+        )
+
+    def streams(self) -> HttpEngineStreams:
+        return HttpEngineStreams(StreamSettings(NODE, token_timeout_s=5))
+
+    def test_reuses_a_connection_after_a_clean_end(self) -> None:
+        whole = head() + token(0) + token(1) + DONE
+        server = self.serve(whole, whole)
+        streams = self.streams()
+        for _ in range(2):
+            stream = streams.open(server.address, self.ask()).unwrap()
+            self.assertEqual(stream.incarnation, 'one')
+            self.assertEqual(
+                list(stream.tokens()),
+                [Success(Token(0, 't0')), Success(Token(1, 't1'))],
+            )
+            stream.close(cancel=False)
+        self.assertEqual(server.connections, 1)
+        self.assertIn(b'X-Epoch: 3', server.heads[0])
+
+    def test_a_cut_stream_is_a_fault_and_its_connection_closed(self) -> None:
+        whole = head() + token(0) + DONE
+        server = self.serve(head() + token(0), whole)
+        streams = self.streams()
+        stream = streams.open(server.address, self.ask()).unwrap()
+        first, last = stream.tokens()
+        self.assertEqual(first, Success(Token(0, 't0')))
+        self.assertEqual(last.failure().fault, EngineFault.CUT)
+        self.assertEqual(last.failure().execution, Execution.MAY_HAVE_RUN)
+        stream.close(cancel=False)
+        stream = streams.open(server.address, self.ask()).unwrap()
+        self.assertEqual(len(list(stream.tokens())), 1)
+        stream.close(cancel=False)
+        self.assertEqual(server.connections, 2)
+
+    def test_an_end_without_a_mark_is_a_cut(self) -> None:
+        server = self.serve(head() + token(0) + b'0\r\n\r\n')
+        stream = self.streams().open(server.address, self.ask()).unwrap()
+        last = list(stream.tokens())[-1]
+        self.assertEqual(last.failure().fault, EngineFault.CUT)
+        stream.close(cancel=False)
+
+    def test_crossed_answers_are_faults(self) -> None:
+        server = self.serve(head('r-2') + token(0), head() + token(1))
+        opened = self.streams().open(server.address, self.ask())
+        self.assertEqual(opened.failure().fault, EngineFault.CROSSED)
+        stream = self.streams().open(server.address, self.ask()).unwrap()
+        (only,) = stream.tokens()
+        self.assertEqual(only.failure().fault, EngineFault.CROSSED)
+        stream.close(cancel=False)
+
+    def test_says_truly_whether_the_engine_ran_the_request(self) -> None:
+        nobody = socket.create_server(('127.0.0.1', 0))
+        refused = Address(f'127.0.0.1:{nobody.getsockname()[1]}')
+        nobody.close()
+        empty = b'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n'
+        told = self.serve(empty).address
+        silent = self.serve(b'').address
+        cases = (
+            (refused, EngineFault.UNREACHABLE, Execution.NOT_RUN),
+            (told, EngineFault.OVERLOADED, Execution.NOT_RUN),
+            (silent, EngineFault.CUT, Execution.MAY_HAVE_RUN),
+        )
+        for address, fault, execution in cases:
+            with self.subTest(fault):
+                opened = self.streams().open(address, self.ask())
+                self.assertEqual(opened.failure().fault, fault)
+                self.assertEqual(opened.failure().execution, execution)
+
+    def test_calls_a_service_once_and_says_truly_what_ran(self) -> None:
+        refusal = b'{"error":{"code":"refused"}}'
+        cases = (
+            (head() + chunk(b'{"run":1}') + b'0\r\n\r\n', None),
+            (head('r-2') + chunk(b'1') + b'0\r\n\r\n', Execution.MAY_HAVE_RUN),
+            (head() + chunk(b'{"ru'), Execution.MAY_HAVE_RUN),
+            (b'', Execution.MAY_HAVE_RUN),
+            (
+                head('', '503 No') + chunk(refusal) + b'0\r\n\r\n',
+                Execution.NOT_RUN,
+            ),
+            (
+                head('', '503 No') + chunk(b'[]') + b'0\r\n\r\n',
+                Execution.MAY_HAVE_RUN,
+            ),
+        )
+        ask = ServiceAsk(RequestId('r-1'), CallName('pay'), 'key', b'{}')
+        for answer, execution in cases:
+            with self.subTest(answer):
+                server = self.serve(answer)
+                calls = HttpServiceCalls(CallSettings(NODE))
+                outcome = calls.call(server.address, ask)
+                self.assertEqual(len(server.heads), 1)
+                if execution is None:
+                    self.assertEqual(outcome.unwrap().body, b'{"run":1}')
+                else:
+                    self.assertIsInstance(outcome, Failure)
+                    self.assertEqual(outcome.failure().execution, execution)
