Give places to requests in one task

The dispatcher answers each ask once. It sends nothing without a live grant, except to warm replicas whose own answers go on proving them while no newer grant comes.

--- /dev/null
+++ b/pomelogauge/tasks/dispatcher.py
@@ -0,0 +1,185 @@
+"""The task that gives places on targets to callers' requests."""
+
+from dataclasses import dataclass, field, replace
+
+from ..decide.access import access_of
+from ..decide.known_replica import FleetSettings
+from ..decide.queue import QueueLimits
+from ..decide.routing import Policy
+from ..decide.target_warmth import WarmthChart, WarmthRules
+from ..model.manifest import Configuration
+from ..model.peers import ExchangeAsk, NodeReport, ReplicaUse
+from ..model.request import PlaceEnd
+from .clock import Clock
+from .fleet import Fleet
+from .messages import (
+    AskPlace,
+    AskServicePlace,
+    ConfigurationInForce,
+    DemandAsked,
+    ExchangeDone,
+    ForgetRequest,
+    FreePlace,
+    IncarnationSeen,
+    InstancesListed,
+    PhaseChanged,
+)
+from .model_desk import ModelDesk
+from .published import Published
+from .router_state import RouterState
+from .service_desk import ServiceDesk
+from .service_fleet import ServiceFleet
+
+DispatcherMessage = (
+    AskPlace
+    | AskServicePlace
+    | ConfigurationInForce
+    | DemandAsked
+    | ExchangeDone
+    | ForgetRequest
+    | FreePlace
+    | IncarnationSeen
+    | InstancesListed
+    | PhaseChanged
+)
+
+
+@dataclass(frozen=True)
+class DispatcherSettings:
+    """Settings of the dispatcher.
+
+    Parameters
+    ----------
+    own
+        Report of this router; version, phase and sequence are filled in.
+    fleet
+        Dealings with replicas.
+    limits
+        Bounds of the queue.
+
+    """
+
+    own: NodeReport
+    fleet: FleetSettings = field(default_factory=FleetSettings)
+    limits: QueueLimits = field(default_factory=QueueLimits)
+
+
+class Dispatcher:
+    """Answers each ask once, by a place or a truthful refusal.
+
+    Parameters
+    ----------
+    cfg
+        Settings.
+    clock
+        Own clock.
+    policy
+        Chooses among replicas.
+    chart
+        Bound warmth chart.
+    published
+        Where callers' tasks read the router's state.
+
+    """
+
+    def __init__(
+        self,
+        cfg: DispatcherSettings,
+        clock: Clock,
+        policy: Policy,
+        chart: WarmthChart,
+        published: Published[RouterState],
+    ) -> None:
+        """Start with nothing known and nothing admitted."""
+        self._own = cfg.own
+        self._clock = clock
+        self._published = published
+        rules = WarmthRules(chart, cfg.fleet.warm_completions)
+        self._fleet = Fleet(cfg.fleet, rules)
+        self._models = ModelDesk(cfg.limits, self._fleet, policy, published)
+        services = ServiceFleet(cfg.own.data_centre, cfg.fleet.suspect_s)
+        self._services = ServiceDesk(services, cfg.limits.retry_after_s)
+        self._sequence = 0
+
+    def on_start(self) -> None:
+        """Wait for the configuration and for views."""
+
+    def on_stop(self) -> None:
+        """Refuse whatever still waits."""
+        self._models.refuse_all()
+
+    def on_timer(self) -> float | None:
+        """Refuse what is out of time and place what can be placed."""
+        now_s = self._clock.now_s()
+        self._models.refuse_expired(now_s)
+        self._models.wake(now_s)
+        return self._models.next_due_s(now_s)
+
+    def on_message(self, message: DispatcherMessage) -> None:
+        """Take one message."""
+        now_s = self._clock.now_s()
+        match message:
+            case AskPlace():
+                self._models.admit(message, now_s)
+            case FreePlace():
+                self._models.free(message.request, message.end, now_s)
+                self._services.free(message.request, message.end, now_s)
+            case AskServicePlace():
+                state = self._published.latest()
+                self._services.place(message, state, now_s)
+            case ForgetRequest():
+                self._models.forget(message.request, now_s)
+                self._services.free(message.request, PlaceEnd.CANCELLED, now_s)
+            case DemandAsked():
+                message.reply.post(self._demand())
+            case _:
+                self._learn(message, now_s)
+
+    def _learn(self, message: DispatcherMessage, now_s: float) -> None:
+        """Take news of the world; it may make room for who waits."""
+        match message:
+            case ExchangeDone():
+                self._fleet.take_answer(message, now_s)
+            case ConfigurationInForce():
+                self._take_configuration(message.configuration)
+            case InstancesListed():
+                self._take_instances(message)
+            case IncarnationSeen():
+                self._fleet.note_incarnation(
+                    message.replica, message.incarnation
+                )
+            case PhaseChanged():
+                state = self._published.latest()
+                self._published.publish(replace(state, phase=message.phase))
+        self._models.wake(now_s)
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        state = self._published.latest()
+        if configuration.version <= state.configuration.version:
+            return
+        access = access_of(configuration)
+        self._published.publish(replace(state, access=access))
+        self._models.check_again()
+
+    def _take_instances(self, listed: InstancesListed) -> None:
+        self._services.fleet.set_instances(listed.instances)
+        leaving = frozenset(
+            instance.name for instance in listed.instances if instance.leaving
+        )
+        self._fleet.set_leaving(leaving)
+
+    def _demand(self) -> ExchangeAsk:
+        state = self._published.latest()
+        self._sequence += 1
+        sender = replace(
+            self._own,
+            sequence=self._sequence,
+            version=state.configuration.version,
+            phase=state.phase,
+        )
+        uses = tuple(
+            ReplicaUse(replica, count)
+            for replica, count in self._fleet.running()
+        )
+        demands = tuple(self._models.demands())
+        return ExchangeAsk(sender, demands, uses, self._fleet.suspects())
--- /dev/null
+++ b/pomelogauge/tasks/fleet.py
@@ -0,0 +1,193 @@
+"""Replicas as one router knows them."""
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from ..decide.known_replica import (
+    FleetSettings,
+    KnownReplica,
+    is_believable,
+    lease_epochs,
+    offer_of,
+    with_grant,
+    with_view,
+)
+from ..decide.routing import Offer
+from ..decide.target_warmth import WarmthRules
+from ..model.ids import (
+    NO_EPOCH,
+    Epoch,
+    Incarnation,
+    InstanceName,
+    ReplicaId,
+    RequestId,
+)
+from ..model.placement import Grant, ReplicaView
+from ..model.request import PlaceEnd
+from .messages import ExchangeDone
+
+
+class Fleet:
+    """Views, grants and warmth; state of the dispatcher's task."""
+
+    def __init__(self, cfg: FleetSettings, rules: WarmthRules) -> None:
+        """Know no replica yet."""
+        self._cfg = cfg
+        self._rules = rules
+        self._known: dict[ReplicaId, KnownReplica] = {}
+        self._sent: dict[ReplicaId, dict[RequestId, float]] = {}
+        self._leaving: frozenset[InstanceName] = frozenset()
+
+    def take_answer(self, done: ExchangeDone, now_s: float) -> None:
+        """Take a controller's views and grants."""
+        if done.answer is None:
+            return
+        epochs = lease_epochs(done.answer)
+        for view in done.answer.views:
+            epoch = epochs.get(view.replica.shard, NO_EPOCH)
+            self._take_view(view, done, epoch, now_s)
+        for grant in done.answer.grants:
+            self._take_grant(grant, done)
+        self._drop_absent(done, now_s)
+
+    def set_leaving(self, names: frozenset[InstanceName]) -> None:
+        """Take the instances that the platform announced as leaving."""
+        self._leaving = names
+
+    def offers(self, now_s: float) -> tuple[Offer, ...]:
+        """Return every known replica and what may be sent to it now."""
+        return tuple(
+            offer_of(
+                known,
+                self._sent.get(replica, {}),
+                self._leaving,
+                self._cfg,
+                now_s,
+            )
+            for replica, known in self._known.items()
+        )
+
+    def note_sent(
+        self,
+        replica: ReplicaId,
+        request: RequestId,
+        now_s: float,
+    ) -> None:
+        """Count a request as sent to a replica."""
+        self._sent.setdefault(replica, {})[request] = now_s
+
+    def note_ended(
+        self,
+        replica: ReplicaId,
+        request: RequestId,
+        end: PlaceEnd,
+        now_s: float,
+    ) -> None:
+        """Count a request no longer and learn from how it ended."""
+        sent = self._sent.get(replica, {})
+        sent.pop(request, None)
+        if not sent:
+            self._sent.pop(replica, None)
+        match end:
+            case PlaceEnd.COMPLETED:
+                self._prove(replica, now_s)
+            case PlaceEnd.LOST:
+                until_s = now_s + self._cfg.suspect_s
+                self._hold(replica, until_s, suspected=True)
+            case PlaceEnd.REFUSED:
+                until_s = now_s + self._cfg.refused_hold_s
+                self._hold(replica, until_s, suspected=False)
+
+    def note_incarnation(
+        self,
+        replica: ReplicaId,
+        incarnation: Incarnation,
+    ) -> None:
+        """Take the incarnation that an answer names."""
+        known = self._known.get(replica)
+        if known:
+            warmth = self._rules.seen(known.warmth, incarnation)
+            self._known[replica] = replace(known, warmth=warmth)
+
+    def suspects(self) -> tuple[ReplicaId, ...]:
+        """Return the replicas lost and not reported since."""
+        return tuple(
+            replica for replica, known in self._known.items() if known.suspected
+        )
+
+    def running(self) -> Iterator[tuple[ReplicaId, int]]:
+        """Yield replicas and the own requests on them."""
+        for replica, sent in self._sent.items():
+            yield replica, len(sent)
+
+    def next_release_s(self, now_s: float) -> float | None:
+        """Return seconds until a replica is held no longer."""
+        holds = [
+            known.held_until_s - now_s
+            for known in self._known.values()
+            if known.held_until_s > now_s
+        ]
+        return min(holds, default=None)
+
+    def _take_view(
+        self,
+        view: ReplicaView,
+        done: ExchangeDone,
+        epoch: Epoch,
+        now_s: float,
+    ) -> None:
+        replica = view.replica.replica
+        known = self._known.get(replica)
+        if not is_believable(known, view, done.controller, epoch, now_s):
+            return
+        self._known[replica] = with_view(
+            known or KnownReplica(view, done.controller, done.asked_at_s),
+            view,
+            done.controller,
+            done.asked_at_s,
+            self._rules,
+            self._cfg.silent_s,
+        )
+
+    def _take_grant(self, grant: Grant, done: ExchangeDone) -> None:
+        known = self._known.get(grant.replica)
+        if known and known.controller == done.controller:
+            self._known[grant.replica] = with_grant(
+                known, grant, done.asked_at_s
+            )
+
+    def _drop_absent(self, done: ExchangeDone, now_s: float) -> None:
+        """Forget what a controller no longer names, once grants lapsed."""
+        views = done.answer.views if done.answer else ()
+        named = {view.replica.replica for view in views}
+        for replica, known in tuple(self._known.items()):
+            if known.controller != done.controller or replica in named:
+                continue
+            if known.grant.expires_at_s <= now_s:
+                self._known.pop(replica)
+            else:
+                self._known[replica] = replace(known, orphaned=True)
+
+    def _prove(self, replica: ReplicaId, now_s: float) -> None:
+        """Take a whole answer as proof of life and of warmth."""
+        known = self._known.get(replica)
+        if known:
+            warmth = self._rules.completed(known.warmth)
+            self._known[replica] = replace(
+                known, warmth=warmth, proved_at_s=now_s
+            )
+
+    def _hold(
+        self,
+        replica: ReplicaId,
+        until_s: float,
+        *,
+        suspected: bool,
+    ) -> None:
+        known = self._known.get(replica)
+        if known:
+            self._known[replica] = replace(
+                known,
+                held_until_s=max(until_s, known.held_until_s),
+                suspected=known.suspected or suspected,
+            )
--- a/pomelogauge/tasks/messages.py
+++ b/pomelogauge/tasks/messages.py
@@ -6,6 +6,7 @@
     Address,
     ConfigVersion,
     Epoch,
+    Incarnation,
     NodeName,
     ReplicaId,
     RequestId,
@@ -187,7 +188,9 @@
     reply
         Takes one answer.
     avoid
-        Replicas already tried for this request.
+        Replicas already lost for this request.
+    admitted
+        The request was let in before and is work in progress.
 
     """
 
@@ -195,6 +198,7 @@
     asked_at_s: float
     reply: Outbox['Place | Refusal']
     avoid: tuple[ReplicaId, ...] = ()
+    admitted: bool = False
 
 
 @dataclass(frozen=True)
@@ -261,3 +265,18 @@
     """The operators' command asks for the status."""
 
     reply: Outbox[NodeStatus]
+
+
+@dataclass(frozen=True)
+class IncarnationSeen:
+    """A target answered; its incarnation may be another than reported."""
+
+    replica: ReplicaId
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True)
+class DemandAsked:
+    """The exchange task asks for what to tell a controller."""
+
+    reply: Outbox[ExchangeAsk]
--- /dev/null
+++ b/pomelogauge/tasks/model_desk.py
@@ -0,0 +1,189 @@
+"""Places on replicas."""
+
+from collections.abc import Iterator
+
+from returns.result import Failure
+
+from ..decide.access import deployments_for
+from ..decide.queue import QueueLimits, Shares, admission_refusal
+from ..decide.routing import Offer, Policy, usable_offers
+from ..model.ids import DeploymentName, RequestId
+from ..model.peers import Demand
+from ..model.request import (
+    ModelRequest,
+    Place,
+    PlaceEnd,
+    Refusal,
+    RefusalCode,
+)
+from .fleet import Fleet
+from .messages import AskPlace
+from .placements import Placed, Placements
+from .published import Published
+from .request_queue import Queued, RequestQueue
+from .router_state import RouterState
+
+
+class ModelDesk:
+    """Gives places to model requests; state of the dispatcher's task.
+
+    Parameters
+    ----------
+    limits
+        Bounds of the queue.
+    fleet
+        Replicas.
+    policy
+        Chooses among replicas.
+    published
+        Configuration and phase.
+
+    """
+
+    def __init__(
+        self,
+        limits: QueueLimits,
+        fleet: Fleet,
+        policy: Policy,
+        published: Published[RouterState],
+    ) -> None:
+        """Have given no place yet."""
+        self._limits = limits
+        self._fleet = fleet
+        self._policy = policy
+        self._published = published
+        self._queue = RequestQueue()
+        self._placements = Placements()
+
+    def admit(self, ask: AskPlace, now_s: float) -> None:
+        """Let a request wait or refuse it at once."""
+        refusal = None if ask.admitted else self._admission(ask.request)
+        if refusal:
+            ask.reply.post(refusal)
+            return
+        self._enqueue(ask)
+        self.wake(now_s)
+
+    def free(self, request: RequestId, end: PlaceEnd, now_s: float) -> None:
+        """Take a place back if the request has one."""
+        placed = self._placements.pop(request)
+        if placed is None:
+            return
+        replica = placed.place.view.replica.replica
+        self._fleet.note_ended(replica, request, end, now_s)
+        self.wake(now_s)
+
+    def forget(self, request: RequestId, now_s: float) -> None:
+        """Drop a request whose caller has left."""
+        self._queue.remove(request)
+        self.free(request, PlaceEnd.CANCELLED, now_s)
+
+    def check_again(self) -> None:
+        """Check who waits against a new configuration."""
+        for queued in self._queue:
+            self._queue.remove(queued.ask.request.request)
+            self._enqueue(queued.ask)
+
+    def wake(self, now_s: float) -> None:
+        """Place what can be placed, in the order of the queue."""
+        if not len(self._queue):
+            return
+        full: set[tuple[DeploymentName, ...]] = set()
+        for queued in self._queue.in_order(self._shares()):
+            if queued.names in full:
+                continue
+            offer = self._choose(queued, now_s)
+            if offer:
+                self._place(queued, offer, now_s)
+            elif not queued.ask.avoid:
+                full.add(queued.names)
+
+    def refuse_expired(self, now_s: float) -> None:
+        """Refuse those whose deadline is over."""
+        for queued in self._queue.expired(now_s):
+            message = 'no place came free before the deadline'
+            self._refuse(queued, RefusalCode.DEADLINE, message)
+
+    def refuse_all(self) -> None:
+        """Refuse all who wait, as the router stops."""
+        for queued in self._queue:
+            self._refuse(queued, RefusalCode.DRAINING, 'this entry stops')
+
+    def next_due_s(self, now_s: float) -> float | None:
+        """Return seconds until a deadline, or until a hold is over."""
+        deadline_s = self._queue.next_deadline_s()
+        if deadline_s is None:
+            return None
+        due_s = max(deadline_s - now_s, 0)
+        release_s = self._fleet.next_release_s(now_s)
+        return due_s if release_s is None else min(due_s, release_s)
+
+    def demands(self) -> Iterator[Demand]:
+        """Yield what each deployment is asked for."""
+        waiting = self._queue.by_deployment()
+        running = self._placements.by_deployment()
+        for name in sorted({*waiting, *running}):
+            yield Demand(name, waiting[name], running[name])
+
+    def _admission(self, req: ModelRequest) -> Refusal | None:
+        state = self._published.latest()
+        closed = state.closed(req.request, self._limits.retry_after_s)
+        if closed:
+            return closed
+        running = self._placements.by_organisation()[req.organisation]
+        organisation = state.organisations.get(req.organisation)
+        return admission_refusal(
+            req,
+            len(self._queue),
+            running + self._queue.count_of(req.organisation),
+            organisation.max_in_flight if organisation else 0,
+            self._limits,
+        )
+
+    def _enqueue(self, ask: AskPlace) -> None:
+        configuration = self._published.latest().configuration
+        allowed = deployments_for(configuration, ask.request)
+        if isinstance(allowed, Failure):
+            ask.reply.post(allowed.failure())
+        else:
+            self._queue.add(ask, allowed.unwrap())
+
+    def _choose(self, queued: Queued, now_s: float) -> Offer | None:
+        offers = usable_offers(
+            self._published.latest().configuration,
+            queued.deployments,
+            self._fleet.offers(now_s),
+            queued.ask.avoid,
+        )
+        return self._policy.choose(queued.ask.request, offers)
+
+    def _place(self, queued: Queued, offer: Offer, now_s: float) -> None:
+        req = queued.ask.request
+        replica = offer.view.replica
+        address = replica.members[0].address
+        place = Place(req.request, replica.deployment, offer.view, address)
+        self._queue.remove(req.request)
+        self._placements.add(Placed(req.organisation, place))
+        self._fleet.note_sent(offer.replica, req.request, now_s)
+        queued.ask.reply.post(place)
+
+    def _refuse(
+        self,
+        queued: Queued,
+        code: RefusalCode,
+        message: str,
+    ) -> None:
+        request = queued.ask.request.request
+        self._queue.remove(request)
+        retry_s = self._limits.retry_after_s
+        queued.ask.reply.post(
+            Refusal(code, message, retry_after_s=retry_s, request=request)
+        )
+
+    def _shares(self) -> Shares:
+        organisations = self._published.latest().organisations
+        weights = {
+            name: organisation.weight
+            for name, organisation in organisations.items()
+        }
+        return Shares(self._placements.by_organisation(), weights)
--- /dev/null
+++ b/pomelogauge/tasks/service_desk.py
@@ -0,0 +1,71 @@
+"""Places on the instances of plain services."""
+
+from ..model.ids import RequestId
+from ..model.request import PlaceEnd, Refusal, RefusalCode, ServicePlace
+from .messages import AskServicePlace
+from .router_state import RouterState
+from .service_fleet import ServiceFleet
+
+
+class ServiceDesk:
+    """Gives instances to calls; state of the dispatcher's task.
+
+    Parameters
+    ----------
+    fleet
+        Instances.
+    retry_after_s
+        Hint for those refused.
+
+    """
+
+    def __init__(self, fleet: ServiceFleet, retry_after_s: float) -> None:
+        """Have given no place yet."""
+        self.fleet = fleet
+        self._retry_after_s = retry_after_s
+        self._calls: dict[RequestId, ServicePlace] = {}
+
+    def place(
+        self,
+        ask: AskServicePlace,
+        state: RouterState,
+        now_s: float,
+    ) -> None:
+        """Answer an ask."""
+        req = ask.request
+        # A call that was already placed once is work in progress.
+        refusal = None
+        if not ask.avoid:
+            refusal = state.closed(req.request, self._retry_after_s)
+        ask.reply.post(refusal or self._choose(ask, state, now_s))
+
+    def free(self, request: RequestId, end: PlaceEnd, now_s: float) -> None:
+        """Take a place back if the request has one."""
+        place = self._calls.pop(request, None)
+        if place is None:
+            return
+        self.fleet.note_freed(place.instance)
+        if end is PlaceEnd.LOST:
+            self.fleet.note_lost(place.instance, now_s)
+
+    def _choose(
+        self,
+        ask: AskServicePlace,
+        state: RouterState,
+        now_s: float,
+    ) -> ServicePlace | Refusal:
+        req = ask.request
+        instance = self.fleet.choose(
+            req.service, state.configuration.drained, ask.avoid, now_s
+        )
+        if instance is None:
+            return Refusal(
+                RefusalCode.NO_CAPACITY,
+                f'no instance of {req.service} takes calls',
+                retry_after_s=self._retry_after_s,
+                request=req.request,
+            )
+        place = ServicePlace(req.request, instance.name, instance.address)
+        self._calls[req.request] = place
+        self.fleet.note_sent(instance.name)
+        return place
--- /dev/null
+++ b/test/test_dispatcher.py
@@ -0,0 +1,248 @@
+"""Tests of the dispatcher, driven without a thread."""
+
+import unittest
+
+from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide.known_replica import FleetSettings
+from pomelogauge.decide.queue import QueueLimits
+from pomelogauge.decide.routing import LeastLoaded
+from pomelogauge.decide.warmth_chart import WARMTH_WORDS
+from pomelogauge.model.ids import (
+    Address,
+    Epoch,
+    Incarnation,
+    InstanceName,
+    NodeName,
+    ReplicaId,
+    RequestId,
+    ServiceName,
+)
+from pomelogauge.model.peers import ExchangeAnswer, NodePhase
+from pomelogauge.model.placement import Grant, ReplicaView
+from pomelogauge.model.request import (
+    Execution,
+    Place,
+    PlaceEnd,
+    Refusal,
+    RefusalCode,
+    ServiceRequest,
+)
+from pomelogauge.model.topology import Instance, InstanceRole
+from pomelogauge.tasks.dispatcher import Dispatcher, DispatcherSettings
+from pomelogauge.tasks.mailbox import Mailbox
+from pomelogauge.tasks.messages import (
+    AskPlace,
+    AskServicePlace,
+    ConfigurationInForce,
+    DemandAsked,
+    ExchangeDone,
+    ForgetRequest,
+    FreePlace,
+    IncarnationSeen,
+    InstancesListed,
+    PhaseChanged,
+)
+from pomelogauge.tasks.published import Published
+from pomelogauge.tasks.router_state import RouterState
+
+from .router_fixtures import (
+    NORTH,
+    OWN,
+    FakeClock,
+    configuration,
+    request,
+    view,
+)
+
+CHART = load_chart('target_warmth', WARMTH_WORDS)
+REPLICA = ReplicaId('p-1')
+
+
+class DispatcherTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.published = Published(RouterState())
+        cfg = DispatcherSettings(
+            OWN,
+            FleetSettings(warm_completions=2),
+            QueueLimits(max_waiting=3),
+        )
+        self.dispatcher = Dispatcher(
+            cfg, self.clock, LeastLoaded(NORTH), CHART, self.published
+        )
+        self.tell(ConfigurationInForce(configuration()))
+        self.tell(PhaseChanged(NodePhase.READY))
+
+    def tell(self, message) -> None:
+        self.dispatcher.on_message(message)
+
+    def grant(
+        self,
+        *views: ReplicaView,
+        slots: int = 2,
+        epoch: int = 1,
+        controller: str = 'c-1',
+        life_s: float = 3,
+    ) -> None:
+        grants = tuple(
+            Grant(one.replica.replica, slots, life_s, Epoch(epoch))
+            for one in views
+        )
+        answer = ExchangeAnswer(OWN, views, grants)
+        now_s = self.clock.now_s()
+        self.tell(ExchangeDone(NodeName(controller), now_s, answer))
+
+    def ask(self, name: str, **more) -> Mailbox:
+        reply: Mailbox = Mailbox()
+        now_s = self.clock.now_s()
+        self.tell(AskPlace(request(name), now_s, reply, **more))
+        return reply
+
+    def free(self, name: str, end: PlaceEnd = PlaceEnd.COMPLETED) -> None:
+        self.tell(FreePlace(RequestId(name), end))
+
+    def outcome(self, reply: Mailbox):
+        self.assertEqual(reply.depth(), 1)
+        return reply.take(0)
+
+    def prove_warm(self) -> None:
+        self.grant(view())
+        for number in range(3):
+            self.outcome(self.ask(f'w-{number}'))
+            self.free(f'w-{number}')
+
+    def test_sends_nothing_without_a_live_grant(self) -> None:
+        reply = self.ask('r-1')
+        self.assertEqual(reply.depth(), 0)
+        self.grant(view())
+        self.assertIsInstance(self.outcome(reply), Place)
+        self.clock.at_s += 3
+        self.assertEqual(self.ask('r-2').depth(), 0)
+
+    def test_keeps_to_the_slots_and_wakes_who_waits(self) -> None:
+        self.grant(view())
+        replies = [self.ask(f'r-{number}') for number in range(3)]
+        depths = [reply.depth() for reply in replies]
+        self.assertEqual(depths, [1, 1, 0])
+        self.free('r-0')
+        self.assertIsInstance(self.outcome(replies[2]), Place)
+
+    def test_answers_once_when_the_deadline_is_over(self) -> None:
+        reply = self.ask('r-1')
+        due_s = self.dispatcher.on_timer()
+        self.assertEqual(due_s, 30)
+        self.clock.at_s += 30
+        self.assertIsNone(self.dispatcher.on_timer())
+        refusal = self.outcome(reply)
+        self.assertEqual(refusal.code, RefusalCode.DEADLINE)
+        self.assertEqual(refusal.execution, Execution.NOT_RUN)
+
+    def test_a_forgotten_request_gets_and_keeps_no_place(self) -> None:
+        waits = self.ask('r-1')
+        self.tell(ForgetRequest(RequestId('r-1')))
+        self.grant(view(), slots=1)
+        self.assertEqual(waits.depth(), 0)
+        self.outcome(self.ask('r-2'))
+        self.tell(ForgetRequest(RequestId('r-2')))
+        self.assertIsInstance(self.outcome(self.ask('r-3')), Place)
+
+    def test_static_stability_needs_warmth_and_proof(self) -> None:
+        self.prove_warm()
+        self.tell(ExchangeDone(NodeName('c-1'), self.clock.now_s(), None))
+        self.clock.at_s += 10
+        replies = [self.ask(f'r-{number}') for number in range(3)]
+        self.assertEqual([one.depth() for one in replies], [1, 1, 0])
+        self.free('r-0', PlaceEnd.CANCELLED)
+        self.clock.at_s += 25
+        self.free('r-1', PlaceEnd.CANCELLED)
+        self.assertEqual(self.ask('r-4').depth(), 0)
+
+    def test_a_new_incarnation_drops_to_the_cold_share(self) -> None:
+        self.grant(view(), slots=3)
+        self.outcome(self.ask('r-0'))
+        self.tell(IncarnationSeen(REPLICA, Incarnation('two')))
+        reply = self.ask('r-1')
+        self.assertEqual(reply.depth(), 0)
+        # A late report of the former incarnation confirms nothing.
+        self.grant(view(), slots=3)
+        self.assertEqual(reply.depth(), 0)
+        self.grant(view(incarnation='two'), slots=3)
+        self.assertIsInstance(self.outcome(reply), Place)
+
+    def test_a_lower_lease_epoch_is_ignored(self) -> None:
+        self.grant(view(), slots=1, epoch=5)
+        self.grant(view(serving=False), epoch=4, controller='c-2')
+        self.assertIsInstance(self.outcome(self.ask('r-1')), Place)
+        self.grant(view(serving=False), epoch=6, controller='c-2')
+        self.grant(view(), epoch=5)
+        self.free('r-1')
+        self.assertEqual(self.ask('r-2').depth(), 0)
+
+    def test_a_lost_replica_gets_nothing_and_is_named(self) -> None:
+        self.grant(view(), life_s=60)
+        self.outcome(self.ask('r-1'))
+        self.free('r-1', PlaceEnd.LOST)
+        reply = self.ask('r-1', avoid=(REPLICA,), admitted=True)
+        other = self.ask('r-2')
+        self.assertEqual((reply.depth(), other.depth()), (0, 0))
+        demand: Mailbox = Mailbox()
+        self.tell(DemandAsked(demand))
+        asked = demand.take(0)
+        self.assertEqual(asked.suspects, (REPLICA,))
+        self.assertEqual(asked.demands[0].waiting, 2)
+        self.clock.at_s += self.dispatcher.on_timer()
+        self.dispatcher.on_timer()
+        self.assertIsInstance(self.outcome(other), Place)
+        self.assertEqual(reply.depth(), 0)
+
+    def test_leaving_refuses_new_work_only(self) -> None:
+        self.grant(view())
+        self.tell(PhaseChanged(NodePhase.LEAVING))
+        refusal = self.outcome(self.ask('r-1'))
+        self.assertEqual(refusal.code, RefusalCode.DRAINING)
+        self.assertIsInstance(
+            self.outcome(self.ask('r-2', admitted=True)), Place
+        )
+        self.tell(PhaseChanged(NodePhase.CUT_OFF))
+        refusal = self.outcome(self.ask('r-3'))
+        self.assertEqual(refusal.code, RefusalCode.CUT_OFF)
+
+    def test_drained_and_leaving_targets_get_no_new_work(self) -> None:
+        self.grant(view())
+        self.tell(ConfigurationInForce(configuration(2, ('north',))))
+        self.tell(ConfigurationInForce(configuration(1)))
+        self.assertEqual(self.ask('r-1').depth(), 0)
+        self.tell(ConfigurationInForce(configuration(3)))
+        leaving = Instance(
+            InstanceName('i-p-1'),
+            InstanceRole.ENGINE,
+            Address('p-1:1'),
+            NORTH,
+            leaving=True,
+        )
+        self.tell(InstancesListed((leaving,)))
+        self.assertEqual(self.ask('r-2').depth(), 0)
+
+    def test_the_queue_is_bounded(self) -> None:
+        for number in range(3):
+            self.ask(f'r-{number}')
+        refusal = self.outcome(self.ask('r-3'))
+        self.assertEqual(refusal.code, RefusalCode.NO_CAPACITY)
+
+    def test_places_service_calls(self) -> None:
+        books = Instance(
+            InstanceName('b'),
+            InstanceRole.SERVICE,
+            Address('b:1'),
+            NORTH,
+            service=ServiceName('books'),
+        )
+        self.tell(InstancesListed((books,)))
+        asked = ServiceRequest(
+            RequestId('r-1'), request().organisation, books.service, 'pay'
+        )
+        reply: Mailbox = Mailbox()
+        self.tell(AskServicePlace(asked, 0, reply))
+        self.assertEqual(self.outcome(reply).address, 'b:1')
+        self.tell(AskServicePlace(asked, 0, reply, (books.address,)))
+        self.assertIsInstance(self.outcome(reply), Refusal)
