Relay callers' requests and resume them on another target

The caller's task steps the request chart, goes on at the next token after a loss, and cancels the target's work when the caller leaves.

--- /dev/null
+++ b/pomelogauge/tasks/caller_task.py
@@ -0,0 +1,295 @@
+"""A caller's model request, without its encoding.
+
+The thread that serves the caller runs this; it owns the caller's connection
+and one upstream stream, and asks the dispatcher for places by message.
+"""
+
+from collections.abc import Generator
+from dataclasses import dataclass, replace
+
+from returns.result import Failure
+
+from ..decide.request_chart import (
+    RequestAction,
+    RequestEvent,
+    RequestFacts,
+    RequestState,
+)
+from ..engines.protocols import (
+    EngineError,
+    EngineFault,
+    EngineStreams,
+    StreamAsk,
+    Token,
+    TokenStream,
+)
+from ..model.chart import Chart
+from ..model.ids import ReplicaId, RequestId
+from ..model.request import (
+    Execution,
+    ModelRequest,
+    Place,
+    PlaceEnd,
+    Refusal,
+    RefusalCode,
+)
+from .clock import Clock
+from .mailbox import Mailbox, Outbox
+from .messages import AskPlace, ForgetRequest, FreePlace, IncarnationSeen
+
+RequestChart = Chart[RequestState, RequestEvent, RequestAction, RequestFacts]
+ToDispatcher = AskPlace | ForgetRequest | FreePlace | IncarnationSeen
+
+
+@dataclass(frozen=True)
+class CallerSettings:
+    """Settings of callers' tasks.
+
+    Parameters
+    ----------
+    max_tries
+        Replicas tried for one request, the first included.
+    answer_slack_s
+        Seconds past the deadline for which the dispatcher may be late.
+
+    """
+
+    max_tries: int = 4
+    answer_slack_s: float = 2
+
+
+@dataclass(frozen=True)
+class Ended:
+    """The whole answer has been relayed.
+
+    Parameters
+    ----------
+    tokens
+        Number of tokens.
+
+    """
+
+    tokens: int
+
+
+CallerItem = Token | Ended | Refusal
+
+
+@dataclass(frozen=True)
+class CallerParts:
+    """What all callers' tasks of a process share.
+
+    Parameters
+    ----------
+    cfg
+        Settings.
+    clock
+        Own clock.
+    dispatcher
+        Gives places.
+    streams
+        Requests to engines.
+    chart
+        Bound request chart.
+
+    """
+
+    cfg: CallerSettings
+    clock: Clock
+    dispatcher: Outbox[ToDispatcher]
+    streams: EngineStreams
+    chart: RequestChart
+
+
+class CallerTask:
+    """Relays one request and survives the loss of its target.
+
+    Parameters
+    ----------
+    parts
+        Shared by all callers' tasks.
+    request
+        The request.
+    body
+        The caller's body, sent on as it came.
+    trace_parent
+        Trace context header; empty for none.
+
+    """
+
+    def __init__(
+        self,
+        parts: CallerParts,
+        request: ModelRequest,
+        body: bytes,
+        trace_parent: str = '',
+    ) -> None:
+        """Send nothing yet."""
+        self._parts = parts
+        self._request = request
+        self._body = body
+        self._trace_parent = trace_parent
+        self._state = parts.chart.initial
+        self._tries = 0
+        self._lost: tuple[ReplicaId, ...] = ()
+        self._place: Place | None = None
+        self._stream: TokenStream | None = None
+        self._next_token = 0
+        self._execution = Execution.NOT_RUN
+        self._refusal = _refusal(
+            request.request, RefusalCode.TARGET_LOST, 'no target was tried'
+        )
+
+    @property
+    def state(self) -> RequestState:
+        """State in the request chart."""
+        return self._state
+
+    def items(self) -> Generator[CallerItem, None, None]:
+        """Yield the tokens, then how the request ended.
+
+        The last item is an ``Ended`` or a ``Refusal``. Closing the iterator
+        before that means that the caller has left: the target's work is
+        cancelled and the place freed.
+        """
+        event = RequestEvent.ASKED
+        # A generator that is closed gets no other chance to clean up.
+        try:  # noqa: WPS501
+            while self._state not in self._parts.chart.final:
+                action = self._step(event)
+                event = yield from self._act(action)
+        finally:
+            self._release()
+
+    def _step(self, event: RequestEvent) -> RequestAction | None:
+        facts = RequestFacts(self._parts.cfg.max_tries - self._tries)
+        move = self._parts.chart.step(self._state, event, facts)
+        self._state = move.state
+        return move.action
+
+    def _act(
+        self,
+        action: RequestAction | None,
+    ) -> Generator[CallerItem, None, RequestEvent]:
+        """Do what the chart asks and return what came of it."""
+        match action:
+            case RequestAction.ASK_PLACE:
+                return self._ask_place()
+            case RequestAction.OPEN_STREAM:
+                return self._open_stream()
+            case RequestAction.RELAY:
+                return (yield from self._relay())
+            case RequestAction.FINISH:
+                self._free(PlaceEnd.COMPLETED)
+                yield Ended(self._next_token)
+            case RequestAction.REFUSE:
+                yield self._refusal
+        return RequestEvent.CALLER_LEFT
+
+    def _ask_place(self) -> RequestEvent:
+        reply: Mailbox[Place | Refusal] = Mailbox()
+        asked_at_s = self._parts.clock.now_s()
+        self._parts.dispatcher.post(
+            AskPlace(
+                self._request,
+                asked_at_s,
+                reply,
+                avoid=self._lost,
+                admitted=self._tries > 0,
+            )
+        )
+        slack_s = self._parts.cfg.answer_slack_s
+        answer = reply.take(self._request.deadline_s + slack_s)
+        if isinstance(answer, Place):
+            self._place = answer
+            return RequestEvent.PLACE_GIVEN
+        if answer is None:
+            request = self._request.request
+            self._parts.dispatcher.post(ForgetRequest(request))
+            answer = _refusal(request, RefusalCode.INTERNAL, 'no answer')
+        # What an earlier target may have run stays true of the request.
+        execution = self._execution
+        self._refusal = replace(answer, execution=execution)
+        return RequestEvent.TURNED_AWAY
+
+    def _open_stream(self) -> RequestEvent:
+        place = self._place
+        if place is None:
+            return RequestEvent.TARGET_LOST
+        replica = place.view.replica
+        self._tries += 1
+        ask = StreamAsk(
+            self._request.request,
+            replica.replica,
+            replica.epoch,
+            self._body,
+            self._next_token,
+            self._trace_parent,
+        )
+        opened = self._parts.streams.open(place.address, ask)
+        if isinstance(opened, Failure):
+            return self._lose(opened.failure())
+        self._stream = opened.unwrap()
+        self._execution = Execution.MAY_HAVE_RUN
+        seen = IncarnationSeen(replica.replica, self._stream.incarnation)
+        self._parts.dispatcher.post(seen)
+        return RequestEvent.STREAM_OPENED
+
+    def _relay(self) -> Generator[CallerItem, None, RequestEvent]:
+        if self._stream is None:
+            return RequestEvent.TARGET_LOST
+        for received in self._stream.tokens():
+            if isinstance(received, Failure):
+                return self._lose(received.failure())
+            token = received.unwrap()
+            self._next_token = token.index + 1
+            yield token
+        self._close(cancel=False)
+        return RequestEvent.COMPLETED
+
+    def _lose(self, error: EngineError) -> RequestEvent:
+        """Give a place back whose target did not answer whole."""
+        # A closed connection is all that a lost target can notice.
+        self._close(cancel=False)
+        not_run = error.execution is Execution.NOT_RUN
+        is_refusal = not_run and error.fault is not EngineFault.UNREACHABLE
+        if self._place and not is_refusal:
+            replica = self._place.view.replica.replica
+            self._lost = (*self._lost, replica)
+        self._free(PlaceEnd.REFUSED if is_refusal else PlaceEnd.LOST)
+        if not not_run:
+            self._execution = error.execution
+        code = RefusalCode.TARGET_LOST
+        if is_refusal:
+            code = RefusalCode.TARGET_REFUSED
+        refusal = _refusal(self._request.request, code, error.message)
+        self._refusal = replace(refusal, execution=self._execution)
+        return RequestEvent.TARGET_LOST
+
+    def _close(self, *, cancel: bool) -> None:
+        stream = self._stream
+        self._stream = None
+        if stream:
+            stream.close(cancel=cancel)
+
+    def _free(self, end: PlaceEnd) -> None:
+        place = self._place
+        self._place = None
+        if place:
+            self._parts.dispatcher.post(FreePlace(place.request, end))
+
+    def _release(self) -> None:
+        """Cancel what the caller no longer waits for."""
+        if self._state in self._parts.chart.final:
+            return
+        self._step(RequestEvent.CALLER_LEFT)
+        self._close(cancel=True)
+        self._free(PlaceEnd.CANCELLED)
+
+
+def _refusal(
+    request: RequestId,
+    code: RefusalCode,
+    message: str,
+) -> Refusal:
+    return Refusal(code, message, retry_after_s=1, request=request)
--- /dev/null
+++ b/pomelogauge/tasks/service_call_task.py
@@ -0,0 +1,183 @@
+"""A caller's call to a plain service, without its encoding."""
+
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Result, Success
+
+from ..decide.access import call_for
+from ..model.ids import Address
+from ..model.manifest import Configuration
+from ..model.request import (
+    Execution,
+    PlaceEnd,
+    Refusal,
+    RefusalCode,
+    ServicePlace,
+    ServiceRequest,
+)
+from ..services.ledger import OnceLedger, Outcome
+from ..services.protocols import (
+    ServiceAnswer,
+    ServiceAsk,
+    ServiceCalls,
+    ServiceError,
+)
+from .clock import Clock
+from .mailbox import Mailbox, Outbox
+from .messages import AskServicePlace, ForgetRequest, FreePlace
+
+
+@dataclass(frozen=True)
+class CallParts:
+    """What all calls of a process share.
+
+    Parameters
+    ----------
+    clock
+        Own clock.
+    dispatcher
+        Gives places.
+    calls
+        Calls to plain services.
+    ledger
+        Bookkeeping of calls that may run at most once.
+    max_tries
+        Instances tried for one call, the first included.
+    place_timeout_s
+        Seconds for the dispatcher's answer.
+
+    """
+
+    clock: Clock
+    dispatcher: Outbox[AskServicePlace | FreePlace | ForgetRequest]
+    calls: ServiceCalls
+    ledger: OnceLedger
+    max_tries: int = 3
+    place_timeout_s: float = 5
+
+
+class ServiceCallTask:
+    """Sends one call, again only while it surely has not run.
+
+    Parameters
+    ----------
+    parts
+        Shared by all calls.
+    request
+        The call.
+    body
+        Its body.
+    trace_parent
+        Trace context header; empty for none.
+
+    """
+
+    def __init__(
+        self,
+        parts: CallParts,
+        request: ServiceRequest,
+        body: bytes,
+        trace_parent: str = '',
+    ) -> None:
+        """Send nothing yet."""
+        self._parts = parts
+        self._request = request
+        self._ask = ServiceAsk(
+            request.request,
+            request.call,
+            request.idempotency_key,
+            body,
+            trace_parent,
+        )
+
+    def run(
+        self,
+        configuration: Configuration,
+    ) -> Result[ServiceAnswer, Refusal]:
+        """Return the whole answer or a truthful refusal."""
+        declared = call_for(configuration, self._request)
+        if isinstance(declared, Failure):
+            return declared
+        if declared.unwrap().idempotent:
+            return self._refused(self._send(idempotent=True))
+        begun = self._parts.ledger.begin(self._request, self._ask.body)
+        if isinstance(begun, Failure):
+            return begun
+        kept = begun.unwrap()
+        if kept is not None:
+            return Success(kept)
+        outcome = self._send(idempotent=False)
+        self._parts.ledger.finish(self._request, _known(outcome))
+        return self._refused(outcome)
+
+    def _send(
+        self,
+        *,
+        idempotent: bool,
+    ) -> Result[ServiceAnswer, ServiceError | Refusal]:
+        tried: tuple[Address, ...] = ()
+        failed: ServiceError | None = None
+        while len(tried) < self._parts.max_tries:
+            place = self._place(tried)
+            if isinstance(place, Refusal):
+                return Failure(failed or place)
+            outcome = self._parts.calls.call(place.address, self._ask)
+            if isinstance(outcome, Success):
+                self._free(PlaceEnd.COMPLETED)
+                return Success(outcome.unwrap())
+            failed = _worse(failed, outcome.failure())
+            self._free(PlaceEnd.LOST)
+            if failed.execution is not Execution.NOT_RUN and not idempotent:
+                break
+            tried = (*tried, place.address)
+        return Failure(failed or ServiceError('no try', Execution.NOT_RUN))
+
+    def _place(self, tried: tuple[Address, ...]) -> ServicePlace | Refusal:
+        reply: Mailbox[ServicePlace | Refusal] = Mailbox()
+        now_s = self._parts.clock.now_s()
+        self._parts.dispatcher.post(
+            AskServicePlace(self._request, now_s, reply, tried)
+        )
+        place = reply.take(self._parts.place_timeout_s)
+        if place is not None:
+            return place
+        request = self._request.request
+        self._parts.dispatcher.post(ForgetRequest(request))
+        message = 'the dispatcher did not answer'
+        return Refusal(RefusalCode.INTERNAL, message, request=request)
+
+    def _free(self, end: PlaceEnd) -> None:
+        self._parts.dispatcher.post(FreePlace(self._request.request, end))
+
+    def _refused(
+        self,
+        outcome: Result[ServiceAnswer, ServiceError | Refusal],
+    ) -> Result[ServiceAnswer, Refusal]:
+        return outcome.alt(self._refusal)
+
+    def _refusal(self, error: ServiceError | Refusal) -> Refusal:
+        if isinstance(error, Refusal):
+            return replace(error, request=self._request.request)
+        code = RefusalCode.TARGET_LOST
+        if error.execution is Execution.NOT_RUN:
+            code = RefusalCode.TARGET_REFUSED
+        request = self._request.request
+        return Refusal(code, error.message, error.execution, request=request)
+
+
+def _worse(before: ServiceError | None, now: ServiceError) -> ServiceError:
+    """Return the later error, with what an earlier try may have run."""
+    if before is None or before.execution is Execution.NOT_RUN:
+        return now
+    return ServiceError(now.message, before.execution)
+
+
+def _known(outcome: Result[ServiceAnswer, ServiceError | Refusal]) -> Outcome:
+    """Return the outcome for the ledger; a refused place ran nothing."""
+    return outcome.alt(_as_error)
+
+
+def _as_error(error: ServiceError | Refusal) -> ServiceError:
+    if isinstance(error, Refusal):
+        return ServiceError(error.message, Execution.NOT_RUN)
+    return error
