Answer callers over HTTP

Bodies are bounded by length and while reading. Every fault of the input is a typed refusal with the request's identifier.

--- /dev/null
+++ b/pomelogauge/wire/chat_route.py
@@ -0,0 +1,106 @@
+"""Chat requests of callers over HTTP."""
+
+import json
+from collections.abc import Generator
+from itertools import chain
+
+from returns.result import Failure, Result, Success
+
+from ..engines.protocols import Token
+from ..model.ids import RequestId
+from ..model.manifest import Organisation
+from ..model.request import ModelRequest, Refusal, RefusalCode
+from ..tasks.caller_task import CallerItem, CallerParts, CallerTask, Ended
+from . import chat_bodies
+from .http_answers import Header, HttpAnswer, encode_refusal, request_headers
+from .http_requests import HttpRequest
+
+
+def answer_chat(
+    req: HttpRequest,
+    organisation: Organisation,
+    parts: CallerParts,
+    deadline_s: float,
+) -> Result[HttpAnswer, Refusal]:
+    """Answer a chat request.
+
+    Parameters
+    ----------
+    req
+        The request.
+    organisation
+        Whose key it came with.
+    parts
+        Parts of callers' tasks.
+    deadline_s
+        Seconds that the caller waits for the first token.
+
+    """
+    parsed = chat_bodies.parse_chat(req.body)
+    if isinstance(parsed, Failure):
+        message = parsed.failure()
+        return Failure(req.refuse(RefusalCode.MALFORMED, message))
+    chat = parsed.unwrap()
+    asked = chat.request(req.request, organisation.name, deadline_s)
+    task = CallerTask(parts, asked, chat.upstream, req.trace_parent)
+    if chat.stream:
+        return _streamed(asked, task)
+    return _whole(asked, task)
+
+
+def _whole(
+    asked: ModelRequest,
+    task: CallerTask,
+) -> Result[HttpAnswer, Refusal]:
+    texts: list[str] = []
+    for sent in task.items():
+        if isinstance(sent, Refusal):
+            return Failure(sent)
+        if isinstance(sent, Token):
+            texts.append(sent.text)
+    document = chat_bodies.whole_chat(asked.request, asked.model, texts)
+    body = json.dumps(document).encode()
+    headers = request_headers(asked.request)
+    return Success(HttpAnswer('200 OK', body, headers=headers))
+
+
+def _streamed(
+    asked: ModelRequest,
+    task: CallerTask,
+) -> Result[HttpAnswer, Refusal]:
+    """Return the stream, or the refusal that came before any token."""
+    sent = task.items()
+    first = next(sent)
+    if isinstance(first, Refusal):
+        return Failure(first)
+    headers = (
+        *request_headers(asked.request),
+        Header('Cache-Control', 'no-cache'),
+    )
+    body = _events(asked.request, asked.model, first, sent)
+    return Success(HttpAnswer('200 OK', body, 'text/event-stream', headers))
+
+
+def _events(
+    request: RequestId,
+    model: str,
+    first: CallerItem,
+    rest: Generator[CallerItem, None, None],
+) -> Generator[bytes, None, None]:
+    # The server closes this when the caller has left; the caller's task has
+    # to hear of it in the same thread.
+    try:  # noqa: WPS501
+        for sent in chain((first,), rest):
+            yield _encode(request, model, sent)
+    finally:
+        rest.close()
+
+
+def _encode(request: RequestId, model: str, sent: CallerItem) -> bytes:
+    match sent:
+        case Token():
+            return chat_bodies.encode_token(request, model, sent)
+        case Ended():
+            return chat_bodies.encode_finish(request, model)
+        case Refusal():
+            return chat_bodies.encode_event(encode_refusal(sent))
--- /dev/null
+++ b/pomelogauge/wire/service_route.py
@@ -0,0 +1,66 @@
+"""Calls to plain services over HTTP."""
+
+import json
+
+from returns.result import Failure, Result, Success
+
+from ..model.ids import CallName, ServiceName
+from ..model.manifest import Configuration, Organisation
+from ..model.request import Refusal, RefusalCode, ServiceRequest
+from ..tasks.service_call_task import CallParts, ServiceCallTask
+from .http_answers import HttpAnswer, request_headers
+from .http_requests import HttpRequest
+
+SERVICES_PATH = '/v1/services/'
+
+
+def answer_call(
+    req: HttpRequest,
+    organisation: Organisation,
+    parts: CallParts,
+    configuration: Configuration,
+) -> Result[HttpAnswer, Refusal]:
+    """Answer a call to a plain service.
+
+    Parameters
+    ----------
+    req
+        The request.
+    organisation
+        Whose key it came with.
+    parts
+        Parts of calls to plain services.
+    configuration
+        Configuration in force.
+
+    """
+    service, _, call = req.path.removeprefix(SERVICES_PATH).partition('/')
+    if not service or not call:
+        message = f'there is no {req.method} {req.path}'
+        return Failure(req.refuse(RefusalCode.UNKNOWN_CALL, message))
+    if not _is_json(req.body):
+        message = 'the body is no JSON'
+        return Failure(req.refuse(RefusalCode.MALFORMED, message))
+    asked = ServiceRequest(
+        req.request,
+        organisation.name,
+        ServiceName(service),
+        CallName(call),
+        req.idempotency_key,
+    )
+    task = ServiceCallTask(parts, asked, req.body, req.trace_parent)
+    answered = task.run(configuration)
+    if isinstance(answered, Failure):
+        return answered
+    answer = answered.unwrap()
+    status = f'{answer.status} Answered'
+    headers = request_headers(req.request)
+    return Success(HttpAnswer(status, answer.body, answer.media_type, headers))
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        json.loads(body)
+    except (ValueError, RecursionError):
+        return False
+    return True
--- /dev/null
+++ b/test/test_callers_http.py
@@ -0,0 +1,219 @@
+"""Tests of the callers' interface over real connections."""
+
+import http.client
+import json
+import socket
+import unittest
+
+from returns.result import Success
+
+from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide.access import access_of
+from pomelogauge.decide.request_chart import REQUEST_WORDS
+from pomelogauge.model.ids import Address, DeploymentName, InstanceName
+from pomelogauge.model.peers import NodePhase
+from pomelogauge.model.request import (
+    Place,
+    Refusal,
+    RefusalCode,
+    ServicePlace,
+)
+from pomelogauge.services.ledger import PassThroughLedger
+from pomelogauge.services.protocols import ServiceAnswer
+from pomelogauge.tasks.caller_task import CallerParts, CallerSettings
+from pomelogauge.tasks.messages import (
+    AskPlace,
+    AskServicePlace,
+    Entries,
+    EntriesAsked,
+)
+from pomelogauge.tasks.published import Published
+from pomelogauge.tasks.router_state import RouterState
+from pomelogauge.tasks.service_call_task import CallParts
+from pomelogauge.wire.callers_http import AppParts, AppSettings, CallersApp
+from pomelogauge.wire.callers_server import CallersServer, ServerSettings
+
+from .router_fixtures import KEY, FakeClock, configuration, request, view
+from .test_caller_task import FakeStream
+
+REQUEST_CHART = load_chart('caller_request', REQUEST_WORDS)
+CHAT = '/v1/chat/completions'
+BODY = {'model': 'm', 'messages': [{'role': 'user', 'content': 'hi'}]}
+
+
+class FakeBackend:
+    """All that the interface talks to, answering at once."""
+
+    def __init__(self) -> None:
+        self.refusal: Refusal | None = None
+        self.cut_at = -1
+
+    def post(self, message) -> None:
+        if isinstance(message, AskPlace):
+            message.reply.post(self.refusal or self._place())
+        if isinstance(message, AskServicePlace):
+            place = ServicePlace(
+                message.request.request, InstanceName('b'), Address('b:1')
+            )
+            message.reply.post(place)
+        if isinstance(message, EntriesAsked):
+            message.reply.post(Entries((Address('a:1'),), 3))
+
+    def open(self, address, ask):
+        return Success(FakeStream(ask, self.cut_at))
+
+    def call(self, address, ask):
+        return Success(ServiceAnswer(200, ask.body))
+
+    def text(self) -> str:
+        return 'up 1\n'
+
+    def _place(self) -> Place:
+        return Place(
+            request().request,
+            DeploymentName('quotes'),
+            view(),
+            Address('p-1:1'),
+        )
+
+
+class CallersHttpTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.backend = FakeBackend()
+        clock = FakeClock()
+        state = RouterState(access_of(configuration()), NodePhase.READY)
+        parts = AppParts(
+            AppSettings(max_body_bytes=1000),
+            Published(state),
+            CallerParts(
+                CallerSettings(max_tries=1),
+                clock,
+                cls.backend,
+                cls.backend,
+                REQUEST_CHART,
+            ),
+            CallParts(clock, cls.backend, cls.backend, PassThroughLedger()),
+            cls.backend,
+            cls.backend,
+        )
+        cls.server = CallersServer(ServerSettings(threads=2), CallersApp(parts))
+        cls.port = cls.server.start('127.0.0.1', 0)
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        cls.server.stop()
+
+    def setUp(self) -> None:
+        self.backend.refusal = None
+        self.backend.cut_at = -1
+
+    def send(self, method, path, body=None, key=KEY, **headers):
+        conn = http.client.HTTPConnection('127.0.0.1', self.port, timeout=10)
+        self.addCleanup(conn.close)
+        if not isinstance(body, (bytes, type(None))):
+            body = json.dumps(body).encode()
+        headers['Authorization'] = f'Bearer {key}'
+        names = {name.replace('_', '-'): headers[name] for name in headers}
+        conn.request(method, path, body, names)
+        resp = conn.getresponse()
+        return resp, resp.read()
+
+    def code(self, *args, **more) -> tuple[int, str]:
+        resp, text = self.send(*args, **more)
+        error = json.loads(text)['error']
+        self.assertEqual(resp.headers['X-Request-Id'], error['request_id'])
+        return resp.status, error['code']
+
+    def test_streams_tokens_and_an_explicit_end(self) -> None:
+        resp, text = self.send('POST', CHAT, {**BODY, 'stream': True})
+        events = text.decode().strip().split('\n\n')
+        self.assertEqual(resp.headers['Content-Type'], 'text/event-stream')
+        self.assertEqual(events[-1], 'data: [DONE]')
+        chunks = [json.loads(event[6:]) for event in events[:-1]]
+        self.assertEqual(chunks[0]['choices'][0]['delta']['content'], 't0')
+        self.assertEqual(chunks[0]['id'], resp.headers['X-Request-Id'])
+        self.assertEqual(len(chunks), 6)
+
+    def test_a_broken_stream_ends_with_an_error(self) -> None:
+        self.backend.cut_at = 2
+        _, text = self.send('POST', CHAT, {**BODY, 'stream': True})
+        self.assertNotIn(b'[DONE]', text)
+        last = json.loads(text.decode().strip().split('\n\n')[-1][6:])
+        self.assertEqual(last['error']['execution'], 'may_have_run')
+
+    def test_answers_whole(self) -> None:
+        _, text = self.send('POST', CHAT, BODY)
+        message = json.loads(text)['choices'][0]['message']
+        self.assertEqual(message['content'], 't0t1t2t3t4')
+        self.backend.cut_at = 2
+        refused = self.code('POST', CHAT, BODY)
+        self.assertEqual(refused, (502, 'target_lost'))
+
+    def test_says_when_to_try_again(self) -> None:
+        self.backend.refusal = Refusal(
+            RefusalCode.OVER_LIMIT, 'many', retry_after_s=1.5
+        )
+        resp, _ = self.send('POST', CHAT, {**BODY, 'stream': True})
+        self.assertEqual(resp.status, 429)
+        self.assertEqual(resp.headers['Retry-After'], '2')
+
+    def test_refuses_bad_input_and_goes_on(self) -> None:
+        pay = '/v1/services/books/pay'
+        chunks = {'Transfer_Encoding': 'chunked'}
+        cases = (
+            (('POST', CHAT, b'{'), {}, (400, 'malformed_request')),
+            (('POST', CHAT, b'[' * 900), {}, (400, 'malformed_request')),
+            (('POST', CHAT, b'\xff'), {}, (400, 'malformed_request')),
+            (('POST', CHAT, []), {}, (400, 'malformed_request')),
+            (('POST', CHAT, {'model': 3}), {}, (400, 'malformed_request')),
+            (
+                ('POST', CHAT, {'model': 'm', 'messages': 'x'}),
+                {},
+                (400, 'malformed_request'),
+            ),
+            (('POST', CHAT, b' ' * 1001), {}, (413, 'body_too_large')),
+            (
+                ('POST', CHAT, b'fff\r\n' + b' ' * 4095 + b'\r\n0\r\n\r\n'),
+                chunks,
+                (413, 'body_too_large'),
+            ),
+            (('POST', CHAT, b'zz\r\n'), chunks, (400, 'malformed_request')),
+            (('POST', CHAT, BODY), {'key': 'no'}, (401, 'unknown_key')),
+            (('GET', '/nowhere'), {}, (404, 'unknown_call')),
+            (('POST', pay, {}), {}, (400, 'idempotency_key_missing')),
+            (
+                ('POST', '/v1/services/books/no', {}),
+                {},
+                (404, 'unknown_call'),
+            ),
+            (
+                ('POST', '/v1/services/no/pay', {}),
+                {},
+                (404, 'unknown_service'),
+            ),
+        )
+        for args, more, expected in cases:
+            with self.subTest(args[1:], more=more):
+                self.assertEqual(self.code(*args, **more), expected)
+        self.assertEqual(self.send('GET', '/healthz')[0].status, 200)
+
+    def test_bytes_that_are_no_request_end_no_worker(self) -> None:
+        for sent in (b'\0\0\r\n\r\n', b'POST / HTTP/1.1\r\nContent-Length: x'):
+            for _ in range(3):
+                address = ('127.0.0.1', self.port)
+                with socket.create_connection(address, 10) as conn:
+                    conn.sendall(sent)
+        resp, text = self.send('GET', '/readyz')
+        self.assertEqual((resp.status, text), (200, b'ready\n'))
+
+    def test_other_paths(self) -> None:
+        _, text = self.send('GET', '/v1/entry')
+        self.assertEqual(json.loads(text), {'addresses': ['a:1'], 'ttl_s': 3})
+        _, text = self.send('GET', '/v1/models')
+        names = [model['id'] for model in json.loads(text)['data']]
+        self.assertEqual(names, ['m', 'm:a'])
+        self.assertEqual(self.send('GET', '/metrics')[1], b'up 1\n')
+        path = '/v1/services/books/pay'
+        _, text = self.send('POST', path, {'sum': 3}, Idempotency_Key='k')
+        self.assertEqual(json.loads(text), {'sum': 3})
