--- a/pomelogauge/decide/access.py
+++ b/pomelogauge/decide/access.py
@@ -1,5 +1,6 @@
 """Who may call what under the configuration in force."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from hashlib import sha256
 
@@ -35,7 +36,7 @@
     """
 
     configuration: Configuration = field(default_factory=Configuration)
-    by_hash: dict[str, Organisation] = field(default_factory=dict)
+    by_hash: Mapping[str, Organisation] = field(default_factory=dict)
 
     def organisation_of(self, key: str) -> Organisation | None:
         """Return whose key it is; ``None`` for an unknown key."""
--- a/pomelogauge/wire/callers_http.py
+++ b/pomelogauge/wire/callers_http.py
@@ -17,6 +17,7 @@
 from ..tasks.service_call_task import CallParts
 from .chat_route import answer_chat
 from .http_answers import (
+    UNAVAILABLE,
     HttpAnswer,
     json_answer,
     refusal_answer,
@@ -167,7 +168,7 @@
     def _ready(self) -> HttpAnswer:
         if self._parts.published.latest().is_ready:
             return text_answer('ready\n')
-        return HttpAnswer('503 Service Unavailable', b'not ready\n')
+        return text_answer('not ready\n', UNAVAILABLE)
 
     def _entry(self, req: HttpRequest) -> Result[HttpAnswer, Refusal]:
         reply: Mailbox[Entries] = Mailbox()
--- a/pomelogauge/wire/callers_server.py
+++ b/pomelogauge/wire/callers_server.py
@@ -21,6 +21,10 @@
         Callers' tasks; each serves one request at a time.
     backlog
         Connections that wait to be accepted.
+    queued
+        Connections that wait for a thread; those beyond get status 503.
+    queue_timeout_s
+        Seconds for which a full queue holds up the others.
     idle_timeout_s
         Seconds for which a connection may be silent.
     stop_timeout_s
@@ -28,8 +32,10 @@
 
     """
 
-    threads: int = 64
+    threads: int = 256
     backlog: int = 128
+    queued: int = 512
+    queue_timeout_s: int = 1
     idle_timeout_s: int = 10
     stop_timeout_s: int = 120
 
@@ -72,6 +78,8 @@
             self._app,
             numthreads=self._cfg.threads,
             request_queue_size=self._cfg.backlog,
+            accepted_queue_size=self._cfg.queued,
+            accepted_queue_timeout=self._cfg.queue_timeout_s,
             timeout=self._cfg.idle_timeout_s,
             shutdown_timeout=self._cfg.stop_timeout_s,
         )
--- a/pomelogauge/wire/http_answers.py
+++ b/pomelogauge/wire/http_answers.py
@@ -25,7 +25,7 @@
     RefusalCode.TARGET_REFUSED: '502 Bad Gateway',
     RefusalCode.INTERNAL: '500 Internal Server Error',
 }
-_UNAVAILABLE = '503 Service Unavailable'
+UNAVAILABLE = '503 Service Unavailable'
 
 
 @dataclass(frozen=True)
@@ -64,9 +64,9 @@
     return HttpAnswer(status, json.dumps(document).encode())
 
 
-def text_answer(text: str) -> HttpAnswer:
+def text_answer(text: str, status: str = '200 OK') -> HttpAnswer:
     """Return an answer that carries plain text."""
-    return HttpAnswer('200 OK', text.encode(), 'text/plain; charset=utf-8')
+    return HttpAnswer(status, text.encode(), 'text/plain; charset=utf-8')
 
 
 def refusal_answer(refusal: Refusal) -> HttpAnswer:
@@ -75,7 +75,7 @@
     if refusal.retry_after_s > 0:
         seconds = math.ceil(refusal.retry_after_s)
         headers = (*headers, Header('Retry-After', str(seconds)))
-    status = _STATUS.get(refusal.code, _UNAVAILABLE)
+    status = _STATUS.get(refusal.code, UNAVAILABLE)
     return HttpAnswer(status, encode_refusal(refusal), headers=headers)
 
 
@@ -98,6 +98,6 @@
 
 
 def _error_type(code: RefusalCode) -> str:
-    status = _STATUS.get(code, _UNAVAILABLE)
+    status = _STATUS.get(code, UNAVAILABLE)
     is_of_caller = status.startswith('4')
     return 'invalid_request_error' if is_of_caller else 'server_error'
--- a/test/test_callers_http.py
+++ b/test/test_callers_http.py
@@ -1,8 +1,10 @@
 """Tests of the callers' interface over real connections."""
 
 import http.client
+import itertools
 import json
 import socket
+import threading
 import unittest
 
 from returns.result import Success
@@ -10,6 +12,7 @@
 from pomelogauge.charts.reader import load_chart
 from pomelogauge.decide.access import access_of
 from pomelogauge.decide.request_chart import REQUEST_WORDS
+from pomelogauge.engines.protocols import Token
 from pomelogauge.model.ids import Address, DeploymentName, InstanceName
 from pomelogauge.model.peers import NodePhase
 from pomelogauge.model.request import (
@@ -41,12 +44,41 @@
 BODY = {'model': 'm', 'messages': [{'role': 'user', 'content': 'hi'}]}
 
 
+class GatedStream(FakeStream):
+    """Holds its second token back until the test opens the gate."""
+
+    def __init__(self, ask) -> None:
+        super().__init__(ask, -1)
+        self.gate = threading.Event()
+        self.closed = threading.Event()
+
+    def tokens(self):
+        for received in super().tokens():
+            yield received
+            self.gate.wait(10)
+
+    def close(self, *, cancel: bool) -> None:
+        super().close(cancel=cancel)
+        self.closed.set()
+
+
+class EndlessStream(GatedStream):
+    """Goes on for ever once its gate is open."""
+
+    def tokens(self):
+        for index in itertools.count():
+            yield Success(Token(index, 'x' * 10000))
+            self.gate.wait(10)
+
+
 class FakeBackend:
     """All that the interface talks to, answering at once."""
 
     def __init__(self) -> None:
         self.refusal: Refusal | None = None
         self.cut_at = -1
+        self.make_stream = None
+        self.streams: list[FakeStream] = []
 
     def post(self, message) -> None:
         if isinstance(message, AskPlace):
@@ -60,7 +92,10 @@
             message.reply.post(Entries((Address('a:1'),), 3))
 
     def open(self, address, ask):
-        return Success(FakeStream(ask, self.cut_at))
+        made = self.make_stream
+        stream = made(ask) if made else FakeStream(ask, self.cut_at)
+        self.streams.append(stream)
+        return Success(stream)
 
     def call(self, address, ask):
         return Success(ServiceAnswer(200, ask.body))
@@ -78,9 +113,8 @@
 
 
 class CallersHttpTest(unittest.TestCase):
-    @classmethod
-    def setUpClass(cls) -> None:
-        cls.backend = FakeBackend()
+    def setUp(self) -> None:
+        self.backend = FakeBackend()
         clock = FakeClock()
         state = RouterState(access_of(configuration()), NodePhase.READY)
         parts = AppParts(
@@ -89,24 +123,18 @@
             CallerParts(
                 CallerSettings(max_tries=1),
                 clock,
-                cls.backend,
-                cls.backend,
+                self.backend,
+                self.backend,
                 REQUEST_CHART,
             ),
-            CallParts(clock, cls.backend, cls.backend, PassThroughLedger()),
-            cls.backend,
-            cls.backend,
+            CallParts(clock, self.backend, self.backend, PassThroughLedger()),
+            self.backend,
+            self.backend,
         )
-        cls.server = CallersServer(ServerSettings(threads=2), CallersApp(parts))
-        cls.port = cls.server.start('127.0.0.1', 0)
-
-    @classmethod
-    def tearDownClass(cls) -> None:
-        cls.server.stop()
-
-    def setUp(self) -> None:
-        self.backend.refusal = None
-        self.backend.cut_at = -1
+        settings = ServerSettings(threads=2, idle_timeout_s=5)
+        self.server = CallersServer(settings, CallersApp(parts))
+        self.port = self.server.start('127.0.0.1', 0)
+        self.addCleanup(self.server.stop)
 
     def send(self, method, path, body=None, key=KEY, **headers):
         conn = http.client.HTTPConnection('127.0.0.1', self.port, timeout=10)
@@ -207,6 +235,41 @@
         resp, text = self.send('GET', '/readyz')
         self.assertEqual((resp.status, text), (200, b'ready\n'))
 
+    def begin_stream(self) -> http.client.HTTPResponse:
+        conn = http.client.HTTPConnection('127.0.0.1', self.port, timeout=10)
+        self.addCleanup(conn.close)
+        body = json.dumps({**BODY, 'stream': True})
+        conn.request('POST', CHAT, body, {'Authorization': f'Bearer {KEY}'})
+        resp = conn.getresponse()
+        self.assertIn(b'"t0"', resp.readline())
+        return resp
+
+    def test_a_graceful_stop_cuts_nothing_off(self) -> None:
+        self.backend.make_stream = GatedStream
+        resp = self.begin_stream()
+        stopping = threading.Thread(target=self.server.stop)
+        stopping.start()
+        self.backend.streams[0].gate.set()
+        self.assertTrue(resp.read().endswith(b'data: [DONE]\n\n'))
+        stopping.join(10)
+        self.assertFalse(stopping.is_alive())
+
+    def test_cancels_the_work_of_a_caller_that_left(self) -> None:
+        self.backend.make_stream = EndlessStream
+        address = ('127.0.0.1', self.port)
+        body = json.dumps({**BODY, 'stream': True})
+        with socket.create_connection(address, 10) as conn:
+            conn.sendall(
+                f'POST {CHAT} HTTP/1.1\r\nHost: x\r\n'
+                f'Authorization: Bearer {KEY}\r\n'
+                f'Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+            )
+            self.assertIn(b'200 OK', conn.recv(1000))
+        stream = self.backend.streams[0]
+        stream.gate.set()
+        self.assertTrue(stream.closed.wait(10))
+        self.assertTrue(stream.cancelled)
+
     def test_other_paths(self) -> None:
         _, text = self.send('GET', '/v1/entry')
         self.assertEqual(json.loads(text), {'addresses': ['a:1'], 'ttl_s': 3})
