--- /dev/null
+++ b/pomelogauge/app/controller_root.py
@@ -0,0 +1,135 @@
+"""Wires a controller."""
+
+from dataclasses import dataclass
+
+from ..charts.reader import load_chart
+from ..decide.lease_chart import LEASE_WORDS
+from ..decide.replica_chart import REPLICA_WORDS
+from ..engines.http_control import HttpEngineControl
+from ..engines.protocols import OwnedEngineControl
+from ..model.peers import NodePhase
+from ..model.times import ControlTimes
+from ..model.topology import InstanceRole
+from ..platform.protocols import TableService
+from ..tasks.clock import MonotonicClock
+from ..tasks.controller_tasks import ControllerParts, ShardThreads
+from ..tasks.grant_desk import GrantDesk
+from ..tasks.lease_keeper import LeaseKeeper
+from ..tasks.mailbox import Mailbox, Outbox
+from ..tasks.messages import ShardViews
+from ..tasks.metrics import MetricsActor
+from ..tasks.phase_board import PhaseBoard
+from ..tasks.published import Published
+from ..wire.callers_server import CallersServer, ServerSettings
+from ..wire.cuts import LinkCuts
+from ..wire.health_http import HealthApp
+from ..wire.peer_ports import PeerPorts
+from .daemon import Daemon, Servers
+from .identity import Identity
+from .metrics_reader import MetricsReader
+from .peer_parts import PeerSubscribers, PeerWiring
+from .settings import ControllerSettings
+from .task_set import TaskSet
+
+#: Threads that answer monitoring.
+HEALTH_THREADS = 2
+
+
+@dataclass(frozen=True)
+class ControllerConnections:
+    """Opens connections for the tasks of a controller."""
+
+    wiring: PeerWiring
+    cfg: ControllerSettings
+
+    def tables(self) -> TableService:
+        """Return a new connection to the platform's tables."""
+        return self.wiring.platform()
+
+    def control(self, timeout_s: float) -> OwnedEngineControl:
+        """Return new connections to engines with this deadline."""
+        return HttpEngineControl(self.cfg.node, timeout_s)
+
+
+def wire_controller(cfg: ControllerSettings) -> Daemon:
+    """Return a controller whose tasks are not started.
+
+    Raises
+    ------
+    UserError
+        A port can't be bound, or a chart and the code disagree.
+
+    """
+    http = CallersServer(ServerSettings(threads=HEALTH_THREADS))
+    servers = Servers(cfg, InstanceRole.CONTROLLER, http, cfg.http_port)
+    identity = servers.bind()
+    tasks = TaskSet()
+    metrics = tasks.add('metrics', MetricsActor())
+    phase = Published(NodePhase.STARTING)
+    cuts = LinkCuts()
+    wiring = PeerWiring(identity, tasks, cuts)
+    desk = tasks.add(
+        'grants',
+        GrantDesk(identity.report(), control_times(cfg), MonotonicClock()),
+    )
+    leases = tasks.add('leases', _lease_keeper(cfg, identity, wiring, desk))
+    shared = wiring.wire(
+        PeerSubscribers(
+            peers=(desk,),
+            instances=(leases,),
+            configurations=(leases, desk),
+            phases=(PhaseBoard(phase), desk),
+        ),
+    )
+    ports = PeerPorts(shared.membership, shared.keeper, desk, desk)
+    app = HealthApp(phase, MetricsReader(metrics))
+    ended: Mailbox[bool] = Mailbox()
+    return Daemon(
+        identity,
+        tasks,
+        servers,
+        lambda: servers.serve(app, ports, cuts),
+        lambda: ended.post(True),
+        ended,
+    )
+
+
+def control_times(cfg: ControllerSettings) -> ControlTimes:
+    """Return the periods of the controller's tasks."""
+    return ControlTimes(
+        renewal_s=cfg.renewal_s,
+        lease_term_s=cfg.lease_term_s,
+        lease_margin_s=cfg.lease_margin_s,
+        watch_interval_s=cfg.watch_interval_s,
+        watch_timeout_s=cfg.watch_timeout_s,
+        lost_after_s=cfg.lost_after_s,
+        grant_life_s=cfg.grant_life_s,
+        order_timeout_s=cfg.order_timeout_s,
+    )
+
+
+def _lease_keeper(
+    cfg: ControllerSettings,
+    identity: Identity,
+    wiring: PeerWiring,
+    desk: Outbox[ShardViews],
+) -> LeaseKeeper:
+    times = control_times(cfg)
+    parts = ControllerParts(
+        cfg.node,
+        identity.incarnation,
+        ControllerConnections(wiring, cfg),
+        desk,
+        load_chart('replica', REPLICA_WORDS),
+        times,
+        MonotonicClock(),
+    )
+    return LeaseKeeper(
+        cfg.node,
+        identity.incarnation,
+        wiring.platform(),
+        ShardThreads(parts, identity.rng('shards')),
+        load_chart('shard_lease', LEASE_WORDS),
+        times,
+        MonotonicClock(),
+    )
--- /dev/null
+++ b/pomelogauge/app/daemon.py
@@ -0,0 +1,157 @@
+"""A daemon: servers that are bound first, tasks that run behind them."""
+
+import json
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+
+from ..model.errors import UserError
+from ..model.ids import Address
+from ..model.topology import InstanceRole
+from ..tasks.mailbox import Mailbox
+from ..wire.callers_http import WsgiApp
+from ..wire.callers_server import CallersServer
+from ..wire.cuts import LinkCuts
+from ..wire.peer_ports import PeerPorts
+from ..wire.peer_server import PeerServer
+from .identity import Identity, draw_incarnation
+from .settings import CommonSettings
+from .task_set import TaskSet
+
+#: Seconds for which peers' calls in progress may go on at the end.
+PEER_GRACE_S = 1.0
+
+
+class BindError(UserError):
+    """A port can't be bound."""
+
+
+@dataclass(frozen=True)
+class ReadyLine:
+    """The line that a process prints once it listens."""
+
+    role: InstanceRole
+    name: str
+    address: Address
+    peer_address: Address
+    ready: bool = True
+
+
+class Servers:
+    """The HTTP and gRPC servers of a process.
+
+    Parameters
+    ----------
+    cfg
+        Settings.
+    role
+        Router or controller.
+    http
+        Server for callers or monitoring.
+    http_port
+        Port of that server; zero for any.
+
+    """
+
+    def __init__(
+        self,
+        cfg: CommonSettings,
+        role: InstanceRole,
+        http: CallersServer,
+        http_port: int,
+    ) -> None:
+        """Bind nothing yet."""
+        self._cfg = cfg
+        self._role = role
+        self._http = http
+        self._http_port = http_port
+        self._peers = PeerServer(may_cut=cfg.allow_cuts)
+
+    def bind(self) -> Identity:
+        """Bind both ports and return who the process is.
+
+        Raises
+        ------
+        BindError
+            A port can't be bound.
+
+        """
+        try:
+            http_port = self._http.bind(self._cfg.listen, self._http_port)
+            peer_port = self._peers.bind(self._cfg.listen, self._cfg.peer_port)
+        except (OSError, RuntimeError) as exc:
+            raise BindError(f'{self._cfg.listen}: {exc}') from exc
+        return Identity(
+            self._role,
+            self._cfg,
+            draw_incarnation(),
+            self._address(http_port),
+            self._address(peer_port),
+        )
+
+    def serve(self, app: WsgiApp, ports: PeerPorts, cuts: LinkCuts) -> None:
+        """Serve callers and peers from now on."""
+        self._peers.serve(ports, cuts)
+        self._http.serve(app)
+
+    def stop(self) -> None:
+        """Finish what runs and close both servers."""
+        self._http.stop()
+        self._peers.stop(PEER_GRACE_S)
+
+    def _address(self, port: int) -> Address:
+        return Address(f'{self._cfg.advertised_host}:{port}')
+
+
+@dataclass(frozen=True)
+class Daemon:
+    """A wired process.
+
+    Parameters
+    ----------
+    identity
+        Who it is.
+    tasks
+        Its tasks.
+    servers
+        Its servers, bound.
+    serve
+        Starts to serve.
+    end_asked
+        Called for every signal that asks the process to end.
+    ended
+        Gets a message once the process may end.
+
+    """
+
+    identity: Identity
+    tasks: TaskSet
+    servers: Servers
+    serve: Callable[[], None]
+    end_asked: Callable[[], None]
+    ended: Mailbox[bool]
+
+    def run(self) -> None:
+        """Serve until the process is asked to end and may end."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        self.tasks.start()
+        self.serve()
+        self._print_ready()
+        self.ended.take()
+        self.servers.stop()
+        self.tasks.stop()
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        self.end_asked()
+
+    def _print_ready(self) -> None:
+        line = ReadyLine(
+            self.identity.role,
+            self.identity.cfg.node,
+            self.identity.address,
+            self.identity.peer_address,
+        )
+        sys.stdout.write(f'{json.dumps(asdict(line))}\n')
+        sys.stdout.flush()
--- /dev/null
+++ b/pomelogauge/app/identity.py
@@ -0,0 +1,57 @@
+"""Who a process is."""
+
+import uuid
+from dataclasses import dataclass
+from random import Random
+
+from ..model.ids import Address, Incarnation
+from ..model.peers import NodeReport
+from ..model.topology import InstanceRole
+from .settings import CommonSettings
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Name, life and addresses of a process.
+
+    Parameters
+    ----------
+    role
+        Router or controller.
+    cfg
+        Settings.
+    incarnation
+        Drawn at the start.
+    address
+        ``host:port`` of its HTTP interface.
+    peer_address
+        ``host:port`` of its gRPC interface.
+
+    """
+
+    role: InstanceRole
+    cfg: CommonSettings
+    incarnation: Incarnation
+    address: Address
+    peer_address: Address
+
+    def report(self) -> NodeReport:
+        """Return the first report to peers."""
+        return NodeReport(
+            self.cfg.node,
+            self.role,
+            self.incarnation,
+            0,
+            self.cfg.data_centre,
+            self.address,
+            self.peer_address,
+        )
+
+    def rng(self, purpose: str) -> Random:
+        """Return a random source of its own for one purpose."""
+        return Random(f'{self.incarnation} {purpose}')
+
+
+def draw_incarnation() -> Incarnation:
+    """Return a name for this life of the process."""
+    return Incarnation(uuid.uuid4().hex)
--- /dev/null
+++ b/pomelogauge/app/peer_parts.py
@@ -0,0 +1,192 @@
+"""Wires what routers and controllers share: peers and configuration."""
+
+from dataclasses import dataclass
+
+from ..charts.reader import load_chart
+from ..decide.membership import GossipSettings
+from ..decide.spread import SpreadSettings
+from ..decide.version_chart import VERSION_WORDS
+from ..platform.configuration_store import ConfigurationStore
+from ..platform.http_platform import HttpPlatform
+from ..tasks.clock import MonotonicClock
+from ..tasks.configuration_courier import ConfigurationCourier
+from ..tasks.configuration_errands import ConfigurationErrands, ErrandPorts
+from ..tasks.configuration_keeper import (
+    ConfigurationKeeper,
+    KeeperMessage,
+    KeeperPorts,
+)
+from ..tasks.configuration_reader import ConfigurationReader
+from ..tasks.gossip_sender import GossipSender
+from ..tasks.instance_reader import InstanceReader
+from ..tasks.mailbox import Outbox
+from ..tasks.membership import (
+    Membership,
+    MembershipMessage,
+    MembershipPorts,
+    MembershipSettings,
+)
+from ..tasks.messages import (
+    ConfigurationInForce,
+    InstancesListed,
+    PeersChanged,
+    PhaseChanged,
+)
+from ..tasks.task import Task
+from ..wire.configuration_document import decode_configuration
+from ..wire.cuts import LinkCuts
+from ..wire.peer_client import GrpcLinks
+from .identity import Identity
+from .late_outbox import LateOutbox
+from .task_set import TaskSet
+
+#: Tasks that send gossip, so that a silent peer delays one of them only.
+GOSSIP_SENDERS = 2
+#: Tasks that push configurations.
+PUSHERS = 4
+
+
+@dataclass(frozen=True)
+class PeerSubscribers:
+    """Who learns of peers, instances, configurations and phases."""
+
+    peers: tuple[Outbox[PeersChanged], ...]
+    instances: tuple[Outbox[InstancesListed], ...]
+    configurations: tuple[Outbox[ConfigurationInForce], ...]
+    phases: tuple[Outbox[PhaseChanged], ...]
+
+
+@dataclass(frozen=True)
+class PeerParts:
+    """Tasks that routers and controllers share."""
+
+    membership: Task[MembershipMessage]
+    keeper: Task[KeeperMessage]
+
+
+class PeerWiring:
+    """Makes the shared tasks of one process.
+
+    Parameters
+    ----------
+    identity
+        Who the process is.
+    tasks
+        Takes the tasks.
+    cuts
+        Links that tests have cut.
+
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        tasks: TaskSet,
+        cuts: LinkCuts,
+    ) -> None:
+        """Wire nothing yet."""
+        self._identity = identity
+        self._cfg = identity.cfg
+        self._tasks = tasks
+        self._cuts = cuts
+        self._clock = MonotonicClock()
+
+    def links(self) -> GrpcLinks:
+        """Return links that belong to one task."""
+        return GrpcLinks(self._cfg.node, self._cfg.peer_timeout_s, self._cuts)
+
+    def platform(self) -> HttpPlatform:
+        """Return a connection to the platform that belongs to one task."""
+        return HttpPlatform(
+            self._cfg.platform,
+            self._cfg.node,
+            self._cfg.platform_timeout_s,
+        )
+
+    def wire(self, subscribers: PeerSubscribers) -> PeerParts:
+        """Make the shared tasks."""
+        keeper_box: LateOutbox[KeeperMessage] = LateOutbox()
+        membership = self._membership((keeper_box, *subscribers.peers))
+        keeper = self._keeper(membership, subscribers)
+        keeper_box.connect(keeper)
+        reader = InstanceReader(
+            self.platform(),
+            (membership, *subscribers.instances),
+            self._cfg.pull_interval_s,
+            self._clock,
+            self._identity.rng('instances'),
+        )
+        self._tasks.add('instances', reader)
+        return PeerParts(membership, keeper)
+
+    def _membership(
+        self,
+        subscribers: tuple[Outbox[PeersChanged], ...],
+    ) -> Task[MembershipMessage]:
+        senders = tuple(
+            self._tasks.add(f'gossip-{number}', GossipSender(self.links()))
+            for number in range(GOSSIP_SENDERS)
+        )
+        actor = Membership(
+            self._identity.report(),
+            MembershipPorts(senders, subscribers),
+            MembershipSettings(
+                GossipSettings(interval_s=self._cfg.gossip_interval_s),
+                self._entry_ttl_s(),
+            ),
+            self._clock,
+            self._identity.rng('membership'),
+        )
+        task = self._tasks.add('membership', actor)
+        actor.listen_on(task)
+        return task
+
+    def _keeper(
+        self,
+        membership: Task[MembershipMessage],
+        subscribers: PeerSubscribers,
+    ) -> Task[KeeperMessage]:
+        spread = SpreadSettings(
+            pull_interval_s=self._cfg.pull_interval_s,
+            cut_off_after_s=self._cfg.cut_off_after_s,
+        )
+        actor = ConfigurationKeeper(
+            self._cfg.node,
+            load_chart('settings_version', VERSION_WORDS),
+            decode_configuration,
+            ConfigurationErrands(
+                self._errand_ports(),
+                spread,
+                self._clock,
+                self._identity.rng('configuration'),
+            ),
+            KeeperPorts(
+                (membership, *subscribers.configurations),
+                (membership, *subscribers.phases),
+            ),
+            self._cfg.cut_off_after_s,
+            self._clock,
+        )
+        task = self._tasks.add('configuration', actor)
+        actor.listen_on(task)
+        return task
+
+    def _errand_ports(self) -> ErrandPorts:
+        source = ConfigurationStore(self.platform())
+        reader = ConfigurationReader(source, self._cfg.node)
+        pushers = tuple(
+            self._tasks.add(f'push-{number}', self._courier())
+            for number in range(PUSHERS)
+        )
+        return ErrandPorts(
+            self._tasks.add('configuration reader', reader),
+            self._tasks.add('fetch', self._courier()),
+            pushers,
+        )
+
+    def _courier(self) -> ConfigurationCourier:
+        return ConfigurationCourier(self.links())
+
+    def _entry_ttl_s(self) -> float:
+        # Only routers are asked for entries.
+        return getattr(self._cfg, 'entry_ttl_s', 0)
--- /dev/null
+++ b/pomelogauge/app/router_root.py
@@ -0,0 +1,221 @@
+"""Wires a router."""
+
+from dataclasses import dataclass
+
+from ..charts.reader import load_chart
+from ..decide.known_replica import FleetSettings
+from ..decide.queue import QueueLimits
+from ..decide.request_chart import REQUEST_WORDS
+from ..decide.routing import LeastLoaded
+from ..decide.shutdown_chart import SHUTDOWN_WORDS
+from ..decide.warmth_chart import WARMTH_WORDS
+from ..engines.http_streams import HttpEngineStreams, StreamSettings
+from ..model.ids import Address, NodeName
+from ..model.topology import InstanceRole
+from ..services.http_calls import CallSettings, HttpServiceCalls
+from ..services.ledger import PassThroughLedger
+from ..tasks.caller_task import CallerParts, CallerSettings
+from ..tasks.clock import MonotonicClock
+from ..tasks.dispatcher import (
+    Dispatcher,
+    DispatcherMessage,
+    DispatcherSettings,
+)
+from ..tasks.exchange import Exchange, ExchangeSettings
+from ..tasks.exchange_set import ExchangeSet
+from ..tasks.mailbox import Mailbox
+from ..tasks.membership import MembershipMessage
+from ..tasks.metrics import MetricsActor
+from ..tasks.published import Published
+from ..tasks.router_state import RouterState
+from ..tasks.service_call_task import CallParts
+from ..tasks.shutdown import (
+    RunningCounted,
+    ShutdownActor,
+    ShutdownAsked,
+    ShutdownPorts,
+    ShutdownTimes,
+)
+from ..tasks.task import Task
+from ..wire.callers_http import AppParts, AppSettings, CallersApp
+from ..wire.callers_server import CallersServer, ServerSettings
+from ..wire.cuts import LinkCuts
+from ..wire.peer_ports import PeerPorts
+from .daemon import Daemon, Servers
+from .identity import Identity
+from .metrics_reader import MetricsReader
+from .peer_parts import PeerParts, PeerSubscribers, PeerWiring
+from .settings import RouterSettings
+from .task_set import TaskSet
+
+
+@dataclass(frozen=True)
+class RouterCore:
+    """Tasks that only a router has.
+
+    Parameters
+    ----------
+    dispatcher
+        Gives places.
+    published
+        State that callers' tasks read.
+    metrics
+        Reads the metrics.
+
+    """
+
+    dispatcher: Task[DispatcherMessage]
+    published: Published[RouterState]
+    metrics: MetricsReader
+
+
+@dataclass(frozen=True)
+class ExchangeFactory:
+    """Makes the exchange with one controller."""
+
+    cfg: ExchangeSettings
+    wiring: PeerWiring
+    dispatcher: Task[DispatcherMessage]
+
+    def __call__(self, controller: NodeName, address: Address) -> Exchange:
+        """Return an actor that owns its links."""
+        return Exchange(
+            self.cfg,
+            controller,
+            address,
+            MonotonicClock(),
+            self.wiring.links(),
+            self.dispatcher,
+        )
+
+
+def wire_router(cfg: RouterSettings) -> Daemon:
+    """Return a router whose tasks are not started.
+
+    Raises
+    ------
+    UserError
+        A port can't be bound, or a chart and the code disagree.
+
+    """
+    servers = Servers(cfg, InstanceRole.ROUTER, _callers(cfg), cfg.port)
+    identity = servers.bind()
+    tasks = TaskSet()
+    cuts = LinkCuts()
+    wiring = PeerWiring(identity, tasks, cuts)
+    core = _core(cfg, identity, tasks)
+    exchanges = tasks.add('exchanges', _exchanges(cfg, wiring, core))
+    shared = wiring.wire(
+        PeerSubscribers(
+            peers=(exchanges,),
+            instances=(core.dispatcher,),
+            configurations=(core.dispatcher,),
+            phases=(core.dispatcher,),
+        ),
+    )
+    ended: Mailbox[bool] = Mailbox()
+    shutdown = _shutdown(cfg, tasks, core, shared, ended)
+    app = CallersApp(_app_parts(cfg, core, shared.membership))
+    ports = PeerPorts(shared.membership, shared.keeper, shared.membership)
+    return Daemon(
+        identity,
+        tasks,
+        servers,
+        lambda: servers.serve(app, ports, cuts),
+        lambda: shutdown.post(ShutdownAsked('signal')),
+        ended,
+    )
+
+
+def _callers(cfg: RouterSettings) -> CallersServer:
+    return CallersServer(
+        ServerSettings(
+            threads=cfg.worker_threads,
+            idle_timeout_s=int(cfg.header_timeout_s),
+            stop_timeout_s=int(cfg.shutdown_limit_s),
+        ),
+    )
+
+
+def _core(
+    cfg: RouterSettings,
+    identity: Identity,
+    tasks: TaskSet,
+) -> RouterCore:
+    metrics = tasks.add('metrics', MetricsActor())
+    published = Published(RouterState())
+    actor = Dispatcher(
+        DispatcherSettings(
+            identity.report(),
+            FleetSettings(),
+            QueueLimits(max_queued=cfg.queue_limit),
+        ),
+        MonotonicClock(),
+        LeastLoaded(),
+        load_chart('target_warmth', WARMTH_WORDS),
+        published,
+    )
+    dispatcher = tasks.add('dispatcher', actor)
+    return RouterCore(dispatcher, published, MetricsReader(metrics))
+
+
+def _exchanges(
+    cfg: RouterSettings,
+    wiring: PeerWiring,
+    core: RouterCore,
+) -> ExchangeSet:
+    settings = ExchangeSettings(exchange_interval_s=cfg.exchange_interval_s)
+    factory = ExchangeFactory(settings, wiring, core.dispatcher)
+    return ExchangeSet(settings, factory)
+
+
+def _app_parts(
+    cfg: RouterSettings,
+    core: RouterCore,
+    membership: Task[MembershipMessage],
+) -> AppParts:
+    clock = MonotonicClock()
+    models = CallerParts(
+        CallerSettings(),
+        clock,
+        core.dispatcher,
+        HttpEngineStreams(StreamSettings(cfg.node)),
+        load_chart('caller_request', REQUEST_WORDS),
+    )
+    services = CallParts(
+        clock,
+        core.dispatcher,
+        HttpServiceCalls(CallSettings(cfg.node)),
+        PassThroughLedger(),
+    )
+    return AppParts(
+        AppSettings(max_body_bytes=cfg.max_body_bytes),
+        core.published,
+        models,
+        services,
+        membership,
+        core.metrics,
+    )
+
+
+def _shutdown(
+    cfg: RouterSettings,
+    tasks: TaskSet,
+    core: RouterCore,
+    shared: PeerParts,
+    ended: Mailbox[bool],
+) -> Task[ShutdownAsked | RunningCounted]:
+    actor = ShutdownActor(
+        load_chart('router_shutdown', SHUTDOWN_WORDS),
+        ShutdownTimes(cfg.entry_ttl_s, cfg.shutdown_limit_s),
+        ShutdownPorts(
+            shared.membership,
+            core.dispatcher,
+            core.dispatcher,
+            lambda: ended.post(True),
+        ),
+        MonotonicClock(),
+    )
+    task = tasks.add('shutdown', actor)
+    actor.listen_on(task)
+    return task
