Fit gossip to its traffic bound and tell changes at once

A sample of eight with two peers a round exceeded 4 KB a second, and the life bound was shorter than the ages in a large cluster. Small clusters now send six reports, large ones eight to one peer, and the bound grows with the number of peers. A change of phase or version starts a round at once. A store that has moved on between two reads is read again without a wait.

--- a/pomelogauge/decide/membership.py
+++ b/pomelogauge/decide/membership.py
@@ -29,27 +29,40 @@
     crowd
         Above this number of peers a round tells one peer only, so that the
         traffic of a node stays within its bound.
+    crowd_sample
+        Reports of others in one message in a crowd.
     live_s
         A peer is live for this time after its newest report was made.
     live_s_per_peer
         Added for each known peer, as reports take longer through many.
+    crowd_live_s_per_peer
+        Added instead in a crowd.
 
     """
 
     interval_s: float = 1.0
     fan_out: int = 2
-    sample: int = 8
+    sample: int = 6
     crowd: int = 24
-    live_s: float = 3.0
-    live_s_per_peer: float = 0.1
+    crowd_sample: int = 8
+    live_s: float = 4.0
+    live_s_per_peer: float = 0.2
+    crowd_live_s_per_peer: float = 0.6
 
     def targets(self, peers: int) -> int:
         """Return how many peers one round tells."""
         return 1 if peers > self.crowd else self.fan_out
 
+    def sample_size(self, peers: int) -> int:
+        """Return how many reports of others go into one message."""
+        return self.crowd_sample if peers > self.crowd else self.sample
+
     def bound_s(self, peers: int) -> float:
         """Return for how long a report keeps a peer live."""
-        return self.live_s + self.live_s_per_peer * peers
+        per_peer_s = self.live_s_per_peer
+        if peers > self.crowd:
+            per_peer_s = self.crowd_live_s_per_peer
+        return self.live_s + per_peer_s * peers
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/tasks/configuration_errands.py
+++ b/pomelogauge/tasks/configuration_errands.py
@@ -11,7 +11,9 @@
 )
 from ..model.ids import ConfigVersion
 from ..model.peers import PeerView
+from ..platform.protocols import PlatformError, PlatformFault
 from .clock import Clock
+from .links import LinkError
 from .mailbox import Outbox
 from .messages import ConfigurationDocument
 from .peer_messages import (
@@ -125,15 +127,22 @@
         else:
             self._ports.fetcher.post(FetchDocument(address, version, reply))
 
+    def document_refused(self) -> None:
+        """Allow the next fetch after a pause; the document can't be read."""
+        self._fetch_due_s = self._clock.now_s() + RETRY_S
+
     def document_came(self) -> None:
         """Allow the next fetch at once."""
         self._fetch_due_s = self._clock.now_s()
 
-    def document_failed(self, from_peer: bool) -> None:
-        """Allow the next fetch after a pause, from the other side."""
-        self._store_next = from_peer
+    def document_failed(self, fault: PlatformError | LinkError) -> None:
+        """Allow the next fetch after a pause."""
+        self._store_next = isinstance(fault, LinkError)
         wait_s = jittered_s(RETRY_S, self._rng)
         self._fetch_due_s = self._clock.now_s() + wait_s
+        if _has_moved_on(fault):
+            # Another version was published between the two reads.
+            self._read_from_s = float('-inf')
 
     def push(
         self,
@@ -150,3 +159,9 @@
         for turn, address in enumerate(targets):
             pusher = self._ports.pushers[turn % len(self._ports.pushers)]
             pusher.post(PushDocument(address, document))
+
+
+def _has_moved_on(fault: PlatformError | LinkError) -> bool:
+    if isinstance(fault, LinkError):
+        return False
+    return fault.fault is PlatformFault.CONFLICT
--- a/pomelogauge/tasks/configuration_keeper.py
+++ b/pomelogauge/tasks/configuration_keeper.py
@@ -20,7 +20,6 @@
 from ..model.peers import NodePhase
 from .clock import Clock
 from .configuration_errands import ConfigurationErrands
-from .links import LinkError
 from .mailbox import Outbox
 from .messages import (
     ConfigurationAsked,
@@ -160,7 +159,7 @@
             return
         fault = message.outcome.failure()
         _log.warning('configuration: document not fetched: %s', fault)
-        self._errands.document_failed(isinstance(fault, LinkError))
+        self._errands.document_failed(fault)
 
     def _confirm(self, at_s: float) -> None:
         """Take it that nothing newer than the known versions existed."""
@@ -189,7 +188,7 @@
             return
         configuration = _decoded(self._decode, document)
         if configuration is None:
-            self._errands.document_failed(from_peer=True)
+            self._errands.document_refused()
             return
         self._state = move.state
         self._adopt(document, configuration)
--- a/pomelogauge/tasks/membership.py
+++ b/pomelogauge/tasks/membership.py
@@ -165,6 +165,9 @@
         else:
             self._learn(message)
             self._entries.forget()
+            if isinstance(message, (PhaseChanged, ConfigurationInForce)):
+                # Peers should hear of this before the next round is due.
+                self._round_due_s = self._clock.now_s()
             self._publish()
 
     def on_timer(self) -> float | None:
@@ -234,8 +237,9 @@
         self._ports.senders[sender].post(ask)
 
     def _gossip(self) -> Gossip:
-        size = self._settings.gossip.sample
-        sample = sample_views(self._live(), size, self._rng)
+        live = self._live()
+        size = self._settings.gossip.sample_size(len(live))
+        sample = sample_views(live, size, self._rng)
         return Gossip(self._next_report(), sample)
 
     def _next_report(self) -> NodeReport:
--- a/pomelogauge/wire/peer_server.py
+++ b/pomelogauge/wire/peer_server.py
@@ -43,9 +43,9 @@
         may_cut: bool = False,
     ) -> None:
         """Prepare the server without a port."""
-        pool = ThreadPoolExecutor(POOL_THREADS, thread_name_prefix='peer')
+        self._pool = ThreadPoolExecutor(POOL_THREADS, thread_name_prefix='peer')
         self._server = grpc.server(
-            pool,
+            self._pool,
             options=_OPTIONS,
             maximum_concurrent_rpcs=MAX_CALLS,
         )
@@ -83,3 +83,4 @@
     def stop(self, grace_s: float) -> None:
         """Refuse new calls and wait for those in progress."""
         self._server.stop(grace_s).wait()
+        self._pool.shutdown(wait=False)
--- a/test/test_configuration_keeper.py
+++ b/test/test_configuration_keeper.py
@@ -36,6 +36,8 @@
 SETTINGS = SpreadSettings()
 DOWN = Failure(PlatformError(PlatformFault.UNAVAILABLE, 'down'))
 
+MOVED_ON = Failure(PlatformError(PlatformFault.CONFLICT, 'moved on'))
+
 
 class FakeSource:
     def __init__(self) -> None:
@@ -45,7 +47,9 @@
         return DOWN if self.version is None else Success(self.version)
 
     def document(self, version: ConfigVersion):
-        return DOWN if self.version is None else Success(b'good')
+        if self.version is None:
+            return DOWN
+        return Success(b'good') if version == self.version else MOVED_ON
 
 
 def decode(document: bytes):
@@ -150,6 +154,16 @@
         self.run_errands(1)
         self.assertEqual(self.version(), 5)
 
+    def test_reads_again_when_the_store_has_moved_on(self) -> None:
+        self.source.version = 4
+        self.run_errands()
+        self.source.version = 6
+        self.hear(view('b', 5))
+        # Less than the shortest interval between two reads passes.
+        self.run_errands(0.7)
+        self.run_errands(0.7)
+        self.assertEqual(self.version(), 6)
+
     def test_version_never_falls(self) -> None:
         self.assertEqual(self.push(document(5)), 5)
         self.assertEqual(self.push(document(4)), 5)
--- a/test/test_peer_codec.py
+++ b/test/test_peer_codec.py
@@ -1,7 +1,9 @@
 """Tests of the encodings between peers."""
 
 import unittest
+from dataclasses import replace
 
+from pomelogauge.decide.membership import GossipSettings
 from pomelogauge.model.ids import (
     Address,
     ConfigVersion,
@@ -77,6 +79,25 @@
         ):
             self.assertEqual(report_codec.decode_gossip(encode(gossip)), gossip)
 
+    def test_gossip_stays_within_the_traffic_of_a_node(self) -> None:
+        settings = GossipSettings()
+        report = replace(
+            REPORT,
+            node=NodeName('controller-dc1-001'),
+            incarnation=Incarnation('a1b2c3d4e5f6'),
+            sequence=1_000_000,
+            data_centre=DataCentreName('klang-valley-1'),
+            address=Address('10.200.100.100:18080'),
+            peer_address=Address('10.200.100.100:19080'),
+        )
+        for peers in (15, 419):
+            sample = settings.sample_size(peers)
+            gossip = Gossip(report, (PeerView(report, 1.5),) * sample)
+            size = report_codec.encode_gossip_ask(gossip).ByteSize()
+            # A node opens as many exchanges as it answers, on average.
+            messages = 2 * settings.targets(peers) / settings.interval_s
+            self.assertLess(size * messages, 4096)
+
     def test_document(self) -> None:
         document = ConfigurationDocument(
             ConfigVersion(3), b'\x00x', NodeName('r1')
