End hosted engines together and keep more idle connections

A stopped engine process waited for ever: a thread of cheroot ends only when its server is stopped. cheroot also keeps only ten idle connections by default, so callers reconnected all the time; and slow calls of the platform took all 16 threads, its control calls with them.

--- a/pomelogauge/standins/engine.py
+++ b/pomelogauge/standins/engine.py
@@ -1,5 +1,6 @@
 """Stand-in for model engines: one process hosts one or several instances."""
 
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TypeVar
@@ -273,6 +274,9 @@
         engine.start()
         print_ready('engine', engine.name, engine.address)
     wait_for_signal()
+    # Each server waits a while for its threads, so they stop together.
+    with ThreadPoolExecutor(cfg.count) as stops:
+        stops.map(EngineStandin.stop, engines)
 
 
 def _taken(admission: StreamTaken | Admission) -> StreamTaken:
--- a/pomelogauge/standins/http_app.py
+++ b/pomelogauge/standins/http_app.py
@@ -22,6 +22,8 @@
 _IDLE_TIMEOUT_S = 60
 #: Seconds for which a closing server waits for its threads.
 _SHUTDOWN_TIMEOUT_S = 1
+#: Idle connections kept; without a limit of its own cheroot keeps ten.
+_IDLE_CONNECTIONS = 1024
 #: Connections that wait to be accepted.
 _BACKLOG = 128
 #: Seconds after which a task that does not answer has ended.
@@ -173,6 +175,7 @@
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
         )
         self._server.gateway = _Gateway
+        self._server.keep_alive_conn_limit = _IDLE_CONNECTIONS
         self._server.prepare()
         bound_host, bound_port = self._server.bind_addr
         self.address = Address(f'{bound_host}:{bound_port}')
--- a/pomelogauge/standins/platform.py
+++ b/pomelogauge/standins/platform.py
@@ -81,14 +81,14 @@
     list_lag_s
         Seconds by which the instance list lags.
     threads
-        Threads that answer calls.
+        Threads that answer calls; a slow call keeps one busy.
 
     """
 
     port: int = 0
     name: str = 'platform'
     list_lag_s: float = 0.5
-    threads: int = 16
+    threads: int = 64
 
 
 class PlatformCalls:
