Judge the lease at each grant, and age the views of a shard

A controller that wakes up after a pause still holds the owner's last message. The desk now compares the lease's end with its own clock at each answer and adds the time since the report to a view's age. The lease keeper leaves the watch of holders and the owners to modules of their own. ShardViews gains held_until_s and reported_at_s, both with defaults.

--- a/pomelogauge/tasks/grant_desk.py
+++ b/pomelogauge/tasks/grant_desk.py
@@ -166,8 +166,11 @@
         asked.reply.post(answer)
 
     def _views(self) -> tuple[ReplicaView, ...]:
+        now_s = self._clock.now_s()
         return tuple(
-            view for shard in self._shards.values() for view in shard.views
+            _aged(view, shard, now_s)
+            for shard in self._shards.values()
+            for view in shard.views
         )
 
     def _grant(
@@ -189,7 +192,9 @@
         )
         ledger = ledger.having(account)
         slots = 0
-        if _may_grant(shard, view) and now_s >= ledger.opens_at_s:
+        is_held = shard.held and now_s < shard.held_until_s
+        may_grant = view.serving and (is_held or _is_warm(view))
+        if may_grant and now_s >= ledger.opens_at_s:
             slots = slots_for(
                 view, router, ledger.accounts, now_s, self._silent_after_s
             )
@@ -222,11 +227,18 @@
 _SENDING_S = 0.1
 
 
-def _may_grant(shard: ShardViews, view: ReplicaView) -> bool:
-    """Return whether a replica may be fed.
+def _is_warm(view: ReplicaView) -> bool:
+    """Return whether a replica bears its full load.
 
     While the lease has lapsed another controller may grant as well; only a
-    warm target can bear that, until the routers have heard the new holder.
+    warm replica can bear that, until the routers have heard the new holder.
     """
-    is_warm = 0 < view.capacity <= view.bearable
-    return view.serving and (shard.held or is_warm)
+    return 0 < view.capacity <= view.bearable
+
+
+def _aged(view: ReplicaView, shard: ShardViews, now_s: float) -> ReplicaView:
+    """Return a view whose age counts the time since it was reported."""
+    if shard.reported_at_s is None:
+        return view
+    age_s = max(now_s - shard.reported_at_s, 0)
+    return replace(view, waiting_s=view.waiting_s + age_s)
--- a/pomelogauge/tasks/lease_keeper.py
+++ b/pomelogauge/tasks/lease_keeper.py
@@ -9,30 +9,21 @@
     LeaseFacts,
     LeaseState,
 )
-from ..decide.leases import (
-    HolderSeen,
-    Standing,
-    is_silent,
-    is_wanted,
-    observe,
-    shards_of,
-    should_hand_over,
-)
+from ..decide.leases import Standing, is_wanted, should_hand_over
 from ..model.chart import Chart
-from ..model.ids import ABSENT_ROW, Incarnation, NodeName, ShardName
+from ..model.ids import Incarnation, NodeName, ShardName
 from ..model.placement import Lease
 from ..model.times import ControlTimes
-from ..platform.protocols import Condition, RowKey, TableService
-from ..wire.rows import HOLDERS
+from ..platform.protocols import TableService
 from .clock import Clock
-from .control_messages import LeaseHeld, LeasePaused, ShardTask, ShardTasks
+from .control_messages import ShardTasks
 from .holder_row import HolderRow, Renewal
+from .holder_watch import HolderWatch
 from .lease_rows import LeaseRows, LeaseScan
-from .messages import ConfigurationInForce, InstancesListed
+from .owned_shards import KeeperMessage, OwnedShards
 from .settle import TransactionNames
 
 LeaseChart = Chart[LeaseState, LeaseEvent, LeaseAction, LeaseFacts]
-KeeperMessage = ConfigurationInForce | InstancesListed
 
 _log = logging.getLogger(__name__)
 
@@ -59,7 +50,7 @@
     taken: Lease | None = None
 
 
-class LeaseKeeper:  # noqa: WPS214 (one short method an action)
+class LeaseKeeper:  # noqa: WPS214 (a short method an action)
     """Owns one connection to the platform and all leases of a controller.
 
     Parameters
@@ -93,25 +84,21 @@
         names = TransactionNames(f'{node} leases', incarnation)
         self._row = HolderRow(node, incarnation, tables, times, clock)
         self._leases = LeaseRows(tables, names)
-        self._owners = owners
+        self._owners = OwnedShards(owners)
+        self._holders = HolderWatch(node, times, clock)
         self._chart = chart
         self._times = times
         self._clock = clock
         self._due_s = float('-inf')
         self._handed_over_s = float('-inf')
-        self._known: dict[type[KeeperMessage], KeeperMessage] = {}
-        self._holders: dict[NodeName, HolderSeen] = {}
         self._machines: dict[ShardName, _Machine] = {}
-        self._tasks: dict[ShardName, ShardTask] = {}
 
     def on_start(self) -> None:
         """Do nothing; the first renewal is due at once."""
 
     def on_message(self, message: KeeperMessage) -> None:
         """Remember and pass on what the owners of shards need."""
-        self._known[type(message)] = message
-        for task in self._tasks.values():
-            task.post(message)
+        self._owners.pass_on(message)
 
     def on_timer(self) -> float | None:
         """Renew, look and act once a period."""
@@ -122,17 +109,16 @@
         self._lapse()
         self._renew()
         self._lapse()
-        self._tell_owners()
+        for shard in self._owners.names():
+            if self._machines[shard].state == LeaseState.HELD:
+                self._tell(shard)
         return max(self._due_s - self._clock.now_s(), 0)
 
     def on_stop(self) -> None:
         """Hand all leases over and withdraw the own row."""
-        for task in self._tasks.values():
-            task.stop(0)
-        for shard, task in self._tasks.items():
-            task.stop(2 * self._times.order_timeout_s)
-            self._leases.release(self._machines[shard].lease)
-        self._tasks.clear()
+        self._owners.stop_all()
+        for shard in self._owners.names():
+            self._hand_over(shard)
         self._row.delete()
 
     def _renew(self) -> None:
@@ -147,18 +133,14 @@
 
     def _start_anew(self) -> None:
         _log.warning('leases: the own row was changed by another incarnation')
-        for task in self._tasks.values():
-            task.stop(0)
-        self._tasks.clear()
+        for shard in self._owners.names():
+            self._owners.stop(shard, 0)
         self._machines.clear()
 
     def _see(self, scan: LeaseScan) -> None:
-        now_s = self._clock.now_s()
-        self._holders = observe(
-            self._holders, scan.heartbeats, now_s, self._times
-        )
+        self._holders.take(scan.heartbeats)
         rows = {lease.shard: lease for lease in scan.leases}
-        wanted = rows.keys() | self._listed_shards()
+        wanted = rows.keys() | self._owners.listed()
         for shard in sorted(wanted.difference(scan.unreadable)):
             self._see_shard(rows.get(shard, Lease(shard)))
         for unreadable in scan.unreadable:
@@ -166,12 +148,6 @@
         if not scan.unreadable:
             self._sweep()
 
-    def _listed_shards(self) -> frozenset[ShardName]:
-        listed = self._known.get(InstancesListed)
-        if isinstance(listed, InstancesListed):
-            return shards_of(listed.instances)
-        return frozenset()
-
     def _see_shard(self, lease: Lease) -> None:
         machine = self._machines.get(lease.shard)
         if machine is None:
@@ -206,21 +182,21 @@
             case LeaseAction.START_OWNER:
                 self._start_owner(shard)
             case LeaseAction.STOP_OWNER:
-                self._tasks.pop(shard).stop(0)
+                self._owners.stop(shard, 0)
             case LeaseAction.PAUSE_OWNER:
-                self._tasks[shard].post(LeasePaused())
+                self._owners.pause(shard)
             case LeaseAction.RESUME_OWNER:
                 self._tell(shard)
             case LeaseAction.HAND_OVER:
                 self._hand_over(shard)
 
     def _facts(self, machine: _Machine) -> LeaseFacts:
-        now_s = self._clock.now_s()
         lease = machine.lease
-        silent = is_silent(self._holders.get(lease.holder), now_s, self._times)
+        silent = self._holders.is_silent(lease.holder)
         if lease.holder == self._row.heartbeat.holder:
             # An earlier incarnation may believe in this lease for a term.
             term_s = self._times.lease_term_s + self._times.lease_margin_s
+            now_s = self._clock.now_s()
             silent = now_s - self._row.registered_s >= term_s
         return LeaseFacts(holder_silent=silent, unheld=not lease.holder)
 
@@ -229,7 +205,7 @@
         holder = self._row.heartbeat.holder
         conditions = [self._row.condition]
         if old.holder not in {'', holder}:
-            conditions.append(self._unchanged(old.holder))
+            conditions.append(self._holders.unchanged(old.holder))
         taken = self._leases.take(old, holder, conditions)
         if taken is None:
             self._step(shard, LeaseEvent.TAKE_FAILED)
@@ -239,23 +215,14 @@
         )
         self._step(shard, LeaseEvent.TAKEN)
 
-    def _unchanged(self, holder: NodeName) -> Condition:
-        seen = self._holders.get(holder)
-        version = seen.heartbeat.version if seen else ABSENT_ROW
-        return Condition(RowKey(HOLDERS, holder), version)
-
     def _start_owner(self, shard: ShardName) -> None:
         lease = self._machines[shard].lease
         _log.info('leases: took %s with epoch %d', shard, lease.epoch)
-        task = self._owners.start(lease)
-        self._tasks[shard] = task
-        for message in self._known.values():
-            task.post(message)
-        self._tell(shard)
+        self._owners.start(lease, self._row.held_until_s)
 
     def _hand_over(self, shard: ShardName) -> None:
         # An order on its way must end before another controller may act.
-        self._tasks.pop(shard).stop(2 * self._times.order_timeout_s)
+        self._owners.stop(shard, 2 * self._times.order_timeout_s)
         self._leases.release(self._machines[shard].lease)
         self._handed_over_s = self._clock.now_s()
         _log.info('leases: handed %s over', shard)
@@ -263,32 +230,20 @@
     def _lapse(self) -> None:
         if self._clock.now_s() < self._row.held_until_s:
             return
-        for shard in self._tasks:
+        for shard in self._owners.names():
             self._step(shard, LeaseEvent.LAPSED)
 
-    def _tell_owners(self) -> None:
-        for shard in self._tasks:
-            if self._machines[shard].state == LeaseState.HELD:
-                self._tell(shard)
-
     def _tell(self, shard: ShardName) -> None:
         lease = self._machines[shard].lease
-        self._tasks[shard].post(LeaseHeld(lease, self._row.held_until_s))
+        self._owners.tell(lease, self._row.held_until_s)
 
     def _sweep(self) -> None:
         """Delete the row of one silent holder that no lease names."""
         kept = {machine.lease.holder for machine in self._machines.values()}
         kept.add(self._row.heartbeat.holder)
-        now_s = self._clock.now_s()
-        for node, seen in self._holders.items():
-            if node not in kept and is_silent(seen, now_s, self._times):
-                self._leases.forget(seen.heartbeat)
-                return
+        silent = self._holders.silent(kept)
+        if silent is not None:
+            self._leases.forget(silent)
 
     def _standing(self) -> Standing:
-        return Standing(
-            self._row.heartbeat.holder,
-            self._holders,
-            self._handed_over_s,
-            self._clock.now_s(),
-        )
+        return self._holders.standing(self._handed_over_s)
--- a/pomelogauge/tasks/messages.py
+++ b/pomelogauge/tasks/messages.py
@@ -167,6 +167,10 @@
         All replicas of the shard.
     formed
         Those formed under this lease, so that no other granter knew them.
+    held_until_s
+        Own clock when the lease lapses unless it is renewed.
+    reported_at_s
+        Own clock when the views were made; ``None`` when not told.
 
     """
 
@@ -175,6 +179,8 @@
     held: bool
     views: tuple[ReplicaView, ...]
     formed: frozenset[ReplicaId] = frozenset()
+    held_until_s: float = float('inf')
+    reported_at_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/tasks/shard_owner.py
+++ b/pomelogauge/tasks/shard_owner.py
@@ -315,6 +315,8 @@
                 for replica in self._replicas.replicas()
             ),
             self._replicas.formed(),
+            self._due.held_until_s,
+            now_s,
         )
         self._links.desk.post(views)
 
--- a/test/test_grants.py
+++ b/test/test_grants.py
@@ -69,7 +69,15 @@
         view = ReplicaView(REPLICA, True, 0, bearable, capacity=8)
         own = frozenset((REPLICA.replica,) if formed else ())
         self.desk.on_message(
-            ShardViews(REPLICA.shard, Epoch(epoch), held, (view,), own)
+            ShardViews(
+                REPLICA.shard,
+                Epoch(epoch),
+                held,
+                (view,),
+                own,
+                self.clock.now + 30,
+                self.clock.now,
+            )
         )
 
     def ask(self, router: str, waiting: int, running: int = 0) -> int:
@@ -114,6 +122,13 @@
             bench.clock.now += 2
             self.assertEqual(bench.ask('r1', 9), slots)
 
+    def test_desk_that_wakes_up_late_grants_nothing_cold(self) -> None:
+        bench = Bench(2)
+        bench.clock.now += 2
+        self.assertEqual(bench.ask('r1', 9), 2)
+        bench.clock.now += 30
+        self.assertEqual(bench.ask('r1', 9), 0)
+
     @settings(deadline=None, max_examples=200)
     @given(
         st.integers(1, 12),
