Look at the heads of the queue's lines only

A freed place sorted the whole queue. Requests of one organisation that need the same now stand in one line by deadline.

--- a/pomelogauge/decide/queue.py
+++ b/pomelogauge/decide/queue.py
@@ -1,8 +1,8 @@
 """Order and bounds of the requests that wait for a place."""
 
-from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 
 from ..model.ids import OrganisationName
 from ..model.request import ModelRequest, Refusal, RefusalCode
@@ -53,32 +53,25 @@
     retry_after_s: float = 1
 
 
-def in_order(
-    waiting: Iterable[Waiting],
+def first_of(
+    heads: Iterable[Waiting],
     shares: Shares,
-) -> tuple[Waiting, ...]:
-    """Return the queue by priority, fair share and deadline.
+) -> Waiting | None:
+    """Return who goes first among the heads of several queues.
+
+    The order is by priority, then by what the organisation has running in
+    proportion to its weight, then by deadline, so that one organisation's
+    long queue does not hold up another's short one.
+
+    Parameters
+    ----------
+    heads
+        The most urgent request of each organisation.
+    shares
+        What organisations have running.
 
-    A request's share counts what its organisation has running and has
-    waiting before it, so that one organisation's long queue does not hold
-    up another's short one.
     """
-    counts: Counter[OrganisationName] = Counter(shares.running)
-    ranked: list[tuple[int, float, float, str, Waiting]] = []
-    for entry in sorted(waiting, key=_by_deadline):
-        organisation = entry.request.organisation
-        weight = max(shares.weights.get(organisation, 1), 1)
-        ranked.append(
-            (
-                -entry.priority,
-                counts[organisation] / weight,
-                entry.deadline_at_s,
-                entry.request.request,
-                entry,
-            )
-        )
-        counts[organisation] += 1
-    return tuple(rank[-1] for rank in sorted(ranked, key=_without_entry))
+    return min(heads, key=partial(_rank, shares), default=None)
 
 
 def admission_refusal(
@@ -121,11 +114,15 @@
     return None
 
 
-def _by_deadline(entry: Waiting) -> tuple[int, float, str]:
-    return (-entry.priority, entry.deadline_at_s, entry.request.request)
-
-
-def _without_entry(
-    rank: tuple[int, float, float, str, Waiting],
+def _rank(
+    shares: Shares,
+    entry: Waiting,
 ) -> tuple[int, float, float, str]:
-    return rank[:4]
+    organisation = entry.request.organisation
+    weight = max(shares.weights.get(organisation, 1), 1)
+    return (
+        -entry.priority,
+        shares.running.get(organisation, 0) / weight,
+        entry.deadline_at_s,
+        entry.request.request,
+    )
--- a/pomelogauge/decide/routing.py
+++ b/pomelogauge/decide/routing.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from ..model.ids import DataCentreName, ReplicaId
-from ..model.manifest import Configuration, Deployment
+from ..model.manifest import Configuration
 from ..model.placement import ReplicaView
 from ..model.request import ModelRequest
 
@@ -85,7 +85,6 @@
 
 def usable_offers(
     configuration: Configuration,
-    deployments: tuple[Deployment, ...],
     offers: Iterable[Offer],
     avoid: tuple[ReplicaId, ...] = (),
 ) -> tuple[Offer, ...]:
@@ -95,20 +94,16 @@
     ----------
     configuration
         Configuration in force.
-    deployments
-        Deployments that may answer the request.
     offers
-        All replicas known.
+        Replicas of the deployments that may answer it.
     avoid
         Replicas already tried.
 
     """
-    names = {deployment.name for deployment in deployments}
     return tuple(
         offer
         for offer in offers
         if offer.replica not in avoid
-        and offer.view.replica.deployment in names
         and _takes_work(offer, configuration.drained)
     )
 
--- a/pomelogauge/tasks/dispatcher.py
+++ b/pomelogauge/tasks/dispatcher.py
@@ -111,8 +111,7 @@
     def on_timer(self) -> float | None:
         """Refuse what is out of time and place what can be placed."""
         now_s = self._clock.now_s()
-        self._models.refuse_expired(now_s)
-        self._models.wake(now_s)
+        self._models.do_due(now_s)
         return self._models.next_due_s(now_s)
 
     def on_message(self, message: DispatcherMessage) -> None:
--- a/pomelogauge/tasks/fleet.py
+++ b/pomelogauge/tasks/fleet.py
@@ -16,6 +16,7 @@
 from ..decide.target_warmth import WarmthRules
 from ..model.ids import (
     NO_EPOCH,
+    DeploymentName,
     Epoch,
     Incarnation,
     InstanceName,
@@ -54,8 +55,12 @@
         """Take the instances that the platform announced as leaving."""
         self._leaving = names
 
-    def offers(self, now_s: float) -> tuple[Offer, ...]:
-        """Return every known replica and what may be sent to it now."""
+    def offers(
+        self,
+        deployments: tuple[DeploymentName, ...],
+        now_s: float,
+    ) -> tuple[Offer, ...]:
+        """Return the replicas of deployments and what they may be sent."""
         return tuple(
             offer_of(
                 known,
@@ -65,6 +70,7 @@
                 now_s,
             )
             for replica, known in self._known.items()
+            if known.view.replica.deployment in deployments
         )
 
     def note_sent(
--- a/pomelogauge/tasks/model_desk.py
+++ b/pomelogauge/tasks/model_desk.py
@@ -1,5 +1,6 @@
 """Places on replicas."""
 
+import math
 from collections.abc import Iterator
 
 from returns.result import Failure
@@ -7,7 +8,7 @@
 from ..decide.access import deployments_for
 from ..decide.queue import QueueLimits, Shares, admission_refusal
 from ..decide.routing import Offer, Policy, usable_offers
-from ..model.ids import DeploymentName, RequestId
+from ..model.ids import RequestId
 from ..model.peers import Demand
 from ..model.request import (
     ModelRequest,
@@ -20,7 +21,7 @@
 from .messages import AskPlace
 from .placements import Placed, Placements
 from .published import Published
-from .request_queue import Queued, RequestQueue
+from .request_queue import Needs, Queued, RequestQueue
 from .router_state import RouterState
 
 
@@ -54,6 +55,7 @@
         self._published = published
         self._queue = RequestQueue()
         self._placements = Placements()
+        self._release_at_s = math.inf
 
     def admit(self, ask: AskPlace, now_s: float) -> None:
         """Let a request wait or refuse it at once."""
@@ -81,28 +83,29 @@
     def check_again(self) -> None:
         """Check who waits against a new configuration."""
         for queued in self._queue:
-            self._queue.remove(queued.ask.request.request)
+            self._queue.remove(queued.request)
             self._enqueue(queued.ask)
 
     def wake(self, now_s: float) -> None:
         """Place what can be placed, in the order of the queue."""
-        if not len(self._queue):
-            return
-        full: set[tuple[DeploymentName, ...]] = set()
-        for queued in self._queue.in_order(self._shares()):
-            if queued.names in full:
-                continue
+        full: set[Needs] = set()
+        while len(self._queue):
+            queued = self._queue.first(self._shares(), full)
+            if queued is None:
+                return
             offer = self._choose(queued, now_s)
             if offer:
                 self._place(queued, offer, now_s)
-            elif not queued.ask.avoid:
-                full.add(queued.names)
+            else:
+                full.add(queued.needs)
 
-    def refuse_expired(self, now_s: float) -> None:
-        """Refuse those whose deadline is over."""
-        for queued in self._queue.expired(now_s):
+    def do_due(self, now_s: float) -> None:
+        """Refuse those out of time; use replicas held no longer."""
+        while queued := self._queue.next_expired(now_s):
             message = 'no place came free before the deadline'
             self._refuse(queued, RefusalCode.DEADLINE, message)
+        if now_s >= self._release_at_s:
+            self.wake(now_s)
 
     def refuse_all(self) -> None:
         """Refuse all who wait, as the router stops."""
@@ -111,12 +114,15 @@
 
     def next_due_s(self, now_s: float) -> float | None:
         """Return seconds until a deadline, or until a hold is over."""
-        deadline_s = self._queue.next_deadline_s()
-        if deadline_s is None:
-            return None
-        due_s = max(deadline_s - now_s, 0)
+        deadline_at_s = self._queue.next_deadline_s()
         release_s = self._fleet.next_release_s(now_s)
-        return due_s if release_s is None else min(due_s, release_s)
+        if release_s is None:
+            self._release_at_s = math.inf
+        else:
+            self._release_at_s = now_s + release_s
+        if deadline_at_s is None:
+            return None
+        return max(min(deadline_at_s, self._release_at_s) - now_s, 0)
 
     def demands(self) -> Iterator[Demand]:
         """Yield what each deployment is asked for."""
@@ -151,9 +157,8 @@
     def _choose(self, queued: Queued, now_s: float) -> Offer | None:
         offers = usable_offers(
             self._published.latest().configuration,
-            queued.deployments,
-            self._fleet.offers(now_s),
-            queued.ask.avoid,
+            self._fleet.offers(queued.needs.deployments, now_s),
+            queued.needs.avoid,
         )
         return self._policy.choose(queued.ask.request, offers)
 
@@ -173,7 +178,7 @@
         code: RefusalCode,
         message: str,
     ) -> None:
-        request = queued.ask.request.request
+        request = queued.request
         self._queue.remove(request)
         retry_s = self._limits.retry_after_s
         queued.ask.reply.post(
--- a/pomelogauge/tasks/request_queue.py
+++ b/pomelogauge/tasks/request_queue.py
@@ -3,13 +3,36 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
-
-from ..decide.queue import Shares, Waiting, in_order
-from ..model.ids import DeploymentName, OrganisationName, RequestId
+from heapq import heappop, heappush
+
+from ..decide.queue import Shares, Waiting, first_of
+from ..model.ids import (
+    DeploymentName,
+    OrganisationName,
+    ReplicaId,
+    RequestId,
+)
 from ..model.manifest import Deployment
 from .messages import AskPlace
 
 
+@dataclass(frozen=True)
+class Needs:
+    """What a waiting request needs; alike for many requests.
+
+    Parameters
+    ----------
+    deployments
+        Deployments that may answer it.
+    avoid
+        Replicas already lost for it.
+
+    """
+
+    deployments: tuple[DeploymentName, ...]
+    avoid: tuple[ReplicaId, ...]
+
+
 @dataclass(frozen=True)
 class Queued:
     """An ask in the queue.
@@ -18,77 +41,160 @@
     ----------
     ask
         The ask.
-    deployments
-        Those that may answer it.
+    needs
+        What it needs.
     waiting
         Its rank.
 
     """
 
     ask: AskPlace
-    deployments: tuple[Deployment, ...]
+    needs: Needs
     waiting: Waiting
 
     @property
-    def names(self) -> tuple[DeploymentName, ...]:
-        """Names of the deployments."""
-        return tuple(deployment.name for deployment in self.deployments)
+    def request(self) -> RequestId:
+        """Identifier of the request."""
+        return self.ask.request.request
+
+    @property
+    def organisation(self) -> OrganisationName:
+        """Whose request it is."""
+        return self.ask.request.organisation
+
+
+@dataclass(frozen=True, order=True)
+class _HeapEntry:
+    """Place in a heap; the number tells equal deadlines apart."""
+
+    deadline_at_s: float
+    number: int
+
+
+class _DeadlineHeap:
+    """Entries by deadline; those no longer queued are dropped when met."""
+
+    def __init__(self, queued: dict[int, Queued]) -> None:
+        self._queued = queued
+        self._heap: list[_HeapEntry] = []
+
+    def push(self, deadline_at_s: float, number: int) -> None:
+        heappush(self._heap, _HeapEntry(deadline_at_s, number))
+
+    def head(self) -> Queued | None:
+        while self._heap:
+            queued = self._queued.get(self._heap[0].number)
+            if queued:
+                return queued
+            heappop(self._heap)
+        return None
+
+
+@dataclass(frozen=True)
+class _LineKey:
+    """Requests of one organisation that need the same."""
+
+    needs: Needs
+    organisation: OrganisationName
 
 
 class RequestQueue:
-    """The queue; state of the dispatcher's task."""
+    """The queue; state of the dispatcher's task.
+
+    Requests of one organisation that need the same stand in one line, so
+    that a placement looks at the heads of the lines only.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
-        self._entries: dict[RequestId, Queued] = {}
+        self._queued: dict[int, Queued] = {}
+        self._numbers: dict[RequestId, int] = {}
+        self._lines: dict[_LineKey, _DeadlineHeap] = {}
+        self._all = _DeadlineHeap(self._queued)
+        self._counts: Counter[OrganisationName] = Counter()
+        self._last_number = 0
 
     def __len__(self) -> int:
         """Return how many requests wait."""
-        return len(self._entries)
+        return len(self._queued)
 
     def __iter__(self) -> Iterator[Queued]:
         """Yield the entries as they are at present."""
-        return iter(tuple(self._entries.values()))
+        return iter(tuple(self._queued.values()))
 
     def add(self, ask: AskPlace, deployments: tuple[Deployment, ...]) -> None:
         """Let a request wait."""
+        names = tuple(deployment.name for deployment in deployments)
         waiting = Waiting(
             ask.request,
             max(deployment.priority for deployment in deployments),
             ask.asked_at_s + ask.request.deadline_s,
         )
-        entry = Queued(ask, deployments, waiting)
-        self._entries[ask.request.request] = entry
+        self.remove(ask.request.request)
+        self._insert(Queued(ask, Needs(names, ask.avoid), waiting))
 
     def remove(self, request: RequestId) -> None:
         """Drop a request if it waits."""
-        self._entries.pop(request, None)
-
-    def in_order(self, shares: Shares) -> tuple[Queued, ...]:
-        """Return the entries, first the one that is due a place."""
-        waiting = [queued.waiting for queued in self._entries.values()]
-        return tuple(
-            self._entries[entry.request.request]
-            for entry in in_order(waiting, shares)
-        )
-
-    def expired(self, now_s: float) -> tuple[Queued, ...]:
-        """Return the entries whose deadline is over."""
-        return tuple(
-            queued for queued in self if queued.waiting.deadline_at_s <= now_s
-        )
+        number = self._numbers.pop(request, None)
+        if number is not None:
+            queued = self._queued.pop(number)
+            self._counts[queued.organisation] -= 1
+
+    def first(self, shares: Shares, full: set[Needs]) -> Queued | None:
+        """Return who is due a place next.
+
+        Parameters
+        ----------
+        shares
+            What organisations have running.
+        full
+            Needs that can't be met now.
+
+        """
+        heads = {
+            head.request: head
+            for key, line in tuple(self._lines.items())
+            if key.needs not in full and (head := self._head(key, line))
+        }
+        entry = first_of((head.waiting for head in heads.values()), shares)
+        return heads[entry.request.request] if entry else None
+
+    def next_expired(self, now_s: float) -> Queued | None:
+        """Return an entry whose deadline is over."""
+        head = self._all.head()
+        if head and head.waiting.deadline_at_s <= now_s:
+            return head
+        return None
 
     def next_deadline_s(self) -> float | None:
         """Return the own clock at the next deadline."""
-        deadlines = [queued.waiting.deadline_at_s for queued in self]
-        return min(deadlines, default=None)
+        head = self._all.head()
+        return head.waiting.deadline_at_s if head else None
 
     def count_of(self, organisation: OrganisationName) -> int:
         """Return how many requests of an organisation wait."""
-        return sum(
-            queued.ask.request.organisation == organisation for queued in self
-        )
+        return self._counts[organisation]
 
     def by_deployment(self) -> Counter[DeploymentName]:
         """Count the waiting requests that each deployment may answer."""
-        return Counter(name for queued in self for name in queued.names)
+        return Counter(
+            name for queued in self for name in queued.needs.deployments
+        )
+
+    def _insert(self, queued: Queued) -> None:
+        self._last_number += 1
+        number = self._last_number
+        deadline_at_s = queued.waiting.deadline_at_s
+        self._queued[number] = queued
+        self._numbers[queued.request] = number
+        self._counts[queued.organisation] += 1
+        self._all.push(deadline_at_s, number)
+        key = _LineKey(queued.needs, queued.organisation)
+        line = self._lines.setdefault(key, _DeadlineHeap(self._queued))
+        line.push(deadline_at_s, number)
+
+    def _head(self, key: _LineKey, line: _DeadlineHeap) -> Queued | None:
+        head = line.head()
+        if head is None:
+            self._lines.pop(key)
+        return head
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -13,8 +13,7 @@
 class RoutingTest(unittest.TestCase):
     def usable(self, *offers: Offer, drained=(), avoid=()) -> list[str]:
         cfg = configuration(drained=drained)
-        allowed = deployments_for(cfg, request()).unwrap()
-        found = usable_offers(cfg, allowed, offers, avoid)
+        found = usable_offers(cfg, offers, avoid)
         return [offer.replica for offer in found]
 
     def test_offers_only_what_may_take_work(self) -> None:
