Keep the slot of a request that a lost target may still run

A cold target must not get more than it bears, and a lost target may go on with a request for a while. Its slot is kept until then, or until another incarnation answers. A stream's close says whether nothing runs any more.

--- a/pomelogauge/decide/known_replica.py
+++ b/pomelogauge/decide/known_replica.py
@@ -1,14 +1,11 @@
 """What a router knows of one replica, and what it may send to it."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
 from ..model.ids import (
     NO_EPOCH,
     Epoch,
-    InstanceName,
     NodeName,
-    RequestId,
     ShardName,
 )
 from ..model.peers import ExchangeAnswer
@@ -28,6 +25,9 @@
         Seconds without new work after a replica was lost.
     refused_hold_s
         Seconds without new work after a replica refused.
+    linger_s
+        Seconds for which a lost request keeps its slot, as its target may
+        still run it.
     proof_life_s
         Seconds for which an answer proves a warm replica alive when its
         grant is not renewed.
@@ -42,6 +42,7 @@
 
     suspect_s: float = 2
     refused_hold_s: float = 0.5
+    linger_s: float = 5
     proof_life_s: float = 30
     silent_s: float = 10
     cold_slots: int = 1
@@ -174,10 +175,8 @@
 
 def offer_of(
     known: KnownReplica,
-    sent: Mapping[RequestId, float],
-    leaving: frozenset[InstanceName],
-    cfg: FleetSettings,
-    now_s: float,
+    sent_times: tuple[float, ...],
+    slots: int,
 ) -> Offer:
     """Return what may be sent to a replica now.
 
@@ -185,23 +184,15 @@
     ----------
     known
         What is known of it.
-    sent
-        Own requests on it and when each was sent.
-    leaving
-        Instances that go away.
-    cfg
-        Settings.
-    now_s
-        Own clock.
+    sent_times
+        When each own request on it was sent.
+    slots
+        Requests at once that it may have.
 
     """
     reported_at_s = known.asked_at_s - known.view.waiting_s
-    since = [at_s for at_s in sent.values() if at_s > reported_at_s]
-    is_leaving = any(
-        member.instance in leaving for member in known.view.replica.members
-    )
-    slots = 0 if is_leaving else usable_slots(known, cfg, now_s)
-    return Offer(known.view, slots, len(sent), len(since))
+    since = sum(at_s > reported_at_s for at_s in sent_times)
+    return Offer(known.view, slots, len(sent_times), since)
 
 
 def usable_slots(
--- a/pomelogauge/engines/http_streams.py
+++ b/pomelogauge/engines/http_streams.py
@@ -17,6 +17,7 @@
 from .protocols import EngineError, EngineFault, StreamAsk, Token, TokenStream
 
 _OK = 200
+_NO_CONTENT = 204
 _READ_SIZE_BYTES = 65536
 
 #: Refusals by which an engine says that it ran nothing.
@@ -86,18 +87,18 @@
         discard(resp)
         return Failure(fault)
 
-    def cancel(self, address: Address, request: RequestId) -> None:
-        """Ask an engine to drop a request; nothing tells whether it did."""
+    def cancel(self, address: Address, request: RequestId) -> bool:
+        """Ask an engine to drop a request and return whether it said so."""
         try:
-            self._pool.request(
+            resp = self._pool.request(
                 'DELETE',
                 f'http://{address}/v1/requests/{request}',
                 headers={'X-Client': self._cfg.node},
                 timeout=Timeout(self._cfg.cancel_timeout_s),
             )
         except (HTTPError, OSError):
-            # The engine also notices that the connection was closed.
-            return
+            return False
+        return resp.status == _NO_CONTENT
 
     def _send(self, address: Address, ask: StreamAsk) -> BaseHTTPResponse:
         timeout = Timeout(
@@ -165,14 +166,15 @@
             wanted += 1
         yield _cut('the stream ended without its explicit end')
 
-    def close(self, *, cancel: bool) -> None:
+    def close(self, *, cancel: bool) -> bool:
         """Give the connection back after a clean end, else close it."""
         if self._is_whole and self._drain():
             self._resp.release_conn()
-            return
+            return True
         discard(self._resp)
-        if cancel:
-            self._streams.cancel(self._address, self._ask.request)
+        if cancel and not self._is_whole:
+            return self._streams.cancel(self._address, self._ask.request)
+        return self._is_whole
 
     def _events(self) -> Iterator[Result[Token | StreamEnd, EngineError]]:
         reader = EventReader()
--- a/pomelogauge/engines/protocols.py
+++ b/pomelogauge/engines/protocols.py
@@ -140,8 +140,20 @@
     def tokens(self) -> Iterator[Result[Token, EngineError]]:
         """Yield tokens until the explicit end; a failure ends it."""
 
-    def close(self, *, cancel: bool) -> None:
-        """Give the connection back after a clean end, else close it."""
+    def close(self, *, cancel: bool) -> bool:
+        """Give the connection back after a clean end, else close it.
+
+        Parameters
+        ----------
+        cancel
+            Ask the engine to drop a request that has not ended.
+
+        Returns
+        -------
+        bool
+            Whether the engine surely runs nothing of the request any more.
+
+        """
 
 
 class EngineStreams(Protocol):
--- a/pomelogauge/tasks/caller_task.py
+++ b/pomelogauge/tasks/caller_task.py
@@ -266,11 +266,11 @@
         self._refusal = replace(refusal, execution=self._execution)
         return RequestEvent.TARGET_LOST
 
-    def _close(self, *, cancel: bool) -> None:
+    def _close(self, *, cancel: bool) -> bool:
+        """Close the stream and return whether nothing runs any more."""
         stream = self._stream
         self._stream = None
-        if stream:
-            stream.close(cancel=cancel)
+        return stream is None or stream.close(cancel=cancel)
 
     def _free(self, end: PlaceEnd) -> None:
         place = self._place
@@ -283,8 +283,8 @@
         if self._state in self._parts.chart.final:
             return
         self._step(RequestEvent.CALLER_LEFT)
-        self._close(cancel=True)
-        self._free(PlaceEnd.CANCELLED)
+        is_stopped = self._close(cancel=True)
+        self._free(PlaceEnd.CANCELLED if is_stopped else PlaceEnd.LOST)
 
 
 def _refusal(
--- a/pomelogauge/tasks/fleet.py
+++ b/pomelogauge/tasks/fleet.py
@@ -1,5 +1,6 @@
 """Replicas as one router knows them."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import replace
 
@@ -9,6 +10,7 @@
     is_believable,
     lease_epochs,
     offer_of,
+    usable_slots,
     with_grant,
     with_view,
 )
@@ -26,6 +28,7 @@
 from ..model.placement import Grant, ReplicaView
 from ..model.request import PlaceEnd
 from .messages import ExchangeDone
+from .sent_requests import SentRequests
 
 
 class Fleet:
@@ -36,7 +39,7 @@
         self._cfg = cfg
         self._rules = rules
         self._known: dict[ReplicaId, KnownReplica] = {}
-        self._sent: dict[ReplicaId, dict[RequestId, float]] = {}
+        self._sent = SentRequests()
         self._leaving: frozenset[InstanceName] = frozenset()
 
     def take_answer(self, done: ExchangeDone, now_s: float) -> None:
@@ -64,10 +67,8 @@
         return tuple(
             offer_of(
                 known,
-                self._sent.get(replica, {}),
-                self._leaving,
-                self._cfg,
-                now_s,
+                self._sent.sent_times(replica),
+                self._usable(known, now_s),
             )
             for replica, known in self._known.items()
             if known.view.replica.deployment in deployments
@@ -80,7 +81,7 @@
         now_s: float,
     ) -> None:
         """Count a request as sent to a replica."""
-        self._sent.setdefault(replica, {})[request] = now_s
+        self._sent.add(replica, request, now_s)
 
     def note_ended(
         self,
@@ -90,16 +91,14 @@
         now_s: float,
     ) -> None:
         """Count a request no longer and learn from how it ended."""
-        sent = self._sent.get(replica, {})
-        sent.pop(request, None)
-        if not sent:
-            self._sent.pop(replica, None)
+        self._sent.end(replica, request)
         match end:
             case PlaceEnd.COMPLETED:
                 self._prove(replica, now_s)
             case PlaceEnd.LOST:
                 until_s = now_s + self._cfg.suspect_s
                 self._hold(replica, until_s, suspected=True)
+                self._sent.linger(replica, now_s + self._cfg.linger_s)
             case PlaceEnd.REFUSED:
                 until_s = now_s + self._cfg.refused_hold_s
                 self._hold(replica, until_s, suspected=False)
@@ -113,6 +112,8 @@
         known = self._known.get(replica)
         if known:
             warmth = self._rules.seen(known.warmth, incarnation)
+            if warmth.incarnation != known.warmth.incarnation:
+                self._sent.forget_lingering(replica)
             self._known[replica] = replace(known, warmth=warmth)
 
     def suspects(self) -> tuple[ReplicaId, ...]:
@@ -123,17 +124,27 @@
 
     def running(self) -> Iterator[tuple[ReplicaId, int]]:
         """Yield replicas and the own requests on them."""
-        for replica, sent in self._sent.items():
-            yield replica, len(sent)
+        yield from self._sent.counts()
 
-    def next_release_s(self, now_s: float) -> float | None:
-        """Return seconds until a replica is held no longer."""
+    def next_release_at_s(self, now_s: float) -> float:
+        """Return the own clock when a replica may take work again."""
         holds = [
-            known.held_until_s - now_s
+            known.held_until_s
             for known in self._known.values()
             if known.held_until_s > now_s
         ]
-        return min(holds, default=None)
+        held_until_s = min(holds, default=math.inf)
+        return min(held_until_s, self._sent.next_end_s(now_s))
+
+    def _usable(self, known: KnownReplica, now_s: float) -> int:
+        """Return the slots that are left when lingering ones are taken."""
+        replica = known.view.replica
+        if self._leaving:
+            instances = {member.instance for member in replica.members}
+            if instances & self._leaving:
+                return 0
+        lingering = self._sent.lingering(replica.replica, now_s)
+        return usable_slots(known, self._cfg, now_s) - lingering
 
     def _take_view(
         self,
--- a/pomelogauge/tasks/model_desk.py
+++ b/pomelogauge/tasks/model_desk.py
@@ -115,13 +115,10 @@
     def next_due_s(self, now_s: float) -> float | None:
         """Return seconds until a deadline, or until a hold is over."""
         deadline_at_s = self._queue.next_deadline_s()
-        release_s = self._fleet.next_release_s(now_s)
-        if release_s is None:
-            self._release_at_s = math.inf
-        else:
-            self._release_at_s = now_s + release_s
         if deadline_at_s is None:
+            self._release_at_s = math.inf
             return None
+        self._release_at_s = self._fleet.next_release_at_s(now_s)
         return max(min(deadline_at_s, self._release_at_s) - now_s, 0)
 
     def demands(self) -> Iterator[Demand]:
--- a/test/test_caller_task.py
+++ b/test/test_caller_task.py
@@ -53,8 +53,9 @@
                 return
             yield Success(Token(index, f't{index}'))
 
-    def close(self, *, cancel: bool) -> None:
+    def close(self, *, cancel: bool) -> bool:
         self.cancelled = cancel
+        return True
 
 
 class FakeTargets:
--- a/test/test_callers_http.py
+++ b/test/test_callers_http.py
@@ -57,9 +57,10 @@
             yield received
             self.gate.wait(10)
 
-    def close(self, *, cancel: bool) -> None:
-        super().close(cancel=cancel)
+    def close(self, *, cancel: bool) -> bool:
+        is_stopped = super().close(cancel=cancel)
         self.closed.set()
+        return is_stopped
 
 
 class EndlessStream(GatedStream):
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -195,6 +195,16 @@
         self.assertIsInstance(self.outcome(other), Place)
         self.assertEqual(reply.depth(), 0)
 
+    def test_a_lost_request_keeps_its_slot_for_a_while(self) -> None:
+        self.grant(view(), slots=1, life_s=60)
+        self.outcome(self.ask('r-1'))
+        self.free('r-1', PlaceEnd.LOST)
+        reply = self.ask('r-2')
+        for expected in (0, 1):
+            self.clock.at_s += self.dispatcher.on_timer()
+            self.dispatcher.on_timer()
+            self.assertEqual(reply.depth(), expected)
+
     def test_leaving_refuses_new_work_only(self) -> None:
         self.grant(view())
         self.tell(PhaseChanged(NodePhase.LEAVING))
