--- a/pomelogauge/tasks/model_desk.py
+++ b/pomelogauge/tasks/model_desk.py
@@ -133,7 +133,8 @@
         closed = state.closed(req.request, self._limits.retry_after_s)
         if closed:
             return closed
-        running = self._placements.by_organisation()[req.organisation]
+        placed = self._placements.by_organisation()
+        running = placed.get(req.organisation, 0)
         organisation = state.organisations.get(req.organisation)
         return admission_refusal(
             req,
--- a/pomelogauge/tasks/placements.py
+++ b/pomelogauge/tasks/placements.py
@@ -1,6 +1,7 @@
 """Requests that have a place on a replica."""
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ..model.ids import DeploymentName, OrganisationName, RequestId
@@ -21,18 +22,23 @@
     def __init__(self) -> None:
         """Start empty."""
         self._placed: dict[RequestId, Placed] = {}
+        self._organisations: Counter[OrganisationName] = Counter()
 
     def add(self, placed: Placed) -> None:
         """Note a place."""
         self._placed[placed.place.request] = placed
+        self._organisations[placed.organisation] += 1
 
     def pop(self, request: RequestId) -> Placed | None:
         """Forget a place and return it."""
-        return self._placed.pop(request, None)
-
-    def by_organisation(self) -> Counter[OrganisationName]:
-        """Count the requests of each organisation."""
-        return Counter(one.organisation for one in self._placed.values())
+        placed = self._placed.pop(request, None)
+        if placed:
+            self._organisations[placed.organisation] -= 1
+        return placed
+
+    def by_organisation(self) -> Mapping[OrganisationName, int]:
+        """Return the number of requests of each organisation."""
+        return self._organisations
 
     def by_deployment(self) -> Counter[DeploymentName]:
         """Count the requests on each deployment."""
