--- a/pomelogauge/tasks/messages.py
+++ b/pomelogauge/tasks/messages.py
@@ -166,6 +166,8 @@
         The lease is held; ``False`` once it lapsed or was lost.
     views
         All replicas of the shard.
+    formed
+        Those formed under this lease, so that no other granter knew them.
 
     """
 
@@ -173,6 +175,7 @@
     lease_epoch: Epoch
     held: bool
     views: tuple[ReplicaView, ...]
+    formed: frozenset[ReplicaId] = frozenset()
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/pomelogauge/tasks/shard_owner.py
@@ -0,0 +1,333 @@
+"""The task that forms, watches and repairs the replicas of one shard."""
+
+import logging
+from dataclasses import dataclass, replace
+from random import Random
+
+from returns.result import Failure
+
+from ..decide.formation import (
+    Formation,
+    find_deployment,
+    plan_formation,
+)
+from ..decide.replica_chart import ReplicaAction, ReplicaChart, ReplicaEvent
+from ..decide.replica_view import view_of
+from ..decide.shard_knowledge import ShardKnowledge, build_replica
+from ..engines.protocols import OwnedEngineControl
+from ..model.ids import ReplicaId
+from ..model.placement import Lease, Member
+from ..model.times import ControlTimes
+from ..model.topology import Instance, InstanceRole
+from ..platform.protocols import TableService
+from .clock import Clock
+from .control_messages import (
+    EngineSeen,
+    LeaseHeld,
+    LeasePaused,
+    OwnerAddress,
+    ShardMessage,
+    WatchTasks,
+)
+from .engine_watches import EngineWatches
+from .mailbox import Outbox
+from .messages import ConfigurationInForce, InstancesListed, ShardViews
+from .replica_machines import ReplicaMachines
+from .replica_orders import ReplicaOrders
+from .replica_rows import ReplicaRows
+from .settle import TransactionNames
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class OwnerLinks:
+    """What one owner of a shard alone touches, and whom it tells.
+
+    Parameters
+    ----------
+    tables
+        Connection to the platform.
+    control
+        Connections to engines, with the deadline of an order.
+    watches
+        Starts watches of engines.
+    desk
+        Takes the views.
+
+    """
+
+    tables: TableService
+    control: OwnedEngineControl
+    watches: WatchTasks
+    desk: Outbox[ShardViews]
+
+
+@dataclass(frozen=True)
+class _Due:
+    """Next times by the own clock."""
+
+    work_s: float = float('-inf')
+    scan_s: float = float('-inf')
+    held_until_s: float = float('-inf')
+
+
+class ShardOwner:  # noqa: WPS214 (one short method a message and an action)
+    """Owns the replicas of one shard while its lease is held.
+
+    Parameters
+    ----------
+    lease
+        The lease as taken.
+    names
+        Names of its transactions.
+    links
+        Connections and neighbours.
+    chart
+        The replica chart.
+    times
+        Periods.
+    clock
+        Own clock.
+    rng
+        Makes identifiers of replicas unique.
+
+    """
+
+    def __init__(
+        self,
+        lease: Lease,
+        names: TransactionNames,
+        links: OwnerLinks,
+        chart: ReplicaChart,
+        times: ControlTimes,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        """Start without knowledge of rows and engines."""
+        self._lease = lease
+        self._links = links
+        self._times = times
+        self._clock = clock
+        self._rng = rng
+        self._rows = ReplicaRows(links.tables, names)
+        self._orders = ReplicaOrders(links.control, self._is_held)
+        self._watches = EngineWatches(links.watches)
+        self._replicas = ReplicaMachines(
+            chart, self._watches.sightings, times, clock
+        )
+        self._address: Outbox[EngineSeen] | None = None
+        self._known = ShardKnowledge(lease.shard)
+        self._due = _Due()
+        self._is_current = False
+
+    def on_start(self) -> None:
+        """Do nothing; the first scan is due once the lease is known."""
+
+    def on_message(self, message: ShardMessage) -> None:
+        """Take news of the lease, the configuration and the engines."""
+        match message:
+            case EngineSeen():
+                self._watches.take(message)
+            case LeaseHeld():
+                self._lease = message.lease
+                until_s = message.held_until_s
+                self._due = replace(self._due, held_until_s=until_s)
+            case LeasePaused():
+                self._due = replace(self._due, held_until_s=float('-inf'))
+            case ConfigurationInForce():
+                configuration = message.configuration
+                self._known = replace(self._known, configuration=configuration)
+            case InstancesListed():
+                self._known = self._known.listing(message.instances)
+            case OwnerAddress():
+                self._address = message.outbox
+
+    def on_timer(self) -> float | None:
+        """Check the replicas at once, and plan once an interval."""
+        before = self._replicas.replicas()
+        for replica in before:
+            self._check(replica.replica)
+        now_s = self._clock.now_s()
+        if now_s >= self._due.work_s:
+            due_s = now_s + self._times.watch_interval_s
+            self._due = replace(self._due, work_s=due_s)
+            self._work()
+            self._report()
+        elif self._replicas.replicas() != before:
+            self._report()
+        return max(self._due.work_s - self._clock.now_s(), 0)
+
+    def on_stop(self) -> None:
+        """End the watches, withdraw the views and close what is owned."""
+        self._watches.stop()
+        self._replicas.clear()
+        lease = self._lease
+        gone = ShardViews(lease.shard, lease.epoch, held=False, views=())
+        self._links.desk.post(gone)
+        self._links.control.close()
+
+    def _is_held(self) -> bool:
+        return self._clock.now_s() < self._due.held_until_s
+
+    def _may_write(self) -> bool:
+        return self._is_current and self._is_held()
+
+    def _work(self) -> None:
+        self._scan()
+        replicas = self._replicas.replicas()
+        self._replicas.unwanted = self._known.unwanted(replicas)
+        self._watch()
+        self._form()
+
+    def _scan(self) -> None:
+        now_s = self._clock.now_s()
+        if now_s < self._due.scan_s or not self._is_held():
+            return
+        # Jitter keeps the owners of many shards from reading at once.
+        wait_s = self._times.scan_interval_s * self._rng.uniform(0.8, 1.2)
+        self._due = replace(self._due, scan_s=now_s + wait_s)
+        cached = self._known.scan if self._is_current else None
+        scan = self._rows.scan(cached)
+        if scan is None:
+            return
+        self._is_current = True
+        self._known = self._known.scanned(scan, now_s)
+        self._adopt()
+
+    def _adopt(self) -> None:
+        """Take over the shard's replicas that the rows name."""
+        scan = self._known.scan
+        if scan is None:
+            return
+        adopted = [
+            row for row in scan.replicas if row.shard == self._lease.shard
+        ]
+        # A release whose answer was lost shows up as a missing row.
+        self._replicas.keep({row.replica for row in adopted})
+        own = {replica.replica for replica in self._replicas.replicas()}
+        for row in adopted:
+            if row.replica not in own:
+                self._replicas.add(row, formed=False)
+
+    def _forget_rows(self) -> None:
+        """Read all rows again before the next write."""
+        self._is_current = False
+        self._due = replace(self._due, scan_s=float('-inf'))
+
+    def _watch(self) -> None:
+        if self._address is None:
+            return
+        # The list lags; members of replicas are watched in any case.
+        members = [
+            _instance(member)
+            for replica in self._replicas.replicas()
+            for member in replica.members
+        ]
+        self._watches.adjust((*members, *self._known.engines), self._address)
+
+    def _check(self, name: ReplicaId) -> None:
+        # A scan on behalf of another replica may have dropped this one.
+        event = self._replicas.check(name) if self._replicas.has(name) else None
+        if event is not None:
+            self._step(name, event)
+
+    def _step(self, name: ReplicaId, event: ReplicaEvent) -> None:
+        action = self._replicas.step(name, event, held=self._is_held())
+        match action:
+            case ReplicaAction.ORDER_MEMBERS:
+                self._order(name)
+            case ReplicaAction.RELEASE:
+                self._release(name)
+
+    def _order(self, name: ReplicaId) -> None:
+        replica = self._replicas.replica(name)
+        configuration = self._known.configuration
+        if configuration is None or not self._is_held():
+            return
+        deployment = find_deployment(replica.deployment, configuration)
+        if deployment is None:
+            return
+        event = ReplicaEvent.ORDER_REFUSED
+        if self._orders.load(replica, deployment):
+            event = ReplicaEvent.ORDERS_ACCEPTED
+        self._step(name, event)
+
+    def _release(self, name: ReplicaId) -> None:
+        """Free the rows; while that can't be done, try again later."""
+        self._scan()
+        scan = self._known.scan
+        if scan is None or not self._replicas.has(name):
+            return
+        is_possible = self._may_write()
+        self._replicas.note_release(name, tried=is_possible)
+        if not is_possible:
+            return
+        replica = self._replicas.replica(name)
+        outcome = self._rows.release(self._lease, replica, scan)
+        self._forget_rows()
+        if isinstance(outcome, Failure):
+            _log.warning(
+                'replicas: %s is not released: %s', name, outcome.failure()
+            )
+            return
+        remaining = {row.replica for row in self._replicas.replicas()}
+        self._replicas.keep(remaining - {name})
+        if name in self._replicas.unwanted:
+            self._orders.unload(replica)
+
+    def _form(self) -> None:
+        picture = self._known.picture_to_form(
+            self._watches.sightings, self._clock.now_s(), self._times
+        )
+        if picture is None or not self._may_write():
+            return
+        plan = plan_formation(picture)
+        if plan is not None:
+            self._claim(plan)
+
+    def _claim(self, plan: Formation) -> None:
+        scan = self._known.scan
+        if scan is None:
+            return
+        nonce = f'{self._rng.getrandbits(_NONCE_BITS):016x}'
+        sightings = self._watches.sightings
+        wanted = build_replica(plan, self._known, sightings, nonce)
+        outcome = self._rows.claim(self._lease, wanted, scan)
+        self._forget_rows()
+        if isinstance(outcome, Failure):
+            # Another shard was first, or the answer is unsettled; the next
+            # scan tells, and a claim that took effect is adopted.
+            _log.info('replicas: no claim of %s', wanted.replica)
+            return
+        self._replicas.add(outcome.unwrap(), formed=True)
+        self._step(wanted.replica, ReplicaEvent.ORDERS_DUE)
+
+    def _report(self) -> None:
+        now_s = self._clock.now_s()
+        sightings = self._watches.sightings
+        views = ShardViews(
+            self._lease.shard,
+            self._lease.epoch,
+            self._is_held(),
+            tuple(
+                view_of(replica, sightings, now_s)
+                for replica in self._replicas.replicas()
+            ),
+            self._replicas.formed(),
+        )
+        self._links.desk.post(views)
+
+
+#: Bits that make an identifier unique.
+_NONCE_BITS = 64
+
+
+def _instance(member: Member) -> Instance:
+    return Instance(
+        member.instance,
+        InstanceRole.ENGINE,
+        member.address,
+        member.data_centre,
+        member.domain,
+    )
