Use lapsed grants only while the controller does not answer

A controller that answers without a grant takes it back; using the last one then could give a replica more than it bears. Warmth follows the reported capacity, and an exchange that ends says that its controller answers no more.

--- a/pomelogauge/decide/known_replica.py
+++ b/pomelogauge/decide/known_replica.py
@@ -35,8 +35,6 @@
         Age of a load report at which the replica counts as silent.
     cold_slots
         Requests at once on a replica whose warmth is in doubt.
-    warm_completions
-        Completions that prove a replica warm.
 
     """
 
@@ -46,7 +44,6 @@
     proof_life_s: float = 30
     silent_s: float = 10
     cold_slots: int = 1
-    warm_completions: int = 16
 
 
 @dataclass(frozen=True)
@@ -82,6 +79,8 @@
         It was lost, and no view has come since.
     orphaned
         Its controller no longer names it.
+    unanswered
+        Its controller did not answer last.
 
     """
 
@@ -94,6 +93,7 @@
     held_until_s: float = float('-inf')
     suspected: bool = False
     orphaned: bool = False
+    unanswered: bool = False
 
 
 def is_believable(
@@ -142,7 +142,7 @@
     silent_s: float,
 ) -> KnownReplica:
     """Return what is known after a view."""
-    warmth = rules.reported(known.warmth, view.incarnation)
+    warmth = rules.reported(known.warmth, view)
     if view.waiting_s > silent_s:
         warmth = rules.fell_silent(warmth)
     is_newer = asked_at_s > known.held_until_s
@@ -154,6 +154,7 @@
         warmth=warmth,
         suspected=known.suspected and not is_newer,
         orphaned=False,
+        unanswered=False,
     )
 
 
@@ -218,12 +219,12 @@
 ) -> bool:
     """Return whether a warm replica's own answers replace a grant.
 
-    While its controller or the store is away, what serves goes on, within
-    the last grant.
+    While its controller does not answer, what serves goes on, within the
+    last grant. A controller that answers without a grant takes it back.
     """
     is_warm = known.warmth.state is WarmthState.WARM
     is_alive = now_s - known.proved_at_s < cfg.proof_life_s
-    return is_warm and is_alive and not known.orphaned
+    return known.unanswered and is_warm and is_alive and not known.orphaned
 
 
 def lease_epochs(answer: ExchangeAnswer) -> dict[ShardName, Epoch]:
--- a/pomelogauge/decide/target_warmth.py
+++ b/pomelogauge/decide/target_warmth.py
@@ -4,6 +4,7 @@
 
 from ..model.chart import Chart
 from ..model.ids import Incarnation
+from ..model.placement import ReplicaView
 from .warmth_chart import (
     WarmthAction,
     WarmthEvent,
@@ -26,8 +27,6 @@
         Incarnation that last answered or was reported.
     replaced
         Incarnation before it; late reports still name it.
-    completed
-        Own requests completed in this incarnation.
     limited
         The router sends no more than a cold replica bears.
 
@@ -36,7 +35,6 @@
     state: WarmthState = WarmthState.UNKNOWN
     incarnation: Incarnation = Incarnation('')
     replaced: Incarnation = Incarnation('')
-    completed: int = 0
     limited: bool = True
 
 
@@ -48,13 +46,10 @@
     ----------
     chart
         The bound chart.
-    wanted
-        Completions that prove a replica warm.
 
     """
 
     chart: WarmthChart
-    wanted: int
 
     def seen(self, warmth: Warmth, incarnation: Incarnation) -> Warmth:
         """Return the warmth after an answer of an incarnation."""
@@ -64,37 +59,36 @@
             warmth,
             incarnation=incarnation,
             replaced=warmth.incarnation,
-            completed=0,
         )
         if not warmth.incarnation:
             return fresh
-        return self.step(fresh, WarmthEvent.NEW_INCARNATION)
+        return self._step(fresh, WarmthEvent.NEW_INCARNATION, WarmthFacts())
 
-    def reported(self, warmth: Warmth, incarnation: Incarnation) -> Warmth:
-        """Return the warmth after a report of an incarnation."""
+    def reported(self, warmth: Warmth, view: ReplicaView) -> Warmth:
+        """Return the warmth after a report."""
+        incarnation = view.incarnation
         if incarnation != warmth.replaced:
             warmth = self.seen(warmth, incarnation)
-        confirmed = incarnation in {Incarnation(''), warmth.incarnation}
-        return self.step(warmth, WarmthEvent.REPORT, confirmed=confirmed)
+        facts = WarmthFacts(
+            confirmed=incarnation in {Incarnation(''), warmth.incarnation},
+            full=0 < view.capacity <= view.bearable,
+        )
+        return self._step(warmth, WarmthEvent.REPORT, facts)
 
     def completed(self, warmth: Warmth) -> Warmth:
         """Return the warmth after a request completed."""
-        counted = replace(warmth, completed=warmth.completed + 1)
-        return self.step(counted, WarmthEvent.COMPLETED)
+        return self._step(warmth, WarmthEvent.COMPLETED, WarmthFacts())
 
     def fell_silent(self, warmth: Warmth) -> Warmth:
         """Return the warmth once load reports have stopped."""
-        return self.step(warmth, WarmthEvent.FELL_SILENT)
+        return self._step(warmth, WarmthEvent.FELL_SILENT, WarmthFacts())
 
-    def step(
+    def _step(
         self,
         warmth: Warmth,
         event: WarmthEvent,
-        *,
-        confirmed: bool = True,
+        facts: WarmthFacts,
     ) -> Warmth:
-        """Return the warmth after one event of the chart."""
-        facts = WarmthFacts(warmth.completed, self.wanted, confirmed)
         move = self.chart.step(warmth.state, event, facts)
         limited = warmth.limited
         if move.action is not None:
--- a/pomelogauge/decide/warmth_chart.py
+++ b/pomelogauge/decide/warmth_chart.py
@@ -37,27 +37,28 @@
 
     Parameters
     ----------
-    completed
-        Own requests completed in this incarnation.
-    wanted
-        Completions that prove a replica warm.
     confirmed
         The report names the incarnation that last answered.
+    full
+        It says that the replica bears all that it ever bears.
 
     """
 
-    completed: int = 0
-    wanted: int = 0
     confirmed: bool = True
-
-    def is_proven(self) -> bool:
-        """Return whether completed work proves the replica warm."""
-        return self.completed >= self.wanted
+    full: bool = False
 
     def is_confirmed(self) -> bool:
         """Return whether the report is of the present incarnation."""
         return self.confirmed
 
+    def is_full(self) -> bool:
+        """Return whether the present incarnation bears its full load."""
+        return self.confirmed and self.full
+
+    def is_reduced(self) -> bool:
+        """Return whether the present incarnation bears less than that."""
+        return self.confirmed and not self.full
+
     def always(self) -> bool:
         """Return true; an internal transition needs a guard or an action."""
         return True
--- a/pomelogauge/tasks/dispatcher.py
+++ b/pomelogauge/tasks/dispatcher.py
@@ -94,8 +94,7 @@
         self._own = cfg.own
         self._clock = clock
         self._published = published
-        rules = WarmthRules(chart, cfg.fleet.warm_completions)
-        self._fleet = Fleet(cfg.fleet, rules)
+        self._fleet = Fleet(cfg.fleet, WarmthRules(chart))
         self._models = ModelDesk(cfg.limits, self._fleet, policy, published)
         services = ServiceFleet(cfg.own.data_centre, cfg.fleet.suspect_s)
         self._services = ServiceDesk(services, cfg.limits.retry_after_s)
--- a/pomelogauge/tasks/exchange.py
+++ b/pomelogauge/tasks/exchange.py
@@ -80,7 +80,9 @@
         """Own nothing that has to be opened."""
 
     def on_stop(self) -> None:
-        """Own nothing that has to be closed."""
+        """Say that the controller answers no more."""
+        now_s = self._clock.now_s()
+        self._dispatcher.post(ExchangeDone(self._controller, now_s, None))
 
     def on_message(self, message: Stopped) -> None:
         """Take nothing."""
--- a/pomelogauge/tasks/fleet.py
+++ b/pomelogauge/tasks/fleet.py
@@ -22,10 +22,11 @@
     Epoch,
     Incarnation,
     InstanceName,
+    NodeName,
     ReplicaId,
     RequestId,
 )
-from ..model.placement import Grant, ReplicaView
+from ..model.placement import ReplicaView
 from ..model.request import PlaceEnd
 from .messages import ExchangeDone
 from .sent_requests import SentRequests
@@ -45,13 +46,17 @@
     def take_answer(self, done: ExchangeDone, now_s: float) -> None:
         """Take a controller's views and grants."""
         if done.answer is None:
+            self._note_unanswered(done.controller)
             return
         epochs = lease_epochs(done.answer)
         for view in done.answer.views:
             epoch = epochs.get(view.replica.shard, NO_EPOCH)
             self._take_view(view, done, epoch, now_s)
         for grant in done.answer.grants:
-            self._take_grant(grant, done)
+            known = self._known.get(grant.replica)
+            if known and known.controller == done.controller:
+                granted = with_grant(known, grant, done.asked_at_s)
+                self._known[grant.replica] = granted
         self._drop_absent(done, now_s)
 
     def set_leaving(self, names: frozenset[InstanceName]) -> None:
@@ -166,12 +171,10 @@
             self._cfg.silent_s,
         )
 
-    def _take_grant(self, grant: Grant, done: ExchangeDone) -> None:
-        known = self._known.get(grant.replica)
-        if known and known.controller == done.controller:
-            self._known[grant.replica] = with_grant(
-                known, grant, done.asked_at_s
-            )
+    def _note_unanswered(self, controller: NodeName) -> None:
+        for replica, known in tuple(self._known.items()):
+            if known.controller == controller:
+                self._known[replica] = replace(known, unanswered=True)
 
     def _drop_absent(self, done: ExchangeDone, now_s: float) -> None:
         """Forget what a controller no longer names, once grants lapsed."""
