--- a/pomelogauge/decide/known_replica.py
+++ b/pomelogauge/decide/known_replica.py
@@ -1,14 +1,11 @@
 """What a router knows of one replica, and what it may send to it."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
 from ..model.ids import (
     NO_EPOCH,
     Epoch,
-    InstanceName,
     NodeName,
-    RequestId,
     ShardName,
 )
 from ..model.peers import ExchangeAnswer
@@ -28,6 +25,9 @@
         Seconds without new work after a replica was lost.
     refused_hold_s
         Seconds without new work after a replica refused.
+    linger_s
+        Seconds for which a lost request keeps its slot, as its target may
+        still run it.
     proof_life_s
         Seconds for which an answer proves a warm replica alive when its
         grant is not renewed.
@@ -35,17 +35,15 @@
         Age of a load report at which the replica counts as silent.
     cold_slots
         Requests at once on a replica whose warmth is in doubt.
-    warm_completions
-        Completions that prove a replica warm.
 
     """
 
     suspect_s: float = 2
     refused_hold_s: float = 0.5
+    linger_s: float = 5
     proof_life_s: float = 30
     silent_s: float = 10
     cold_slots: int = 1
-    warm_completions: int = 16
 
 
 @dataclass(frozen=True)
@@ -81,6 +79,8 @@
         It was lost, and no view has come since.
     orphaned
         Its controller no longer names it.
+    unanswered
+        Its controller did not answer last.
 
     """
 
@@ -93,6 +93,7 @@
     held_until_s: float = float('-inf')
     suspected: bool = False
     orphaned: bool = False
+    unanswered: bool = False
 
 
 def is_believable(
@@ -141,7 +142,7 @@
     silent_s: float,
 ) -> KnownReplica:
     """Return what is known after a view."""
-    warmth = rules.reported(known.warmth, view.incarnation)
+    warmth = rules.reported(known.warmth, view)
     if view.waiting_s > silent_s:
         warmth = rules.fell_silent(warmth)
     is_newer = asked_at_s > known.held_until_s
@@ -153,6 +154,7 @@
         warmth=warmth,
         suspected=known.suspected and not is_newer,
         orphaned=False,
+        unanswered=False,
     )
 
 
@@ -174,10 +176,8 @@
 
 def offer_of(
     known: KnownReplica,
-    sent: Mapping[RequestId, float],
-    leaving: frozenset[InstanceName],
-    cfg: FleetSettings,
-    now_s: float,
+    sent_times: tuple[float, ...],
+    slots: int,
 ) -> Offer:
     """Return what may be sent to a replica now.
 
@@ -185,23 +185,15 @@
     ----------
     known
         What is known of it.
-    sent
-        Own requests on it and when each was sent.
-    leaving
-        Instances that go away.
-    cfg
-        Settings.
-    now_s
-        Own clock.
+    sent_times
+        When each own request on it was sent.
+    slots
+        Requests at once that it may have.
 
     """
     reported_at_s = known.asked_at_s - known.view.waiting_s
-    since = [at_s for at_s in sent.values() if at_s > reported_at_s]
-    is_leaving = any(
-        member.instance in leaving for member in known.view.replica.members
-    )
-    slots = 0 if is_leaving else usable_slots(known, cfg, now_s)
-    return Offer(known.view, slots, len(sent), len(since))
+    since = sum(at_s > reported_at_s for at_s in sent_times)
+    return Offer(known.view, slots, len(sent_times), since)
 
 
 def usable_slots(
@@ -227,12 +219,12 @@
 ) -> bool:
     """Return whether a warm replica's own answers replace a grant.
 
-    While its controller or the store is away, what serves goes on, within
-    the last grant.
+    While its controller does not answer, what serves goes on, within the
+    last grant. A controller that answers without a grant takes it back.
     """
     is_warm = known.warmth.state is WarmthState.WARM
     is_alive = now_s - known.proved_at_s < cfg.proof_life_s
-    return is_warm and is_alive and not known.orphaned
+    return known.unanswered and is_warm and is_alive and not known.orphaned
 
 
 def lease_epochs(answer: ExchangeAnswer) -> dict[ShardName, Epoch]:
--- a/pomelogauge/tasks/dispatcher.py
+++ b/pomelogauge/tasks/dispatcher.py
@@ -94,8 +94,7 @@
         self._own = cfg.own
         self._clock = clock
         self._published = published
-        rules = WarmthRules(chart, cfg.fleet.warm_completions)
-        self._fleet = Fleet(cfg.fleet, rules)
+        self._fleet = Fleet(cfg.fleet, WarmthRules(chart))
         self._models = ModelDesk(cfg.limits, self._fleet, policy, published)
         services = ServiceFleet(cfg.own.data_centre, cfg.fleet.suspect_s)
         self._services = ServiceDesk(services, cfg.limits.retry_after_s)
@@ -111,8 +110,7 @@
     def on_timer(self) -> float | None:
         """Refuse what is out of time and place what can be placed."""
         now_s = self._clock.now_s()
-        self._models.refuse_expired(now_s)
-        self._models.wake(now_s)
+        self._models.do_due(now_s)
         return self._models.next_due_s(now_s)
 
     def on_message(self, message: DispatcherMessage) -> None:
