--- a/pomelogauge/app/daemon.py
+++ b/pomelogauge/app/daemon.py
@@ -10,11 +10,11 @@
 from ..model.ids import Address
 from ..model.topology import InstanceRole
 from ..tasks.mailbox import Mailbox
-from ..wire.callers_http import WsgiApp
 from ..wire.callers_server import CallersServer
 from ..wire.cuts import LinkCuts
 from ..wire.peer_ports import PeerPorts
 from ..wire.peer_server import PeerServer
+from ..wire.wsgi_types import WsgiApp
 from .identity import Identity, draw_incarnation
 from .settings import CommonSettings
 from .task_set import TaskSet
--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -25,12 +25,12 @@
 from ..tasks.exchange_set import ExchangeSet
 from ..tasks.mailbox import Mailbox
 from ..tasks.membership import MembershipMessage
+from ..tasks.messages import RunningCounted
 from ..tasks.metrics import MetricsActor
 from ..tasks.published import Published
 from ..tasks.router_state import RouterState
 from ..tasks.service_call_task import CallParts
 from ..tasks.shutdown import (
-    RunningCounted,
     ShutdownActor,
     ShutdownAsked,
     ShutdownPorts,
@@ -148,10 +148,10 @@
         DispatcherSettings(
             identity.report(),
             FleetSettings(),
-            QueueLimits(max_queued=cfg.queue_limit),
+            QueueLimits(max_waiting=cfg.queue_limit),
         ),
         MonotonicClock(),
-        LeastLoaded(),
+        LeastLoaded(cfg.data_centre),
         load_chart('target_warmth', WARMTH_WORDS),
         published,
     )
--- a/pomelogauge/tasks/dispatcher.py
+++ b/pomelogauge/tasks/dispatcher.py
@@ -8,7 +8,7 @@
 from ..decide.routing import Policy
 from ..decide.target_warmth import WarmthChart, WarmthRules
 from ..model.manifest import Configuration
-from ..model.peers import ExchangeAsk, NodeReport, ReplicaUse
+from ..model.peers import ExchangeAsk, NodePhase, NodeReport, ReplicaUse
 from ..model.request import PlaceEnd
 from .clock import Clock
 from .fleet import Fleet
@@ -23,6 +23,8 @@
     IncarnationSeen,
     InstancesListed,
     PhaseChanged,
+    RunningAsked,
+    RunningCounted,
 )
 from .model_desk import ModelDesk
 from .published import Published
@@ -41,6 +43,7 @@
     | IncarnationSeen
     | InstancesListed
     | PhaseChanged
+    | RunningAsked
 )
 
 
@@ -130,6 +133,8 @@
                 self._services.free(message.request, PlaceEnd.CANCELLED, now_s)
             case DemandAsked():
                 message.reply.post(self._demand())
+            case RunningAsked():
+                message.reply.post(RunningCounted(self._running()))
             case _:
                 self._learn(message, now_s)
 
@@ -147,8 +152,7 @@
                     message.replica, message.incarnation
                 )
             case PhaseChanged():
-                state = self._published.latest()
-                self._published.publish(replace(state, phase=message.phase))
+                self._take_phase(message.phase)
         self._models.wake(now_s)
 
     def _take_configuration(self, configuration: Configuration) -> None:
@@ -166,6 +170,17 @@
         )
         self._fleet.set_leaving(leaving)
 
+    def _take_phase(self, phase: NodePhase) -> None:
+        state = self._published.latest()
+        # A process that leaves stays leaving, whatever confirms it later.
+        if state.phase is not NodePhase.LEAVING:
+            self._published.publish(replace(state, phase=phase))
+
+    def _running(self) -> int:
+        placed = sum(count for _, count in self._fleet.running())
+        waiting = sum(demand.waiting for demand in self._models.demands())
+        return placed + waiting + self._services.running()
+
     def _demand(self) -> ExchangeAsk:
         state = self._published.latest()
         self._sequence += 1
--- a/pomelogauge/tasks/messages.py
+++ b/pomelogauge/tasks/messages.py
@@ -289,3 +289,17 @@
     """The exchange task asks for what to tell a controller."""
 
     reply: Outbox[ExchangeAsk]
+
+
+@dataclass(frozen=True)
+class RunningCounted:
+    """How many requests the router serves at the moment."""
+
+    running: int
+
+
+@dataclass(frozen=True)
+class RunningAsked:
+    """Asks for the number of requests in progress."""
+
+    reply: Outbox[RunningCounted]
--- a/pomelogauge/tasks/service_desk.py
+++ b/pomelogauge/tasks/service_desk.py
@@ -48,6 +48,10 @@
         if end is PlaceEnd.LOST:
             self.fleet.note_lost(place.instance, now_s)
 
+    def running(self) -> int:
+        """Return how many calls have a place."""
+        return len(self._calls)
+
     def _choose(
         self,
         ask: AskServicePlace,
--- a/pomelogauge/tasks/shutdown.py
+++ b/pomelogauge/tasks/shutdown.py
@@ -13,7 +13,7 @@
 from ..model.peers import NodePhase
 from .clock import Clock
 from .mailbox import Outbox
-from .messages import PhaseChanged
+from .messages import PhaseChanged, RunningAsked, RunningCounted
 
 #: Seconds between two questions whether requests still run.
 IDLE_CHECK_S = 0.1
@@ -33,20 +33,6 @@
     reason: str
 
 
-@dataclass(frozen=True)
-class RunningCounted:
-    """How many requests the router serves at the moment."""
-
-    running: int
-
-
-@dataclass(frozen=True)
-class RunningAsked:
-    """Asks for the number of requests in progress."""
-
-    reply: Outbox[RunningCounted]
-
-
 @dataclass(frozen=True)
 class ShutdownTimes:
     """Times of a shutdown.
--- a/pomelogauge/wire/callers_http.py
+++ b/pomelogauge/wire/callers_http.py
@@ -1,7 +1,7 @@
 """The callers' interface as a WSGI application."""
 
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -25,11 +25,10 @@
 )
 from .http_requests import HttpRequest, new_request_id, read_request
 from .service_route import SERVICES_PATH, answer_call
+from .wsgi_types import StartResponse
 
 _log = logging.getLogger(__name__)
 
-StartResponse = Callable[[str, list[tuple[str, str]]], object]
-
 
 class MetricsText(Protocol):
     """The metrics of the process as text."""
--- a/pomelogauge/wire/callers_server.py
+++ b/pomelogauge/wire/callers_server.py
@@ -2,11 +2,12 @@
 
 import logging
 import threading
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from cheroot import wsgi
 
-from .callers_http import CallersApp
+from .wsgi_types import StartResponse, WsgiApp
 
 _log = logging.getLogger(__name__)
 
@@ -47,20 +48,17 @@
     ----------
     cfg
         Settings.
-    app
-        Answers the requests.
 
     """
 
-    def __init__(self, cfg: ServerSettings, app: CallersApp) -> None:
+    def __init__(self, cfg: ServerSettings) -> None:
         """Open no socket yet."""
         self._cfg = cfg
-        self._app = app
         self._server: wsgi.Server | None = None
         self._thread: threading.Thread | None = None
 
-    def start(self, host: str, port: int) -> int:
-        """Listen and serve in threads of the server.
+    def bind(self, host: str, port: int) -> int:
+        """Bind a port without serving yet.
 
         Parameters
         ----------
@@ -72,10 +70,15 @@
         int
             Port bound.
 
+        Raises
+        ------
+        OSError
+            The port can't be bound.
+
         """
-        server = _LoggedServer(
+        self._server = _LoggedServer(
             (host, port),
-            self._app,
+            _not_serving,
             numthreads=self._cfg.threads,
             request_queue_size=self._cfg.backlog,
             accepted_queue_size=self._cfg.queued,
@@ -83,14 +86,27 @@
             timeout=self._cfg.idle_timeout_s,
             shutdown_timeout=self._cfg.stop_timeout_s,
         )
-        server.prepare()
-        self._server = server
+        self._server.prepare()
+        bound: int = self._server.bind_addr[1]
+        return bound
+
+    def serve(self, app: WsgiApp) -> None:
+        """Serve in threads of the server.
+
+        Parameters
+        ----------
+        app
+            Answers the requests.
+
+        """
+        server = self._server
+        if server is None:
+            raise RuntimeError('the server is not bound')
+        server.wsgi_app = app
         self._thread = threading.Thread(
             target=server.serve, name='callers', daemon=True
         )
         self._thread.start()
-        bound: int = server.bind_addr[1]
-        return bound
 
     def stop(self) -> None:
         """Accept nothing new and wait for what runs."""
@@ -100,6 +116,15 @@
             self._thread.join()
 
 
+def _not_serving(
+    environ: Mapping[str, object],
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    """Stand in for the application until it is wired."""
+    start_response('503 Service Unavailable', [('Content-Length', '0')])
+    return []
+
+
 class _LoggedServer(wsgi.Server):
     """The library's server, which writes to the project's logs."""
 
--- a/pomelogauge/wire/health_http.py
+++ b/pomelogauge/wire/health_http.py
@@ -4,8 +4,9 @@
 
 from ..model.peers import NodePhase
 from ..tasks.published import Published
-from .callers_http import MetricsText, StartResponse
+from .callers_http import MetricsText
 from .metrics_text import MEDIA_TYPE
+from .wsgi_types import StartResponse
 
 _OK = '200 OK'
 _UNAVAILABLE = '503 Service Unavailable'
--- a/pomelogauge/wire/peer_server.py
+++ b/pomelogauge/wire/peer_server.py
@@ -27,36 +27,23 @@
 
     Parameters
     ----------
-    ports
-        Where asks go.
-    cuts
-        Peers whose calls are refused.
     may_cut
         Calls may set the cuts; tests only.
 
     """
 
-    def __init__(
-        self,
-        ports: PeerPorts,
-        cuts: LinkCuts | None = None,
-        may_cut: bool = False,
-    ) -> None:
+    def __init__(self, *, may_cut: bool = False) -> None:
         """Prepare the server without a port."""
         self._pool = ThreadPoolExecutor(POOL_THREADS, thread_name_prefix='peer')
+        self._may_cut = may_cut
         self._server = grpc.server(
             self._pool,
             options=_OPTIONS,
             maximum_concurrent_rpcs=MAX_CALLS,
         )
-        servicer = PeerServicer(ports, cuts or LinkCuts(), may_cut)
-        # The generated function has no types.
-        add_PeerServicer_to_server(  # type: ignore[no-untyped-call]
-            servicer, self._server
-        )
 
-    def start(self, host: str, port: int) -> int:
-        """Listen and serve.
+    def bind(self, host: str, port: int) -> int:
+        """Bind a port without serving yet.
 
         Parameters
         ----------
@@ -77,9 +64,26 @@
 
         """
         bound: int = self._server.add_insecure_port(f'{host}:{port}')
-        self._server.start()
         return bound
 
+    def serve(self, ports: PeerPorts, cuts: LinkCuts) -> None:
+        """Serve from now on.
+
+        Parameters
+        ----------
+        ports
+            Where asks go.
+        cuts
+            Peers whose calls are refused.
+
+        """
+        servicer = PeerServicer(ports, cuts, self._may_cut)
+        # The generated function has no types.
+        add_PeerServicer_to_server(  # type: ignore[no-untyped-call]
+            servicer, self._server
+        )
+        self._server.start()
+
     def stop(self, grace_s: float) -> None:
         """Refuse new calls and wait for those in progress."""
         self._server.stop(grace_s).wait()
--- a/test/test_callers_http.py
+++ b/test/test_callers_http.py
@@ -133,8 +133,9 @@
             self.backend,
         )
         settings = ServerSettings(threads=2, idle_timeout_s=5)
-        self.server = CallersServer(settings, CallersApp(parts))
-        self.port = self.server.start('127.0.0.1', 0)
+        self.server = CallersServer(settings)
+        self.port = self.server.bind('127.0.0.1', 0)
+        self.server.serve(CallersApp(parts))
         self.addCleanup(self.server.stop)
 
     def send(self, method, path, body=None, key=KEY, **headers):
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -233,9 +233,18 @@
         self.assertIsInstance(
             self.outcome(self.ask('r-2', admitted=True)), Place
         )
-        self.tell(PhaseChanged(NodePhase.CUT_OFF))
+        # A confirmed configuration does not bring a leaving router back.
+        self.tell(PhaseChanged(NodePhase.READY))
         refusal = self.outcome(self.ask('r-3'))
+        self.assertEqual(refusal.code, RefusalCode.DRAINING)
+
+    def test_cut_off_refuses_until_confirmed(self) -> None:
+        self.grant(view())
+        self.tell(PhaseChanged(NodePhase.CUT_OFF))
+        refusal = self.outcome(self.ask('r-1'))
         self.assertEqual(refusal.code, RefusalCode.CUT_OFF)
+        self.tell(PhaseChanged(NodePhase.READY))
+        self.assertIsInstance(self.outcome(self.ask('r-2')), Place)
 
     def test_drained_and_leaving_targets_get_no_new_work(self) -> None:
         self.grant(view())
--- a/test/test_peer_links.py
+++ b/test/test_peer_links.py
@@ -45,8 +45,9 @@
 class PeerLinksTest(unittest.TestCase):
     def setUp(self) -> None:
         ports = PeerPorts(MembershipFake(), KeeperFake(), SilentFake())
-        self.server = PeerServer(ports, LinkCuts(), may_cut=True)
-        port = self.server.start('127.0.0.1', 0)
+        self.server = PeerServer(may_cut=True)
+        port = self.server.bind('127.0.0.1', 0)
+        self.server.serve(ports, LinkCuts())
         self.addCleanup(self.server.stop, 0)
         self.address = Address(f'127.0.0.1:{port}')
         self.cuts = LinkCuts()
@@ -84,9 +85,10 @@
 
     def test_cuts_need_the_setting(self) -> None:
         ports = PeerPorts(MembershipFake(), KeeperFake(), SilentFake())
-        server = PeerServer(ports)
+        server = PeerServer()
         self.addCleanup(server.stop, 0)
-        address = Address(f'127.0.0.1:{server.start("127.0.0.1", 0)}')
+        address = Address(f'127.0.0.1:{server.bind("127.0.0.1", 0)}')
+        server.serve(ports, LinkCuts())
         answer = self.links.cut(address, ('x',))
         self.assertIn('PERMISSION_DENIED', answer.failure().message)
 
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -6,10 +6,12 @@
 from pomelogauge.decide.shutdown_chart import SHUTDOWN_WORDS
 from pomelogauge.model.peers import NodePhase
 from pomelogauge.tasks.mailbox import Mailbox
-from pomelogauge.tasks.messages import PhaseChanged
-from pomelogauge.tasks.shutdown import (
+from pomelogauge.tasks.messages import (
+    PhaseChanged,
     RunningAsked,
     RunningCounted,
+)
+from pomelogauge.tasks.shutdown import (
     ShutdownActor,
     ShutdownAsked,
     ShutdownPorts,
