--- a/pomelogauge/standins/engine.py
+++ b/pomelogauge/standins/engine.py
@@ -1,7 +1,7 @@
 """Stand-in for model engines: one process hosts one or several instances."""
 
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TypeVar
 
@@ -63,8 +63,8 @@
 
 
 @dataclass(frozen=True)
-class EngineStandinSettings:
-    """Settings of a process that hosts engines.
+class EngineStandinSettings(EngineTimes, EngineLimits):
+    """Settings of a process that hosts engines, with limits and times.
 
     Parameters
     ----------
@@ -74,10 +74,6 @@
         Number of engines.
     name_prefix
         The engines are named by it, a hyphen and their number from zero.
-    limits
-        What each engine bears.
-    times
-        How long things take at each engine.
     threads
         Threads that answer calls, for each engine; more than the slots.
 
@@ -86,8 +82,6 @@
     port: int = 0
     count: int = 1
     name_prefix: str = 'engine'
-    limits: EngineLimits = field(default_factory=EngineLimits)
-    times: EngineTimes = field(default_factory=EngineTimes)
     threads: int = 32
 
     def names(self) -> tuple[InstanceName, ...]:
@@ -234,7 +228,7 @@
         """Bind the port."""
         clock = MonotonicClock()
         self.name = cfg.names()[number]
-        actor = EngineActor(self.name, cfg.limits, cfg.times, clock)
+        actor = EngineActor(self.name, cfg, cfg, clock)
         self._task: Task[EngineMessage] = Task(self.name, actor)
         self._watch: Task[MembersWatched] = Task(
             f'{self.name}-watch',
--- a/test/test_standin_engine.py
+++ b/test/test_standin_engine.py
@@ -19,7 +19,6 @@
     OrderAccepted,
     OrderKind,
 )
-from pomelogauge.standins.engine_task import EngineTimes
 from pomelogauge.standins.tokens import token_text
 
 from .test_http_platform import control
@@ -95,8 +94,10 @@
     ) -> list[EngineStandin]:
         cfg = EngineStandinSettings(
             count=count,
-            limits=EngineLimits(**limits),
-            times=EngineTimes(0, interval_s, 0),
+            load_s=0,
+            token_interval_s=interval_s,
+            load_lag_s=0,
+            **limits,
         )
         engines = [EngineStandin(cfg, number) for number in range(count)]
         for engine in engines:
