--- a/pomelogauge/app/settings.py
+++ b/pomelogauge/app/settings.py
@@ -77,7 +77,7 @@
         period_hint('Time that a taker waits beyond the life of a lease'), 1.0
     )
     gossip_interval_s: float = setting(
-        period_hint('Time between gossip to peers'), 0.25
+        period_hint('Time between gossip to peers'), 0.5
     )
     exchange_interval_s: float = setting(
         period_hint('Time between exchanges of a router with a controller'),
--- a/pomelogauge/standins/engine.py
+++ b/pomelogauge/standins/engine.py
@@ -19,6 +19,7 @@
 from .engine_load import CacheEvent
 from .engine_messages import (
     CancelAsked,
+    Closing,
     CutsSet,
     EngineMessage,
     EngineRecord,
@@ -256,9 +257,11 @@
 
     def stop(self) -> None:
         """Cut all streams, close the port and end the tasks."""
+        self._task.post(Closing())
+        # Calls in progress still need the task's answers.
+        self._server.stop()
         self._watch.stop()
         self._task.stop()
-        self._server.stop()
 
 
 def run_engine(cfg: EngineStandinSettings) -> None:
--- a/pomelogauge/standins/engine_messages.py
+++ b/pomelogauge/standins/engine_messages.py
@@ -250,8 +250,14 @@
     epoch: Epoch
 
 
+@dataclass(frozen=True)
+class Closing:
+    """The process ends: streams and held connections end now."""
+
+
 EngineMessage = (
     GateAsked
+    | Closing
     | Held
     | StatusAsked
     | OrderGiven
--- a/pomelogauge/standins/engine_task.py
+++ b/pomelogauge/standins/engine_task.py
@@ -9,6 +9,7 @@
 from .engine_load import LoadHistory, PrefixCache
 from .engine_messages import (
     CancelAsked,
+    Closing,
     CutsSet,
     EngineMessage,
     EngineMode,
@@ -109,6 +110,8 @@
             case CutsSet(clients):
                 self._gate.cut(clients)
                 self._requests.cut_clients(clients)
+            case Closing():
+                self.on_stop()
             case StatusAsked(reply):
                 reply.post(self._report())
             case OrderGiven():
