--- a/pomelogauge/platform/http_platform.py
+++ b/pomelogauge/platform/http_platform.py
@@ -13,7 +13,7 @@
 )
 from urllib3.response import BaseHTTPResponse
 
-from ..model.ids import ABSENT_ROW, Address, RowVersion
+from ..model.ids import Address
 from ..model.topology import Instance
 from ..wire.json_fields import WireError
 from ..wire.platform_json import (
