--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -12,6 +12,7 @@
 from ..platform.configuration_store import ConfigurationStore
 from ..tasks.clock import MonotonicClock
 from .connections import Connections
+from .lab_commands import lab
 from .late_import import late_import
 from .manifest_file import read_manifest
 from .operator_settings import DrainSettings, PublishSettings, StatusSettings
@@ -139,6 +140,7 @@
     click.echo(render_settings_page(), nl=False)
 
 
+cli.add_command(lab)
 cli.add_command(
     StandinGroup(
         'standin',
--- a/pomelogauge/client.py
+++ b/pomelogauge/client.py
@@ -3,13 +3,19 @@
 import json
 import time
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import urllib3
 from returns.result import Failure, Result
 
-from .wire.caller_answers import CallError, ChatAnswer, read_answer
+from .wire.caller_answers import (
+    CallError,
+    ChatAnswer,
+    ignore_tokens,
+    read_answer,
+)
 
 #: Seconds that a call to ask for addresses may take.
 ENTRY_TIMEOUT_S = 2.0
@@ -28,6 +34,15 @@
     expires_at_s: float = 0
 
 
+@dataclass(frozen=True)
+class _CallBody:
+    """What is sent; the key is empty for a chat."""
+
+    path: str
+    body: str
+    key: str = ''
+
+
 class Client:
     """Calls models and plain services; belongs to one thread.
 
@@ -72,10 +87,23 @@
         model: str,
         prompt: str,
         max_tokens: int = 32,
+        on_token: Callable[[int], None] = ignore_tokens,
     ) -> Result[ChatAnswer, CallError]:
         """Ask a model and read the whole streamed answer.
 
         A request that was not run is sent again, to another router.
+
+        Parameters
+        ----------
+        model
+            Name of the model.
+        prompt
+            Content of the only message.
+        max_tokens
+            Bound of the answer.
+        on_token
+            Called after each token with the number of tokens so far.
+
         """
         body = {
             'model': model,
@@ -83,7 +111,8 @@
             'max_tokens': max_tokens,
             'messages': [{'role': 'user', 'content': prompt}],
         }
-        return self._try_all('/v1/chat/completions', json.dumps(body), '')
+        call = _CallBody('/v1/chat/completions', json.dumps(body))
+        return self._try_all(call, on_token)
 
     def call(
         self,
@@ -107,7 +136,7 @@
         """
         key = idempotency_key or uuid.uuid4().hex
         path = f'/v1/services/{service}/{call}'
-        return self._try_all(path, json.dumps(body), key)
+        return self._try_all(_CallBody(path, json.dumps(body), key))
 
     def _ask_entries(self) -> None:
         for address in (*self._kept.addresses, *self._seeds):
@@ -133,7 +162,9 @@
             return None
 
     def _try_all(
-        self, path: str, body: str, key: str
+        self,
+        call: '_CallBody',
+        on_token: Callable[[int], None] = ignore_tokens,
     ) -> Result[Any, CallError]:
         error = CallError('unreachable', 'no router is known', 'not_run')
         entries = self.entries()
@@ -141,7 +172,7 @@
             if not entries:
                 break
             address = entries[number % len(entries)]
-            outcome = self._send(address, path, body, key)
+            outcome = self._send(address, call, on_token)
             if not isinstance(outcome, Failure):
                 return outcome
             error = outcome.failure()
@@ -155,20 +186,19 @@
     def _send(
         self,
         address: str,
-        path: str,
-        body: str,
-        key: str,
+        call: '_CallBody',
+        on_token: Callable[[int], None],
     ) -> Result[Any, CallError]:
         headers = {**self._headers, 'Content-Type': 'application/json'}
-        if key:
-            headers['Idempotency-Key'] = key
+        if call.key:
+            headers['Idempotency-Key'] = call.key
         begun_s = time.monotonic()
         timeout = urllib3.Timeout(connect=ENTRY_TIMEOUT_S, read=SILENCE_LIMIT_S)
         try:
             answer = self._pool.request(
                 'POST',
-                f'{self._scheme}://{address}{path}',
-                body=body,
+                f'{self._scheme}://{address}{call.path}',
+                body=call.body,
                 headers=headers,
                 timeout=timeout,
                 preload_content=False,
@@ -180,4 +210,4 @@
             return Failure(CallError('unreachable', str(exc), 'not_run'))
         except urllib3.exceptions.HTTPError as exc:
             return Failure(CallError('cut', str(exc), 'may_have_run'))
-        return read_answer(answer, begun_s)
+        return read_answer(answer, begun_s, on_token)
--- a/pomelogauge/lab/cluster.py
+++ b/pomelogauge/lab/cluster.py
@@ -202,6 +202,10 @@
         """End all processes."""
         self.processes.end_all()
 
+    def kill(self) -> None:
+        """End all processes at once, without their graceful shutdown."""
+        self.processes.kill_all()
+
     def _await_and_list(self, fresh: list[Started]) -> None:
         for started in fresh:
             started.process.await_ready()
--- a/pomelogauge/lab/processes.py
+++ b/pomelogauge/lab/processes.py
@@ -124,6 +124,10 @@
         """Let a paused process go on."""
         self.send(signal.SIGCONT)
 
+    def terminate(self) -> None:
+        """Ask the process to end by itself."""
+        self.send(signal.SIGTERM)
+
     def kill(self) -> None:
         """End the process at once and wait for its end."""
         self.send(signal.SIGKILL)
@@ -148,12 +152,15 @@
         lines = self.log_path.read_text(errors='replace').splitlines()
         return ' | '.join(lines[-count:])
 
-    def _ready(self) -> Ready:
+    def next_line(self) -> str:
+        """Wait for the next line of output; empty for none."""
         try:
-            line = self._lines.get(timeout=READY_LIMIT_S)
+            return self._lines.get(timeout=READY_LIMIT_S).rstrip()
         except queue.Empty:
-            line = ''
-        ready = _parse_ready(line)
+            return ''
+
+    def _ready(self) -> Ready:
+        ready = _parse_ready(self.next_line())
         if ready is None:
             raise ProcessError(
                 f'{self.command.name} did not get ready: '
@@ -204,14 +211,21 @@
             process.end()
         self._processes.clear()
 
+    def kill_all(self) -> None:
+        """End all processes at once, the last started first."""
+        for process in reversed(self._processes.values()):
+            process.kill()
+        self._processes.clear()
+
 
 def _drain(
     pipe: IO[str],
     lines: queue.SimpleQueue[str],
 ) -> None:
     """Hand on lines until the process closes its output."""
-    for line in pipe:
-        lines.put(line)
+    with pipe:
+        for line in pipe:
+            lines.put(line)
     lines.put('')
 
 
--- a/pomelogauge/lab/record.py
+++ b/pomelogauge/lab/record.py
@@ -85,6 +85,15 @@
     max_tokens: int
 
 
+@dataclass(frozen=True)
+class TokenHeard:
+    """A caller has read so many tokens of its answer."""
+
+    at_s: float
+    caller: str
+    count: int
+
+
 @dataclass(frozen=True)
 class ChatAnswered:
     """A caller got an answer with its explicit end.
@@ -403,6 +412,7 @@
     RunBegun
     | FaultMade
     | ChatSent
+    | TokenHeard
     | ChatAnswered
     | CallSent
     | CallAnswered
--- a/pomelogauge/wire/caller_answers.py
+++ b/pomelogauge/wire/caller_answers.py
@@ -2,7 +2,7 @@
 
 import json
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -28,6 +28,8 @@
         ``not_run``, ``may_have_run`` or ``ran``.
     retry_after_s
         Seconds after which a repeat may succeed; zero for no hint.
+    request
+        Identifier of the request; empty when unknown.
 
     """
 
@@ -35,6 +37,7 @@
     message: str
     execution: str
     retry_after_s: float = 0
+    request: str = ''
 
     @property
     def repeatable(self) -> bool:
@@ -65,9 +68,14 @@
     token_times_s: tuple[float, ...]
 
 
+def ignore_tokens(count: int) -> None:
+    """Take no notice of the tokens of an unfinished answer."""
+
+
 def read_answer(
     answer: urllib3.BaseHTTPResponse,
     begun_s: float,
+    on_token: Callable[[int], None] = ignore_tokens,
 ) -> Result[Any, CallError]:
     """Read a whole answer, streamed or not.
 
@@ -77,13 +85,15 @@
         The response, its body not read yet.
     begun_s
         Monotonic time at which the request was sent.
+    on_token
+        Called after each token of a stream with the number of tokens so far.
 
     """
     try:
         if answer.status != _OK:
             return Failure(_refusal(answer))
         if 'event-stream' in answer.headers.get('Content-Type', ''):
-            return _read_stream(answer, begun_s)
+            return _read_stream(answer, begun_s, on_token)
         return Success(json.loads(answer.read()))
     except (urllib3.exceptions.HTTPError, ValueError) as exc:
         answer.close()
@@ -99,12 +109,14 @@
         said.get('message', ''),
         said.get('execution', 'may_have_run'),
         float(said.get('retry_after_s') or 0),
+        said.get('request_id', ''),
     )
 
 
 def _read_stream(
     answer: urllib3.BaseHTTPResponse,
     begun_s: float,
+    on_token: Callable[[int], None],
 ) -> Result[ChatAnswer, CallError]:
     texts: list[str] = []
     times_s: list[float] = []
@@ -123,6 +135,7 @@
         if text:
             texts.append(text)
             times_s.append(time.monotonic() - begun_s)
+            on_token(len(texts))
     answer.close()
     message = 'the answer ended without its explicit end'
     return Failure(CallError('cut', message, 'may_have_run'))
@@ -133,6 +146,7 @@
         said.get('code', 'unknown'),
         said.get('message', ''),
         said.get('execution', 'may_have_run'),
+        request=said.get('request_id', ''),
     )
 
 
