Keep intents and outcomes of calls that run at most once

Cause: calls that may not be repeated went through a ledger that kept nothing, so a repeat ran a second time.

A router mints keys that only its present life may run; such a call needs no intent and is served while the store is down. An idempotency key is no longer shortened, because two long keys could have become one.

--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -13,7 +13,6 @@
 from ..model.ids import Address, NodeName
 from ..model.topology import InstanceRole
 from ..services.http_calls import CallSettings, HttpServiceCalls
-from ..services.ledger import PassThroughLedger
 from ..tasks.caller_task import CallerParts, CallerSettings
 from ..tasks.clock import MonotonicClock
 from ..tasks.dispatcher import (
@@ -44,6 +43,7 @@
 from .daemon import Daemon, Servers
 from .identity import Identity
 from .metrics_reader import MetricsReader
+from .once_parts import OnceParts, wire_once
 from .peer_parts import PeerParts, PeerSubscribers, PeerWiring
 from .settings import RouterSettings
 from .task_set import TaskSet
@@ -115,7 +115,8 @@
     )
     ended: Mailbox[bool] = Mailbox()
     shutdown = _shutdown(cfg, tasks, core, shared, ended)
-    app = CallersApp(_app_parts(cfg, core, shared.membership))
+    once = wire_once(identity, tasks, wiring)
+    app = CallersApp(_app_parts(cfg, core, once, shared.membership))
     ports = PeerPorts(shared.membership, shared.keeper, shared.membership)
     return Daemon(
         identity,
@@ -172,6 +173,7 @@
 def _app_parts(
     cfg: RouterSettings,
     core: RouterCore,
+    once: OnceParts,
     membership: Task[MembershipMessage],
 ) -> AppParts:
     clock = MonotonicClock()
@@ -186,7 +188,8 @@
         clock,
         core.dispatcher,
         HttpServiceCalls(CallSettings(cfg.node)),
-        PassThroughLedger(),
+        once.ledger,
+        once.minted,
     )
     return AppParts(
         AppSettings(max_body_bytes=cfg.max_body_bytes),
--- a/pomelogauge/client.py
+++ b/pomelogauge/client.py
@@ -17,6 +17,8 @@
 SILENCE_LIMIT_S = 60.0
 #: Tries of a request that was not run, the first one included.
 TRIES = 4
+#: Code of a refusal because the table service is down.
+STORE_DOWN = 'store_unavailable'
 _OK = 200
 
 
@@ -28,6 +30,14 @@
     expires_at_s: float = 0
 
 
+@dataclass(frozen=True)
+class CallKey:
+    """An idempotency key, and whether this library has drawn it."""
+
+    key: str
+    is_drawn: bool = False
+
+
 class Client:
     """Calls models and plain services; belongs to one thread.
 
@@ -83,7 +93,7 @@
             'max_tokens': max_tokens,
             'messages': [{'role': 'user', 'content': prompt}],
         }
-        return self._try_all('/v1/chat/completions', json.dumps(body), '')
+        return self._try_all('/v1/chat/completions', json.dumps(body))
 
     def call(
         self,
@@ -101,26 +111,30 @@
         body
             Sent as JSON.
         idempotency_key
-            Names the booking or payment; drawn when empty. A repeat after an
-            error that is not ``not_run`` must use the same key.
+            Names the booking or payment. A repeat after an error that is not
+            ``not_run`` must use the same key. A key is drawn when this is
+            empty; while the table service is down, the router mints one.
 
         """
-        key = idempotency_key or uuid.uuid4().hex
+        key = CallKey(
+            idempotency_key or uuid.uuid4().hex,
+            is_drawn=not idempotency_key,
+        )
         path = f'/v1/services/{service}/{call}'
         return self._try_all(path, json.dumps(body), key)
 
     def _ask_entries(self) -> None:
         for address in (*self._kept.addresses, *self._seeds):
             asked_at_s = time.monotonic()
-            answer = self._get_entries(address)
+            answer = self._get(address, '/v1/entry')
             if answer:
                 expires_at_s = asked_at_s + float(answer['ttl_s'])
                 named = tuple(answer['addresses'])
                 self._kept = KeptEntries(named, expires_at_s)
                 return
 
-    def _get_entries(self, address: str) -> Any:
-        url = f'{self._scheme}://{address}/v1/entry'
+    def _get(self, address: str, path: str) -> Any:
+        url = f'{self._scheme}://{address}{path}'
         try:
             answer = self._pool.request(
                 'GET',
@@ -132,8 +146,16 @@
         except (urllib3.exceptions.HTTPError, ValueError):
             return None
 
+    def _mint_key(self, address: str) -> CallKey:
+        """Return a key that only the router at this address may run."""
+        answer = self._get(address, '/v1/idempotency-key')
+        return CallKey(str(answer['key']) if answer else '')
+
     def _try_all(
-        self, path: str, body: str, key: str
+        self,
+        path: str,
+        body: str,
+        key: CallKey | None = None,
     ) -> Result[Any, CallError]:
         error = CallError('unreachable', 'no router is known', 'not_run')
         entries = self.entries()
@@ -141,7 +163,7 @@
             if not entries:
                 break
             address = entries[number % len(entries)]
-            outcome = self._send(address, path, body, key)
+            outcome = self._send_or_mint(address, path, body, key)
             if not isinstance(outcome, Failure):
                 return outcome
             error = outcome.failure()
@@ -152,16 +174,32 @@
                 time.sleep(min(error.retry_after_s, ENTRY_TIMEOUT_S))
         return Failure(error)
 
+    def _send_or_mint(
+        self,
+        address: str,
+        path: str,
+        body: str,
+        key: CallKey | None,
+    ) -> Result[Any, CallError]:
+        outcome = self._send(address, path, body, key)
+        if key is None or not key.is_drawn or not _is_store_down(outcome):
+            return outcome
+        # The call was not sent, so that another key may name it.
+        minted = self._mint_key(address)
+        return (
+            self._send(address, path, body, minted) if minted.key else outcome
+        )
+
     def _send(
         self,
         address: str,
         path: str,
         body: str,
-        key: str,
+        key: CallKey | None,
     ) -> Result[Any, CallError]:
         headers = {**self._headers, 'Content-Type': 'application/json'}
         if key:
-            headers['Idempotency-Key'] = key
+            headers['Idempotency-Key'] = key.key
         begun_s = time.monotonic()
         timeout = urllib3.Timeout(connect=ENTRY_TIMEOUT_S, read=SILENCE_LIMIT_S)
         try:
@@ -181,3 +219,10 @@
         except urllib3.exceptions.HTTPError as exc:
             return Failure(CallError('cut', str(exc), 'may_have_run'))
         return read_answer(answer, begun_s)
+
+
+def _is_store_down(outcome: Result[Any, CallError]) -> bool:
+    if not isinstance(outcome, Failure):
+        return False
+    error: CallError = outcome.failure()
+    return error.repeatable and error.code == STORE_DOWN
--- a/pomelogauge/model/log_parts.py
+++ b/pomelogauge/model/log_parts.py
@@ -18,5 +18,6 @@
     SHUTDOWN = 'shutdown'
     PLATFORM = 'platform'
     CALLERS = 'callers'
+    CALLS = 'calls'
     METRICS = 'metrics'
     TASK = 'task'
--- a/pomelogauge/model/request.py
+++ b/pomelogauge/model/request.py
@@ -36,6 +36,8 @@
     NOT_ALLOWED = 'organisation_not_allowed'
     KEY_MISSING = 'idempotency_key_missing'
     KEY_REUSED = 'idempotency_key_reused'
+    OUTCOME_UNKNOWN = 'call_outcome_unknown'
+    ANSWER_NOT_KEPT = 'call_answer_not_kept'
     OVER_LIMIT = 'organisation_over_limit'
     NO_CAPACITY = 'no_capacity'
     DEADLINE = 'deadline_out_of_reach'
--- a/pomelogauge/tasks/clock.py
+++ b/pomelogauge/tasks/clock.py
@@ -17,3 +17,11 @@
     def now_s(self) -> float:
         """Return the present time in seconds."""
         return time.monotonic()
+
+
+class WallClock:
+    """Seconds since 1970; for the age of what outlives the process."""
+
+    def now_s(self) -> float:
+        """Return the time of this machine's wall clock."""
+        return time.time()
--- a/pomelogauge/tasks/service_call_task.py
+++ b/pomelogauge/tasks/service_call_task.py
@@ -25,6 +25,7 @@
 from .clock import Clock
 from .mailbox import Mailbox, Outbox
 from .messages import AskServicePlace, ForgetRequest, FreePlace
+from .once_messages import MintAsked
 
 
 @dataclass(frozen=True)
@@ -41,6 +42,8 @@
         Calls to plain services.
     ledger
         Bookkeeping of calls that may run at most once.
+    minted
+        Mints keys that only this life of this router may run.
     max_tries
         Instances tried for one call, the first included.
     place_timeout_s
@@ -52,6 +55,7 @@
     dispatcher: Outbox[AskServicePlace | FreePlace | ForgetRequest]
     calls: ServiceCalls
     ledger: OnceLedger
+    minted: Outbox[MintAsked]
     max_tries: int = 3
     place_timeout_s: float = 5
 
@@ -103,11 +107,11 @@
         begun = self._parts.ledger.begin(self._request, self._ask.body)
         if isinstance(begun, Failure):
             return begun
-        kept = begun.unwrap()
-        if kept is not None:
-            return Success(kept)
+        permit = begun.unwrap()
+        if isinstance(permit, ServiceAnswer):
+            return Success(permit)
         outcome = self._send(idempotent=False)
-        self._parts.ledger.finish(self._request, _known(outcome))
+        self._parts.ledger.finish(permit, _known(outcome))
         return self._refused(outcome)
 
     def _send(
--- a/pomelogauge/wire/caller_answers.py
+++ b/pomelogauge/wire/caller_answers.py
@@ -93,7 +93,7 @@
 
 
 def _refusal(answer: urllib3.BaseHTTPResponse) -> CallError:
-    said = json.loads(answer.read())['error']
+    said = _said(json.loads(answer.read()))
     return CallError(
         said.get('code', 'unknown'),
         said.get('message', ''),
@@ -102,6 +102,12 @@
     )
 
 
+def _said(document: Any) -> dict[str, Any]:
+    """Return the error of a refusal; a service's own error has none."""
+    error = document.get('error') if isinstance(document, dict) else None
+    return error if isinstance(error, dict) else {}
+
+
 def _read_stream(
     answer: urllib3.BaseHTTPResponse,
     begun_s: float,
--- a/pomelogauge/wire/callers_http.py
+++ b/pomelogauge/wire/callers_http.py
@@ -24,7 +24,12 @@
     text_answer,
 )
 from .http_requests import HttpRequest, new_request_id, read_request
-from .service_route import SERVICES_PATH, answer_call
+from .service_route import (
+    KEY_PATH,
+    SERVICES_PATH,
+    answer_call,
+    answer_key,
+)
 from .wsgi_types import StartResponse
 
 _log = logging.getLogger(__name__)
@@ -149,6 +154,8 @@
     ) -> Result[HttpAnswer, Refusal]:
         if req.method == 'GET' and req.path == '/v1/models':
             return Success(self._models(organisation))
+        if req.method == 'GET' and req.path == KEY_PATH:
+            return answer_key(req, organisation, self._parts.services.minted)
         if req.method == 'POST' and req.path == '/v1/chat/completions':
             return answer_chat(
                 req,
--- a/pomelogauge/wire/http_answers.py
+++ b/pomelogauge/wire/http_answers.py
@@ -14,6 +14,8 @@
     RefusalCode.MALFORMED: '400 Bad Request',
     RefusalCode.KEY_MISSING: '400 Bad Request',
     RefusalCode.KEY_REUSED: '409 Conflict',
+    RefusalCode.OUTCOME_UNKNOWN: '409 Conflict',
+    RefusalCode.ANSWER_NOT_KEPT: '409 Conflict',
     RefusalCode.UNKNOWN_KEY: '401 Unauthorized',
     RefusalCode.NOT_ALLOWED: '403 Forbidden',
     RefusalCode.UNKNOWN_MODEL: '404 Not Found',
--- a/pomelogauge/wire/http_requests.py
+++ b/pomelogauge/wire/http_requests.py
@@ -11,7 +11,7 @@
 from ..model.request import Refusal, RefusalCode
 
 _BEARER = 'bearer '
-_MAX_ID_LENGTH = 128
+_MAX_TRACE_LENGTH = 128
 
 
 class BodyStream(Protocol):
@@ -82,8 +82,9 @@
             _text(environ, 'PATH_INFO'),
             _bearer(_text(environ, 'HTTP_AUTHORIZATION')),
             body.unwrap(),
-            _text(environ, 'HTTP_IDEMPOTENCY_KEY')[:_MAX_ID_LENGTH],
-            _text(environ, 'HTTP_TRACEPARENT')[:_MAX_ID_LENGTH],
+            # A shortened key could be that of another call.
+            _text(environ, 'HTTP_IDEMPOTENCY_KEY'),
+            _text(environ, 'HTTP_TRACEPARENT')[:_MAX_TRACE_LENGTH],
         )
     )
 
--- a/pomelogauge/wire/service_route.py
+++ b/pomelogauge/wire/service_route.py
@@ -7,11 +7,19 @@
 from ..model.ids import CallName, ServiceName
 from ..model.manifest import Configuration, Organisation
 from ..model.request import Refusal, RefusalCode, ServiceRequest
+from ..tasks.mailbox import Mailbox, Outbox
+from ..tasks.once_messages import MintAsked
 from ..tasks.service_call_task import CallParts, ServiceCallTask
-from .http_answers import HttpAnswer, request_headers
+from .http_answers import HttpAnswer, json_answer, request_headers
 from .http_requests import HttpRequest
 
 SERVICES_PATH = '/v1/services/'
+#: Where callers get a key that works while the table service is down.
+KEY_PATH = '/v1/idempotency-key'
+#: Seconds for the answer of the task that mints keys.
+MINT_TIMEOUT_S = 2.0
+#: Longest idempotency key of a caller.
+MAX_KEY_LENGTH = 256
 
 
 def answer_call(
@@ -38,6 +46,9 @@
     if not service or not call:
         message = f'there is no {req.method} {req.path}'
         return Failure(req.refuse(RefusalCode.UNKNOWN_CALL, message))
+    if len(req.idempotency_key) > MAX_KEY_LENGTH:
+        message = f'the key is longer than {MAX_KEY_LENGTH} characters'
+        return Failure(req.refuse(RefusalCode.MALFORMED, message))
     if not _is_json(req.body):
         message = 'the body is no JSON'
         return Failure(req.refuse(RefusalCode.MALFORMED, message))
@@ -58,6 +69,31 @@
     return Success(HttpAnswer(status, answer.body, answer.media_type, headers))
 
 
+def answer_key(
+    req: HttpRequest,
+    organisation: Organisation,
+    minted: Outbox[MintAsked],
+) -> Result[HttpAnswer, Refusal]:
+    """Answer with a new idempotency key.
+
+    Parameters
+    ----------
+    req
+        The request.
+    organisation
+        Who may use the key.
+    minted
+        Mints keys.
+
+    """
+    reply: Mailbox[str] = Mailbox()
+    minted.post(MintAsked(organisation.name, reply))
+    key = reply.take(MINT_TIMEOUT_S)
+    if key is None:
+        return Failure(req.refuse(RefusalCode.INTERNAL, 'no key was minted'))
+    return Success(json_answer({'key': key}))
+
+
 def _is_json(body: bytes) -> bool:
     try:
         json.loads(body)
--- a/test/test_callers_http.py
+++ b/test/test_callers_http.py
@@ -128,7 +128,13 @@
                 self.backend,
                 REQUEST_CHART,
             ),
-            CallParts(clock, self.backend, self.backend, PassThroughLedger()),
+            CallParts(
+                clock,
+                self.backend,
+                self.backend,
+                PassThroughLedger(),
+                self.backend,
+            ),
             self.backend,
             self.backend,
         )
--- a/test/test_service_call_task.py
+++ b/test/test_service_call_task.py
@@ -61,7 +61,9 @@
         request = ServiceRequest(
             RequestId('r-1'), LARGE, ServiceName('books'), CallName(call), key
         )
-        parts = CallParts(FakeClock(), services, services, PassThroughLedger())
+        parts = CallParts(
+            FakeClock(), services, services, PassThroughLedger(), services
+        )
         return ServiceCallTask(parts, request, b'{}').run(configuration())
 
     def test_never_repeats_what_may_have_run(self) -> None:
