Notice callers who leave, bound what callers send, and measure requests

Cause: a caller who left before the first token, or during an answer that was not streamed, kept its place until the answer was whole. A caller could hold a thread by connecting only, or by sending a byte now and then, and the server read bodies and headers of any length. No request was counted, timed or spanned.

Change: one task watches all callers' connections in one blocking call; the news reaches the caller's task as a message while it waits for a place, and as a cancellation at the engine while it waits for tokens, so that no socket is touched by two threads. Aborting the upstream socket from another thread was ruled out: the pool may have lent that connection to another request by then. Headers and bodies have a time limit in all, sizes have bounds, and a connection takes a thread once it has sent something. Spans for the request, the wait for a place and the target join the caller's trace context. Each request posts one message of counts and timings; each refusal is one line.

Result: test/test_callers_http.py passes with a caller that leaves before a place or before a whole answer, a slow reader, 50 silent connections on two threads, dripping headers and bodies, and pipelined garbage.

--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -1,5 +1,6 @@
 """Wires a router."""
 
+import math
 from dataclasses import dataclass
 
 from ..charts.reader import load_chart
@@ -14,6 +15,8 @@
 from ..model.topology import InstanceRole
 from ..services.http_calls import CallSettings, HttpServiceCalls
 from ..tasks.caller_task import CallerParts, CallerSettings
+from ..tasks.caller_watch import CallerWatch
+from ..tasks.canceller import Canceller, CancelRequest
 from ..tasks.clock import MonotonicClock
 from ..tasks.dispatcher import (
     Dispatcher,
@@ -25,7 +28,7 @@
 from ..tasks.mailbox import Mailbox
 from ..tasks.membership import MembershipMessage
 from ..tasks.messages import RunningCounted
-from ..tasks.metrics import MetricsActor
+from ..tasks.metrics import MetricsActor, MetricsMessage
 from ..tasks.published import Published
 from ..tasks.router_state import RouterState
 from ..tasks.service_call_task import CallParts
@@ -48,6 +51,10 @@
 from .settings import RouterSettings
 from .task_set import TaskSet
 
+#: Bodies up to this many times the bound are read and refused in JSON;
+#: the connection of a longer one is closed.
+BODY_READ_FACTOR = 4
+
 
 @dataclass(frozen=True)
 class RouterCore:
@@ -60,13 +67,19 @@
     published
         State that callers' tasks read.
     metrics
-        Reads the metrics.
+        Counts what requests report.
+    canceller
+        Cancels the work of callers who left.
+    watch
+        Notices callers who leave.
 
     """
 
     dispatcher: Task[DispatcherMessage]
     published: Published[RouterState]
-    metrics: MetricsReader
+    metrics: Task[MetricsMessage]
+    canceller: Task[CancelRequest]
+    watch: CallerWatch
 
 
 @dataclass(frozen=True)
@@ -132,7 +145,9 @@
     return CallersServer(
         ServerSettings(
             threads=cfg.worker_threads,
-            idle_timeout_s=int(cfg.header_timeout_s),
+            idle_timeout_s=math.ceil(cfg.header_timeout_s),
+            header_limit_s=cfg.header_timeout_s,
+            max_body_bytes=BODY_READ_FACTOR * cfg.max_body_bytes,
             stop_timeout_s=int(cfg.shutdown_limit_s),
         ),
     )
@@ -157,7 +172,16 @@
         published,
     )
     dispatcher = tasks.add('dispatcher', actor)
-    return RouterCore(dispatcher, published, MetricsReader(metrics))
+    canceller = Canceller(HttpEngineStreams(StreamSettings(cfg.node)))
+    watch = CallerWatch()
+    tasks.include(watch)
+    return RouterCore(
+        dispatcher,
+        published,
+        metrics,
+        tasks.add('canceller', canceller),
+        watch,
+    )
 
 
 def _exchanges(
@@ -183,6 +207,8 @@
         core.dispatcher,
         HttpEngineStreams(StreamSettings(cfg.node)),
         load_chart('caller_request', REQUEST_WORDS),
+        core.canceller,
+        core.metrics,
     )
     services = CallParts(
         clock,
@@ -190,6 +216,7 @@
         HttpServiceCalls(CallSettings(cfg.node)),
         once.ledger,
         once.minted,
+        core.metrics,
     )
     return AppParts(
         AppSettings(max_body_bytes=cfg.max_body_bytes),
@@ -197,7 +224,8 @@
         models,
         services,
         membership,
-        core.metrics,
+        MetricsReader(core.metrics),
+        core.watch,
     )
 
 
--- a/pomelogauge/app/task_set.py
+++ b/pomelogauge/app/task_set.py
@@ -1,6 +1,6 @@
 """The tasks of a process, started and stopped in order."""
 
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 from ..tasks.task import Actor, Task
 
@@ -10,12 +10,22 @@
 STOP_LIMIT_S = 5.0
 
 
+class RunningTask(Protocol):
+    """A task that can be started and stopped."""
+
+    def start(self) -> None:
+        """Start the thread."""
+
+    def stop(self, timeout_s: float | None = None) -> None:
+        """Ask the task to end and wait for it."""
+
+
 class TaskSet:
     """Makes tasks, starts them in this order and stops them in reverse."""
 
     def __init__(self) -> None:
         """Start with none."""
-        self._tasks: list[Task] = []  # type: ignore[type-arg]
+        self._tasks: list[RunningTask] = []
 
     def add(self, name: str, actor: Actor[MessageT]) -> Task[MessageT]:
         """Make the task of an actor; it starts with the set."""
@@ -23,6 +33,10 @@
         self._tasks.append(task)
         return task
 
+    def include(self, task: RunningTask) -> None:
+        """Take a task that runs its own thread."""
+        self._tasks.append(task)
+
     def start(self) -> None:
         """Start all tasks."""
         for task in self._tasks:
--- a/pomelogauge/model/metrics.py
+++ b/pomelogauge/model/metrics.py
@@ -23,6 +23,7 @@
     FIRST_TOKEN = 'pomelogauge_first_token_seconds'
     PLACE_WAIT = 'pomelogauge_place_wait_seconds'
     WHOLE_ANSWER = 'pomelogauge_whole_answer_seconds'
+    SERVICE_CALL = 'pomelogauge_service_call_seconds'
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/model/request.py
+++ b/pomelogauge/model/request.py
@@ -44,6 +44,7 @@
     DRAINING = 'entry_draining'
     CUT_OFF = 'entry_cut_off'
     TARGET_LOST = 'target_lost'
+    CALLER_LEFT = 'caller_left'
     TARGET_REFUSED = 'target_refused'
     STORE_DOWN = 'store_unavailable'
     INTERNAL = 'internal_error'
--- a/pomelogauge/tasks/caller_task.py
+++ b/pomelogauge/tasks/caller_task.py
@@ -5,8 +5,10 @@
 """
 
 from collections.abc import Generator
+from contextlib import ExitStack
 from dataclasses import dataclass, replace
 
+from opentelemetry.trace import SpanKind
 from returns.result import Failure
 
 from ..decide.request_chart import (
@@ -33,9 +35,14 @@
     Refusal,
     RefusalCode,
 )
+from .caller_link import CallerLeft, CallerLink, LastingLink
+from .canceller import CancelOnLeave, CancelRequest
 from .clock import Clock
 from .mailbox import Mailbox, Outbox
 from .messages import AskPlace, ForgetRequest, FreePlace, IncarnationSeen
+from .metrics import Measured
+from .request_meter import RequestMeter
+from .spans import hop, trace_parent
 
 RequestChart = Chart[RequestState, RequestEvent, RequestAction, RequestFacts]
 ToDispatcher = AskPlace | ForgetRequest | FreePlace | IncarnationSeen
@@ -91,6 +98,10 @@
         Requests to engines.
     chart
         Bound request chart.
+    canceller
+        Cancels the work of callers who left.
+    measures
+        Takes what each request counts.
 
     """
 
@@ -99,6 +110,8 @@
     dispatcher: Outbox[ToDispatcher]
     streams: EngineStreams
     chart: RequestChart
+    canceller: Outbox[CancelRequest]
+    measures: Outbox[Measured]
 
 
 class CallerTask:
@@ -112,8 +125,8 @@
         The request.
     body
         The caller's body, sent on as it came.
-    trace_parent
-        Trace context header; empty for none.
+    link
+        The caller's connection; ``None`` for a caller that never leaves.
 
     """
 
@@ -122,13 +135,15 @@
         parts: CallerParts,
         request: ModelRequest,
         body: bytes,
-        trace_parent: str = '',
+        link: CallerLink | None = None,
     ) -> None:
         """Send nothing yet."""
         self._parts = parts
         self._request = request
         self._body = body
-        self._trace_parent = trace_parent
+        self._link = link or LastingLink()
+        self._meter = RequestMeter(parts.clock, request.organisation)
+        self._target_span = ExitStack()
         self._state = parts.chart.initial
         self._tries = 0
         self._lost: tuple[ReplicaId, ...] = ()
@@ -149,8 +164,8 @@
         """Yield the tokens, then how the request ended.
 
         The last item is an ``Ended`` or a ``Refusal``. Closing the iterator
-        before that means that the caller has left: the target's work is
-        cancelled and the place freed.
+        before that means that the caller has left, as does the news from its
+        link: the target's work is cancelled and the place freed.
         """
         event = RequestEvent.ASKED
         # A generator that is closed gets no other chance to clean up.
@@ -184,11 +199,15 @@
                 yield Ended(self._next_token)
             case RequestAction.REFUSE:
                 yield self._refusal
+            case RequestAction.CANCEL:
+                self._cancel()
+                yield self._left()
         return RequestEvent.CALLER_LEFT
 
     def _ask_place(self) -> RequestEvent:
-        reply: Mailbox[Place | Refusal] = Mailbox()
+        reply: Mailbox[Place | Refusal | CallerLeft] = Mailbox()
         asked_at_s = self._parts.clock.now_s()
+        self._link.watch(reply)
         self._parts.dispatcher.post(
             AskPlace(
                 self._request,
@@ -199,13 +218,21 @@
             )
         )
         slack_s = self._parts.cfg.answer_slack_s
-        answer = reply.take(self._request.deadline_s + slack_s)
+        with hop('place wait'):
+            answer = reply.take(self._request.deadline_s + slack_s)
+        self._meter.note_place(asked_at_s)
         if isinstance(answer, Place):
             self._place = answer
             return RequestEvent.PLACE_GIVEN
-        if answer is None:
-            request = self._request.request
+        return self._not_placed(answer)
+
+    def _not_placed(self, answer: Refusal | CallerLeft | None) -> RequestEvent:
+        request = self._request.request
+        if not isinstance(answer, Refusal):
             self._parts.dispatcher.post(ForgetRequest(request))
+        if isinstance(answer, CallerLeft):
+            return RequestEvent.CALLER_LEFT
+        if answer is None:
             answer = _refusal(request, RefusalCode.INTERNAL, 'no answer')
         # What an earlier target may have run stays true of the request.
         execution = self._execution
@@ -218,13 +245,18 @@
             return RequestEvent.TARGET_LOST
         replica = place.view.replica
         self._tries += 1
+        order = CancelRequest(place.address, place.request)
+        self._link.watch(CancelOnLeave(order, self._parts.canceller))
+        self._target_span.enter_context(
+            hop('target', SpanKind.CLIENT, request=place.request)
+        )
         ask = StreamAsk(
             self._request.request,
             replica.replica,
             replica.epoch,
             self._body,
             self._next_token,
-            self._trace_parent,
+            trace_parent(),
         )
         opened = self._parts.streams.open(place.address, ask)
         if isinstance(opened, Failure):
@@ -243,12 +275,15 @@
                 return self._lose(received.failure())
             token = received.unwrap()
             self._next_token = token.index + 1
+            self._meter.note_token()
             yield token
         self._close(cancel=False)
         return RequestEvent.COMPLETED
 
     def _lose(self, error: EngineError) -> RequestEvent:
         """Give a place back whose target did not answer whole."""
+        if self._link.is_gone():
+            return self._leave(error)
         # A closed connection is all that a lost target can notice.
         self._close(cancel=False)
         not_run = error.execution is Execution.NOT_RUN
@@ -266,8 +301,16 @@
         self._refusal = replace(refusal, execution=self._execution)
         return RequestEvent.TARGET_LOST
 
+    def _leave(self, error: EngineError) -> RequestEvent:
+        may_run = error.execution is not Execution.NOT_RUN
+        if self._stream is None and may_run:
+            # There is no stream whose end would tell that nothing runs.
+            self._free(PlaceEnd.LOST)
+        return RequestEvent.CALLER_LEFT
+
     def _close(self, *, cancel: bool) -> bool:
         """Close the stream and return whether nothing runs any more."""
+        self._target_span.close()
         stream = self._stream
         self._stream = None
         return stream is None or stream.close(cancel=cancel)
@@ -279,13 +322,26 @@
             self._parts.dispatcher.post(FreePlace(place.request, end))
 
     def _release(self) -> None:
-        """Cancel what the caller no longer waits for."""
-        if self._state in self._parts.chart.final:
-            return
-        self._step(RequestEvent.CALLER_LEFT)
+        """Cancel what the caller no longer waits for, and report."""
+        self._link.unwatch()
+        if self._state not in self._parts.chart.final:
+            self._step(RequestEvent.CALLER_LEFT)
+            self._cancel()
+        measured = self._meter.measured(self._state, self._next_token)
+        self._parts.measures.post(measured)
+
+    def _cancel(self) -> None:
         is_stopped = self._close(cancel=True)
         self._free(PlaceEnd.CANCELLED if is_stopped else PlaceEnd.LOST)
 
+    def _left(self) -> Refusal:
+        return Refusal(
+            RefusalCode.CALLER_LEFT,
+            'the caller left before its answer',
+            self._execution,
+            request=self._request.request,
+        )
+
 
 def _refusal(
     request: RequestId,
--- a/pomelogauge/tasks/metrics.py
+++ b/pomelogauge/tasks/metrics.py
@@ -41,6 +41,14 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class Measured:
+    """All that one request counts, in one message."""
+
+    counts: tuple[Counted, ...] = ()
+    timings: tuple[Timed, ...] = ()
+
+
 @dataclass(frozen=True)
 class SnapshotAsked:
     """Asks for all metrics."""
@@ -48,6 +56,9 @@
     reply: Outbox[MetricsSnapshot]
 
 
+MetricsMessage = Counted | Timed | Measured | SnapshotAsked
+
+
 class MetricsActor:
     """Counts and sorts what other tasks report once a request."""
 
@@ -59,16 +70,20 @@
     def on_start(self) -> None:
         """Own nothing that must be opened."""
 
-    def on_message(self, message: Counted | Timed | SnapshotAsked) -> None:
+    def on_message(self, message: MetricsMessage) -> None:
         """Record a value or answer with a snapshot."""
-        if isinstance(message, Counted):
-            self._counts[message.counter, message.label] += message.times
-        elif isinstance(message, Timed):
-            micros = int(message.seconds * _US_IN_S)
-            bounded = min(max(micros, _LOWEST_US), _HIGHEST_US)
-            self._histograms[message.timing].record_value(bounded)
-        else:
-            message.reply.post(self._snapshot())
+        match message:
+            case Counted():
+                self._count(message)
+            case Timed():
+                self._time(message)
+            case Measured():
+                for counted in message.counts:
+                    self._count(counted)
+                for timed in message.timings:
+                    self._time(timed)
+            case SnapshotAsked():
+                message.reply.post(self._snapshot())
 
     def on_timer(self) -> float | None:
         """Wait for messages only."""
@@ -77,6 +92,14 @@
     def on_stop(self) -> None:
         """Own nothing that must be closed."""
 
+    def _count(self, counted: Counted) -> None:
+        self._counts[counted.counter, counted.label] += counted.times
+
+    def _time(self, timed: Timed) -> None:
+        micros = int(timed.seconds * _US_IN_S)
+        bounded = min(max(micros, _LOWEST_US), _HIGHEST_US)
+        self._histograms[timed.timing].record_value(bounded)
+
     def _snapshot(self) -> MetricsSnapshot:
         counters = tuple(
             CounterValue(counter, label, total)
--- a/pomelogauge/tasks/service_call_task.py
+++ b/pomelogauge/tasks/service_call_task.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass, replace
 
+from opentelemetry.trace import SpanKind
 from returns.result import Failure, Result, Success
 
 from ..decide.access import call_for
 from ..model.ids import Address
 from ..model.manifest import Configuration
+from ..model.metrics import Counter, Timing
 from ..model.request import (
     Execution,
     PlaceEnd,
@@ -25,7 +27,9 @@
 from .clock import Clock
 from .mailbox import Mailbox, Outbox
 from .messages import AskServicePlace, ForgetRequest, FreePlace
+from .metrics import Counted, Measured, Timed
 from .once_messages import MintAsked
+from .spans import hop, trace_parent
 
 
 @dataclass(frozen=True)
@@ -44,6 +48,8 @@
         Bookkeeping of calls that may run at most once.
     minted
         Mints keys that only this life of this router may run.
+    measures
+        Takes what each call counts.
     max_tries
         Instances tried for one call, the first included.
     place_timeout_s
@@ -56,6 +62,7 @@
     calls: ServiceCalls
     ledger: OnceLedger
     minted: Outbox[MintAsked]
+    measures: Outbox[Measured]
     max_tries: int = 3
     place_timeout_s: float = 5
 
@@ -71,8 +78,6 @@
         The call.
     body
         Its body.
-    trace_parent
-        Trace context header; empty for none.
 
     """
 
@@ -81,7 +86,6 @@
         parts: CallParts,
         request: ServiceRequest,
         body: bytes,
-        trace_parent: str = '',
     ) -> None:
         """Send nothing yet."""
         self._parts = parts
@@ -91,14 +95,31 @@
             request.call,
             request.idempotency_key,
             body,
-            trace_parent,
         )
+        self._begun_at_s = parts.clock.now_s()
 
     def run(
         self,
         configuration: Configuration,
     ) -> Result[ServiceAnswer, Refusal]:
         """Return the whole answer or a truthful refusal."""
+        answered = self._run(configuration)
+        if isinstance(answered, Success):
+            self._parts.measures.post(self._measured())
+        return answered
+
+    def _measured(self) -> Measured:
+        served = Counter.REQUESTS_SERVED
+        whole_s = self._parts.clock.now_s() - self._begun_at_s
+        return Measured(
+            (Counted(served, self._request.organisation),),
+            (Timed(Timing.SERVICE_CALL, whole_s),),
+        )
+
+    def _run(
+        self,
+        configuration: Configuration,
+    ) -> Result[ServiceAnswer, Refusal]:
         declared = call_for(configuration, self._request)
         if isinstance(declared, Failure):
             return declared
@@ -125,7 +146,7 @@
             place = self._place(tried)
             if isinstance(place, Refusal):
                 return Failure(failed or place)
-            outcome = self._parts.calls.call(place.address, self._ask)
+            outcome = self._call(place.address)
             if isinstance(outcome, Success):
                 self._free(PlaceEnd.COMPLETED)
                 return Success(outcome.unwrap())
@@ -136,13 +157,19 @@
             tried = (*tried, place.address)
         return Failure(failed or ServiceError('no try', Execution.NOT_RUN))
 
+    def _call(self, address: Address) -> Outcome:
+        with hop('target', SpanKind.CLIENT, request=self._request.request):
+            ask = replace(self._ask, trace_parent=trace_parent())
+            return self._parts.calls.call(address, ask)
+
     def _place(self, tried: tuple[Address, ...]) -> ServicePlace | Refusal:
         reply: Mailbox[ServicePlace | Refusal] = Mailbox()
         now_s = self._parts.clock.now_s()
         self._parts.dispatcher.post(
             AskServicePlace(self._request, now_s, reply, tried)
         )
-        place = reply.take(self._parts.place_timeout_s)
+        with hop('place wait'):
+            place = reply.take(self._parts.place_timeout_s)
         if place is not None:
             return place
         request = self._request.request
--- a/pomelogauge/wire/callers_http.py
+++ b/pomelogauge/wire/callers_http.py
@@ -1,21 +1,28 @@
 """The callers' interface as a WSGI application."""
 
-import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Generator, Iterable, Mapping
+from contextlib import ExitStack, closing
 from dataclasses import dataclass
 from typing import Protocol
 
+from opentelemetry.trace import SpanKind
 from returns.result import Failure, Result, Success
 
+from ..model.ids import RequestId
+from ..model.log_parts import Part
 from ..model.manifest import Organisation
 from ..model.request import Execution, Refusal, RefusalCode
+from ..tasks.caller_link import CallerLink, LastingLink
 from ..tasks.caller_task import CallerParts
+from ..tasks.caller_watch import WatchMessage
+from ..tasks.log import part_logger
 from ..tasks.mailbox import Mailbox, Outbox
 from ..tasks.messages import Entries, EntriesAsked
 from ..tasks.published import Published
 from ..tasks.router_state import RouterState
 from ..tasks.service_call_task import CallParts
-from .chat_route import answer_chat
+from ..tasks.spans import hop
+from .chat_route import ChatCaller, answer_chat
 from .http_answers import (
     UNAVAILABLE,
     HttpAnswer,
@@ -23,16 +30,23 @@
     refusal_answer,
     text_answer,
 )
-from .http_requests import HttpRequest, new_request_id, read_request
+from .http_requests import (
+    HttpRequest,
+    new_request_id,
+    read_request,
+    trace_parent_of,
+)
+from .refusal_notes import RefusalNotes
 from .service_route import (
     KEY_PATH,
     SERVICES_PATH,
     answer_call,
     answer_key,
 )
+from .socket_link import SocketLink
 from .wsgi_types import StartResponse
 
-_log = logging.getLogger(__name__)
+_log = part_logger(Part.CALLERS)
 
 
 class MetricsText(Protocol):
@@ -80,6 +94,8 @@
         Says which addresses callers should use.
     metrics
         Metrics of the process.
+    watch
+        Notices callers who leave.
 
     """
 
@@ -89,6 +105,7 @@
     services: CallParts
     entries: Outbox[EntriesAsked]
     metrics: MetricsText
+    watch: Outbox[WatchMessage]
 
 
 class CallersApp:
@@ -97,6 +114,7 @@
     def __init__(self, parts: AppParts) -> None:
         """Take the parts."""
         self._parts = parts
+        self._notes = RefusalNotes(parts.models.measures)
 
     def __call__(
         self,
@@ -104,31 +122,49 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Answer one request."""
-        answer = self._answer(environ)
-        headers = [('Content-Type', answer.media_type)]
-        headers.extend((one.name, one.text) for one in answer.headers)
-        if isinstance(answer.body, bytes):
-            headers.append(('Content-Length', str(len(answer.body))))
+        request = new_request_id()
+        parent = trace_parent_of(environ)
+        with ExitStack() as span:
+            span.enter_context(
+                hop('router request', SpanKind.SERVER, parent, request)
+            )
+            answer = self._answer(environ, request)
+            headers = [('Content-Type', answer.media_type)]
+            headers.extend((one.name, one.text) for one in answer.headers)
+            if isinstance(answer.body, bytes):
+                headers.append(('Content-Length', str(len(answer.body))))
+                start_response(answer.status, headers)
+                return [answer.body]
             start_response(answer.status, headers)
-            return [answer.body]
-        start_response(answer.status, headers)
-        return answer.body
+            return _within(span.pop_all(), answer.body)
 
-    def _answer(self, environ: Mapping[str, object]) -> HttpAnswer:
+    def _answer(
+        self,
+        environ: Mapping[str, object],
+        request: RequestId,
+    ) -> HttpAnswer:
         # A fault of the project's own must not end the server's thread.
         try:
-            read = read_request(environ, self._parts.cfg.max_body_bytes)
-            return _merge(read.bind(self._route))
+            read = read_request(
+                environ, self._parts.cfg.max_body_bytes, request
+            )
+            return self._merge(read.bind(self._route))
         except Exception:
-            _log.exception('callers: a request failed')
+            _log.exception('a request failed', extra={'request': request})
             refusal = Refusal(
                 RefusalCode.INTERNAL,
                 'the router failed',
                 Execution.MAY_HAVE_RUN,
-                request=new_request_id(),
+                request=request,
             )
             return refusal_answer(refusal)
 
+    def _merge(self, answered: Result[HttpAnswer, Refusal]) -> HttpAnswer:
+        if isinstance(answered, Failure):
+            self._notes.note(answered.failure())
+            return refusal_answer(answered.failure())
+        return answered.unwrap()
+
     def _route(self, req: HttpRequest) -> Result[HttpAnswer, Refusal]:
         match (req.method, req.path):
             case ('GET', '/healthz'):
@@ -162,6 +198,7 @@
                 organisation,
                 self._parts.models,
                 self._parts.cfg.deadline_s,
+                ChatCaller(self._link(req), self._notes),
             )
         if req.method == 'POST' and req.path.startswith(SERVICES_PATH):
             configuration = self._parts.published.latest().configuration
@@ -200,8 +237,16 @@
         ]
         return json_answer({'object': 'list', 'data': listed})
 
+    def _link(self, req: HttpRequest) -> CallerLink:
+        if req.sock is None:
+            return LastingLink()
+        return SocketLink(req.sock, self._parts.watch)
+
 
-def _merge(answered: Result[HttpAnswer, Refusal]) -> HttpAnswer:
-    if isinstance(answered, Failure):
-        return refusal_answer(answered.failure())
-    return answered.unwrap()
+def _within(
+    span: ExitStack,
+    body: Generator[bytes, None, None],
+) -> Generator[bytes, None, None]:
+    """Yield a body and end its span with it."""
+    with span, closing(body):
+        yield from body
--- a/pomelogauge/wire/callers_server.py
+++ b/pomelogauge/wire/callers_server.py
@@ -4,9 +4,11 @@
 import threading
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from cheroot import wsgi
 
+from .callers_connections import CallerConnection, CallerGateway
 from .wsgi_types import StartResponse, WsgiApp
 
 _log = logging.getLogger(__name__)
@@ -28,6 +30,12 @@
         Seconds for which a full queue holds up the others.
     idle_timeout_s
         Seconds for which a connection may be silent.
+    header_limit_s, body_limit_s
+        Seconds for all headers of a request, and for its body.
+    max_header_bytes, max_body_bytes
+        Bounds of what is read at all; the application may allow less.
+    idle_connections
+        Connections kept between two requests.
     stop_timeout_s
         Seconds for which a graceful stop waits for what runs.
 
@@ -38,6 +46,11 @@
     queued: int = 512
     queue_timeout_s: int = 1
     idle_timeout_s: int = 10
+    header_limit_s: float = 10
+    body_limit_s: float = 30
+    max_header_bytes: int = 32_768
+    max_body_bytes: int = 8_388_608
+    idle_connections: int = 2048
     stop_timeout_s: int = 120
 
 
@@ -54,7 +67,7 @@
     def __init__(self, cfg: ServerSettings) -> None:
         """Open no socket yet."""
         self._cfg = cfg
-        self._server: wsgi.Server | None = None
+        self._server: _CallersHttpServer | None = None
         self._thread: threading.Thread | None = None
 
     def bind(self, host: str, port: int) -> int:
@@ -76,7 +89,7 @@
             The port can't be bound.
 
         """
-        self._server = _LoggedServer(
+        self._server = _CallersHttpServer(
             (host, port),
             _not_serving,
             numthreads=self._cfg.threads,
@@ -86,10 +99,18 @@
             timeout=self._cfg.idle_timeout_s,
             shutdown_timeout=self._cfg.stop_timeout_s,
         )
+        self._limit(self._server)
         self._server.prepare()
         bound: int = self._server.bind_addr[1]
         return bound
 
+    def _limit(self, server: '_CallersHttpServer') -> None:
+        server.header_limit_s = self._cfg.header_limit_s
+        server.body_limit_s = self._cfg.body_limit_s
+        server.max_request_header_size = self._cfg.max_header_bytes
+        server.max_request_body_size = self._cfg.max_body_bytes
+        server.keep_alive_conn_limit = self._cfg.idle_connections
+
     def serve(self, app: WsgiApp) -> None:
         """Serve in threads of the server.
 
@@ -125,8 +146,28 @@
     return []
 
 
-class _LoggedServer(wsgi.Server):
-    """The library's server, which writes to the project's logs."""
+class _CallersHttpServer(wsgi.Server):
+    """The library's server with the project's connections and logs."""
+
+    ConnectionClass = CallerConnection
+    header_limit_s: float
+    body_limit_s: float
+
+    def __init__(self, *args: Any, **more: Any) -> None:
+        """Hand the callers' sockets to the application."""
+        super().__init__(*args, **more)
+        self.gateway = CallerGateway
+
+    def process_conn(self, conn: CallerConnection) -> None:
+        """Give a connection to a thread once it has sent something.
+
+        A thread that waited for the first byte would let callers who only
+        connect take all threads.
+        """
+        if conn.last_used is None:
+            self._connections.put(conn)  # type: ignore[attr-defined]
+        else:
+            super().process_conn(conn)
 
     def error_log(
         self,
--- a/pomelogauge/wire/chat_route.py
+++ b/pomelogauge/wire/chat_route.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Generator
+from dataclasses import dataclass
 from itertools import chain
 
 from returns.result import Failure, Result, Success
@@ -10,10 +11,29 @@
 from ..model.ids import RequestId
 from ..model.manifest import Organisation
 from ..model.request import ModelRequest, Refusal, RefusalCode
+from ..tasks.caller_link import CallerLink
 from ..tasks.caller_task import CallerItem, CallerParts, CallerTask, Ended
 from . import chat_bodies
 from .http_answers import Header, HttpAnswer, encode_refusal, request_headers
 from .http_requests import HttpRequest
+from .refusal_notes import RefusalNotes
+
+
+@dataclass(frozen=True)
+class ChatCaller:
+    """Who asks.
+
+    Parameters
+    ----------
+    link
+        The caller's connection.
+    notes
+        Notes a refusal in the middle of an answer.
+
+    """
+
+    link: CallerLink
+    notes: RefusalNotes
 
 
 def answer_chat(
@@ -21,6 +41,7 @@
     organisation: Organisation,
     parts: CallerParts,
     deadline_s: float,
+    caller: ChatCaller,
 ) -> Result[HttpAnswer, Refusal]:
     """Answer a chat request.
 
@@ -34,6 +55,8 @@
         Parts of callers' tasks.
     deadline_s
         Seconds that the caller waits for the first token.
+    caller
+        Who asks.
 
     """
     parsed = chat_bodies.parse_chat(req.body)
@@ -42,9 +65,9 @@
         return Failure(req.refuse(RefusalCode.MALFORMED, message))
     chat = parsed.unwrap()
     asked = chat.request(req.request, organisation.name, deadline_s)
-    task = CallerTask(parts, asked, chat.upstream, req.trace_parent)
+    task = CallerTask(parts, asked, chat.upstream, caller.link)
     if chat.stream:
-        return _streamed(asked, task)
+        return _streamed(asked, task, caller.notes)
     return _whole(asked, task)
 
 
@@ -67,23 +90,25 @@
 def _streamed(
     asked: ModelRequest,
     task: CallerTask,
+    notes: RefusalNotes,
 ) -> Result[HttpAnswer, Refusal]:
     """Return the stream, or the refusal that came before any token."""
     sent = task.items()
     first = next(sent)
     if isinstance(first, Refusal):
+        sent.close()
         return Failure(first)
     headers = (
         *request_headers(asked.request),
         Header('Cache-Control', 'no-cache'),
     )
-    body = _events(asked.request, asked.model, first, sent)
+    body = _events(asked, notes, first, sent)
     return Success(HttpAnswer('200 OK', body, 'text/event-stream', headers))
 
 
 def _events(
-    request: RequestId,
-    model: str,
+    asked: ModelRequest,
+    notes: RefusalNotes,
     first: CallerItem,
     rest: Generator[CallerItem, None, None],
 ) -> Generator[bytes, None, None]:
@@ -91,7 +116,9 @@
     # to hear of it in the same thread.
     try:  # noqa: WPS501
         for sent in chain((first,), rest):
-            yield _encode(request, model, sent)
+            if isinstance(sent, Refusal):
+                notes.note(sent)
+            yield _encode(asked.request, asked.model, sent)
     finally:
         rest.close()
 
--- a/pomelogauge/wire/http_requests.py
+++ b/pomelogauge/wire/http_requests.py
@@ -1,5 +1,6 @@
 """Requests of callers as WSGI gives them."""
 
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol, cast
@@ -9,6 +10,7 @@
 
 from ..model.ids import RequestId
 from ..model.request import Refusal, RefusalCode
+from .callers_connections import SOCKET_ENTRY
 
 _BEARER = 'bearer '
 _MAX_TRACE_LENGTH = 128
@@ -41,6 +43,8 @@
         Caller's idempotency key; empty for none.
     trace_parent
         Trace context header; empty for none.
+    sock
+        The caller's connection, where the server gives it.
 
     """
 
@@ -51,6 +55,7 @@
     body: bytes = b''
     idempotency_key: str = ''
     trace_parent: str = ''
+    sock: socket.socket | None = None
 
     def refuse(self, code: RefusalCode, message: str) -> Refusal:
         """Return a refusal of this request."""
@@ -60,6 +65,7 @@
 def read_request(
     environ: Mapping[str, object],
     max_body_bytes: int,
+    request: RequestId,
 ) -> Result[HttpRequest, Refusal]:
     """Read a request and its body within a bound.
 
@@ -69,9 +75,10 @@
         WSGI environment.
     max_body_bytes
         Bound of the body.
+    request
+        Its identifier.
 
     """
-    request = new_request_id()
     body = _read_body(environ, max_body_bytes, request)
     if isinstance(body, Failure):
         return body
@@ -84,11 +91,17 @@
             body.unwrap(),
             # A shortened key could be that of another call.
             _text(environ, 'HTTP_IDEMPOTENCY_KEY'),
-            _text(environ, 'HTTP_TRACEPARENT')[:_MAX_TRACE_LENGTH],
+            trace_parent_of(environ),
+            _socket(environ),
         )
     )
 
 
+def trace_parent_of(environ: Mapping[str, object]) -> str:
+    """Return the caller's trace context header; empty for none."""
+    return _text(environ, 'HTTP_TRACEPARENT')[:_MAX_TRACE_LENGTH]
+
+
 def new_request_id() -> RequestId:
     """Return an identifier that no other request has.
 
@@ -145,6 +158,11 @@
         return bytes(wanted) if is_chunked else None
 
 
+def _socket(environ: Mapping[str, object]) -> socket.socket | None:
+    sock = environ.get(SOCKET_ENTRY)
+    return sock if isinstance(sock, socket.socket) else None
+
+
 def _text(environ: Mapping[str, object], name: str) -> str:
     return str(environ.get(name) or '')
 
--- a/pomelogauge/wire/service_route.py
+++ b/pomelogauge/wire/service_route.py
@@ -59,7 +59,7 @@
         CallName(call),
         req.idempotency_key,
     )
-    task = ServiceCallTask(parts, asked, req.body, req.trace_parent)
+    task = ServiceCallTask(parts, asked, req.body)
     answered = task.run(configuration)
     if isinstance(answered, Failure):
         return answered
--- a/test/test_caller_task.py
+++ b/test/test_caller_task.py
@@ -96,7 +96,13 @@
 class CallerTaskTest(unittest.TestCase):
     def run_against(self, targets: FakeTargets) -> CallerTask:
         parts = CallerParts(
-            CallerSettings(max_tries=3), FakeClock(), targets, targets, CHART
+            CallerSettings(max_tries=3),
+            FakeClock(),
+            targets,
+            targets,
+            CHART,
+            targets,
+            targets,
         )
         return CallerTask(parts, request(), b'{}')
 
--- a/test/test_callers_http.py
+++ b/test/test_callers_http.py
@@ -24,11 +24,14 @@
 from pomelogauge.services.ledger import PassThroughLedger
 from pomelogauge.services.protocols import ServiceAnswer
 from pomelogauge.tasks.caller_task import CallerParts, CallerSettings
+from pomelogauge.tasks.caller_watch import CallerWatch
+from pomelogauge.tasks.canceller import CancelRequest
 from pomelogauge.tasks.messages import (
     AskPlace,
     AskServicePlace,
     Entries,
     EntriesAsked,
+    ForgetRequest,
 )
 from pomelogauge.tasks.published import Published
 from pomelogauge.tasks.router_state import RouterState
@@ -66,8 +69,11 @@
 class EndlessStream(GatedStream):
     """Goes on for ever once its gate is open."""
 
+    sent_bytes = 0
+
     def tokens(self):
         for index in itertools.count():
+            self.sent_bytes += 10000
             yield Success(Token(index, 'x' * 10000))
             self.gate.wait(10)
 
@@ -80,9 +86,18 @@
         self.cut_at = -1
         self.make_stream = None
         self.streams: list[FakeStream] = []
+        self.no_place = False
+        self.forgotten = threading.Event()
+        self.opened = threading.Event()
+        self.cancelled = threading.Event()
 
     def post(self, message) -> None:
-        if isinstance(message, AskPlace):
+        if isinstance(message, ForgetRequest):
+            self.forgotten.set()
+        if isinstance(message, CancelRequest):
+            self.cancelled.set()
+            self.streams[-1].gate.set()
+        if isinstance(message, AskPlace) and not self.no_place:
             message.reply.post(self.refusal or self._place())
         if isinstance(message, AskServicePlace):
             place = ServicePlace(
@@ -96,6 +111,7 @@
         made = self.make_stream
         stream = made(ask) if made else FakeStream(ask, self.cut_at)
         self.streams.append(stream)
+        self.opened.set()
         return Success(stream)
 
     def call(self, address, ask):
@@ -116,6 +132,9 @@
 class CallersHttpTest(unittest.TestCase):
     def setUp(self) -> None:
         self.backend = FakeBackend()
+        self.watch = CallerWatch()
+        self.watch.start()
+        self.addCleanup(self.watch.stop)
         clock = FakeClock()
         state = RouterState(access_of(configuration()), NodePhase.READY)
         parts = AppParts(
@@ -127,6 +146,8 @@
                 self.backend,
                 self.backend,
                 REQUEST_CHART,
+                self.backend,
+                self.backend,
             ),
             CallParts(
                 clock,
@@ -134,11 +155,15 @@
                 self.backend,
                 PassThroughLedger(),
                 self.backend,
+                self.backend,
             ),
             self.backend,
             self.backend,
+            self.watch,
+        )
+        settings = ServerSettings(
+            threads=2, idle_timeout_s=5, header_limit_s=2, body_limit_s=2
         )
-        settings = ServerSettings(threads=2, idle_timeout_s=5)
         self.server = CallersServer(settings)
         self.port = self.server.bind('127.0.0.1', 0)
         self.server.serve(CallersApp(parts))
@@ -278,6 +303,89 @@
         self.assertTrue(stream.closed.wait(10))
         self.assertTrue(stream.cancelled)
 
+    def connect(self, sent: bytes) -> socket.socket:
+        conn = socket.create_connection(('127.0.0.1', self.port), 10)
+        self.addCleanup(conn.close)
+        conn.sendall(sent)
+        return conn
+
+    def chat_bytes(self, **more) -> bytes:
+        body = json.dumps({**BODY, **more})
+        return (
+            f'POST {CHAT} HTTP/1.1\r\nHost: x\r\n'
+            f'Authorization: Bearer {KEY}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'
+        ).encode()
+
+    def test_notices_who_leaves_before_a_place_is_given(self) -> None:
+        self.backend.no_place = True
+        self.connect(self.chat_bytes()).close()
+        self.assertTrue(self.backend.forgotten.wait(10))
+
+    def test_notices_who_leaves_before_a_whole_answer(self) -> None:
+        self.backend.make_stream = GatedStream
+        conn = self.connect(self.chat_bytes())
+        self.assertTrue(self.backend.opened.wait(10))
+        # Bytes that nobody reads must not hide the end behind them.
+        conn.sendall(b'GET /healthz HTTP/1.1\r\n')
+        conn.close()
+        self.assertTrue(self.backend.cancelled.wait(10))
+
+    def test_a_slow_reader_holds_its_engine_back(self) -> None:
+        self.backend.make_stream = EndlessStream
+        self.connect(self.chat_bytes(stream=True))
+        self.assertTrue(self.backend.opened.wait(10))
+        stream = self.backend.streams[0]
+        stream.gate.set()
+        # The server gives the reader up after its idle time.
+        self.assertTrue(stream.closed.wait(20))
+        self.assertLess(stream.sent_bytes, 20_000_000)
+
+    def test_callers_who_send_nothing_take_no_thread(self) -> None:
+        for _ in range(50):
+            self.connect(b'')
+        self.assertEqual(self.send('GET', '/healthz')[0].status, 200)
+
+    def test_ends_headers_and_bodies_that_drip(self) -> None:
+        head = b'POST /v1/models HTTP/1.1\r\nContent-Length: 99\r\n\r\n'
+        for first in (b'GET / HTTP/1.1\r\nA: ', head):
+            with self.subTest(first):
+                conn = self.connect(first)
+                conn.settimeout(0.2)
+                self.assertTrue(self.is_ended(conn))
+
+    def is_ended(self, conn: socket.socket) -> bool:
+        """Send a byte now and then until the server ends the request."""
+        for _ in range(50):
+            try:
+                conn.sendall(b'x')
+                received = conn.recv(1000)
+            except TimeoutError:
+                continue
+            except OSError:
+                return True
+            return not received or b'408' in received or b'400' in received
+        return False
+
+    def test_refuses_what_is_too_large_to_read(self) -> None:
+        huge = b'GET / HTTP/1.1\r\nA: ' + b'x' * 40_000
+        body = b'POST / HTTP/1.1\r\nContent-Length: 999999999\r\n\r\n'
+        for sent in (huge, body):
+            with self.subTest(sent[:20]):
+                received = self.connect(sent).recv(1000)
+                self.assertIn(b'413', received.split(b'\r\n')[0])
+
+    def test_pipelined_garbage_ends_its_own_connection_only(self) -> None:
+        conn = self.connect(
+            b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n\0garbage\r\n\r\n'
+        )
+        received = b''
+        while part := conn.recv(1000):
+            received += part
+        self.assertTrue(received.startswith(b'HTTP/1.1 200'))
+        self.assertEqual(received.count(b'HTTP/1.1 400'), 1)
+        self.assertEqual(self.send('GET', '/healthz')[0].status, 200)
+
     def test_other_paths(self) -> None:
         _, text = self.send('GET', '/v1/entry')
         self.assertEqual(json.loads(text), {'addresses': ['a:1'], 'ttl_s': 3})
--- a/test/test_service_call_task.py
+++ b/test/test_service_call_task.py
@@ -62,7 +62,12 @@
             RequestId('r-1'), LARGE, ServiceName('books'), CallName(call), key
         )
         parts = CallParts(
-            FakeClock(), services, services, PassThroughLedger(), services
+            FakeClock(),
+            services,
+            services,
+            PassThroughLedger(),
+            services,
+            services,
         )
         return ServiceCallTask(parts, request, b'{}').run(configuration())
 
