Confirm a version by half of the other listed processes

Cause: processes that were cut off together from the store and from the rest confirmed each other and went on with an older version.

A version is now confirmed by the store, or by reports that half of the other listed routers and controllers made within the cut-off time, so that of two sides of a partition one at most confirms itself. Without a list all live peers vote. The cut-off is 2.5 s, its check runs each 0.25 s, and peers are published twice a second, so that new work stops within 3 s.

Where nobody known takes work, callers are named the listed routers that are silent here, and refusals of a router that is cut off or leaving carry the other entries.

--- a/pomelogauge/app/peer_parts.py
+++ b/pomelogauge/app/peer_parts.py
@@ -111,7 +111,7 @@
         keeper_box.connect(keeper)
         reader = InstanceReader(
             self.platform(),
-            (membership, *subscribers.instances),
+            (membership, keeper, *subscribers.instances),
             self._cfg.pull_interval_s,
             self._clock,
             self._identity.rng('instances'),
--- a/pomelogauge/app/settings.py
+++ b/pomelogauge/app/settings.py
@@ -96,7 +96,7 @@
         period_hint(
             'Time without a confirmed configuration before new work stops'
         ),
-        3.0,
+        2.5,
     )
     log_level: LogLevel = setting(
         Hint('Least severe log records written: debug, info, warning, error.'),
--- a/pomelogauge/decide/known_versions.py
+++ b/pomelogauge/decide/known_versions.py
@@ -4,7 +4,8 @@
 
 from ..model.ids import NO_VERSION, ConfigVersion
 from ..model.peers import PeerView
-from .spread import confirmation_age_s, newest_version
+from .confirmation import Voters, confirmation_age_s
+from .spread import newest_version
 
 
 @dataclass(frozen=True)
@@ -14,14 +15,16 @@
     Parameters
     ----------
     confirmed_at_s
-        When the store or a peer last named nothing newer than what is in
-        force, by the own clock.
+        When the store or enough peers last named nothing newer than what
+        is in force, by the own clock.
     in_force
         Version in force here; zero also while none is.
     newest
         Highest version that the store or a peer has named.
     peers
         Live peers.
+    voters
+        Peers of the last instance list.
 
     """
 
@@ -29,6 +32,7 @@
     in_force: ConfigVersion = NO_VERSION
     newest: ConfigVersion = NO_VERSION
     peers: tuple[PeerView, ...] = ()
+    voters: Voters = Voters()
 
     @property
     def is_behind(self) -> bool:
@@ -61,6 +65,6 @@
         return replace(self, confirmed_at_s=max(self.confirmed_at_s, at_s))
 
     def peer_confirmed_at_s(self, now_s: float) -> float | None:
-        """Return when a peer last confirmed the version in force."""
-        age_s = confirmation_age_s(self.peers, self.in_force)
+        """Return when enough peers last confirmed the version in force."""
+        age_s = confirmation_age_s(self.peers, self.in_force, self.voters)
         return None if age_s is None else now_s - age_s
--- a/pomelogauge/decide/resolve.py
+++ b/pomelogauge/decide/resolve.py
@@ -1,11 +1,11 @@
 """Which routers to name to a caller."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from ..model.ids import Address, DataCentreName, NodeName
 from ..model.peers import NodePhase, NodeReport, PeerView
-from ..model.topology import InstanceRole
+from ..model.topology import Instance, InstanceRole
 
 
 @dataclass(frozen=True)
@@ -22,6 +22,8 @@
         Nodes that the instance list announces as leaving.
     drained
         Data centres that receive no new work.
+    listed
+        Routers of the instance list.
 
     """
 
@@ -29,6 +31,7 @@
     peers: tuple[PeerView, ...]
     leaving: frozenset[NodeName] = frozenset()
     drained: frozenset[DataCentreName] = frozenset()
+    listed: tuple[Instance, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -49,9 +52,17 @@
 
 
 def choose_entries(facts: EntryFacts) -> EntryChoice:
-    """Return the routers that take new work; else this one, if it stays."""
+    """Return the routers that take new work.
+
+    Where none is known, a partition may hide some: the listed ones that are
+    silent here are named, else this one, if it stays.
+    """
     reports = (facts.own, *(view.report for view in facts.peers))
-    fit = [report for report in reports if _takes_work(report, facts)]
+    fit: list[NodeReport | Instance] = [
+        report for report in reports if _takes_work(report, facts)
+    ]
+    if not fit:
+        fit.extend(_silent(facts))
     if not fit and _stays(facts.own, facts):
         fit = [facts.own]
     own_centre = facts.own.data_centre
@@ -101,8 +112,19 @@
     )
 
 
-def _addresses(reports: Iterable[NodeReport]) -> tuple[Address, ...]:
-    return tuple(sorted(report.address for report in reports))
+def _silent(facts: EntryFacts) -> Iterator[Instance]:
+    heard = {facts.own.node, *(view.report.node for view in facts.peers)}
+    for instance in facts.listed:
+        is_silent = NodeName(instance.name) not in heard
+        is_in_service = instance.data_centre not in facts.drained
+        if is_silent and is_in_service and not instance.leaving:
+            yield instance
+
+
+def _addresses(
+    routers: Iterable[NodeReport | Instance],
+) -> tuple[Address, ...]:
+    return tuple(sorted(router.address for router in routers))
 
 
 def _rotated(
--- a/pomelogauge/decide/spread.py
+++ b/pomelogauge/decide/spread.py
@@ -1,11 +1,11 @@
-"""How a configuration spreads, and what confirms it."""
+"""How a configuration spreads."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
 
 from ..model.ids import NO_VERSION, Address, ConfigVersion
-from ..model.peers import NodePhase, PeerView
+from ..model.peers import PeerView
 
 
 @dataclass(frozen=True)
@@ -25,10 +25,10 @@
 
     """
 
-    pull_interval_s: float = 2.0
+    pull_interval_s: float = 1.0
     reads_per_s: float = 20.0
     push_fan_out: int = 4
-    cut_off_after_s: float = 6.0
+    cut_off_after_s: float = 2.5
 
     def interval_s(self, live_peers: int, unconfirmed_s: float) -> float:
         """Return the time between two reads of the version.
@@ -88,30 +88,7 @@
     return rng.choice(ahead) if ahead else None
 
 
-def confirmation_age_s(
-    peers: Iterable[PeerView],
-    version: ConfigVersion,
-) -> float | None:
-    """Return the age of the newest report that confirms a version.
-
-    Returns
-    -------
-    float or None
-        ``None`` when no peer confirms it. A peer that starts, or that may
-        have left before it had a version, confirms none.
-
-    """
-    ages = (
-        view.age_s
-        for view in peers
-        if view.report.phase in _CONFIRMING and view.report.version <= version
-    )
-    return min(ages, default=None)
-
-
 #: Share of the time to the cut-off after which reads are not stretched.
 _WORRY_SHARE = 0.5
 #: Share by which an interval varies to either side.
 _JITTER_SHARE = 0.25
-#: Phases of processes that have had a version in force.
-_CONFIRMING = frozenset((NodePhase.READY, NodePhase.CUT_OFF))
--- a/pomelogauge/tasks/configuration_keeper.py
+++ b/pomelogauge/tasks/configuration_keeper.py
@@ -6,6 +6,7 @@
 
 from returns.result import Result, Success
 
+from ..decide.confirmation import voters_of
 from ..decide.known_versions import KnownVersions
 from ..decide.version_chart import (
     VersionAction,
@@ -26,6 +27,7 @@
     ConfigurationDocument,
     ConfigurationInForce,
     ConfigurationPushed,
+    InstancesListed,
     PeersChanged,
     PhaseChanged,
 )
@@ -34,11 +36,15 @@
 Decode = Callable[[bytes], Result[Configuration, tuple[Finding, ...]]]
 KeeperAnswer = VersionRead | DocumentFetched
 KeeperMessage = (
-    ConfigurationAsked | ConfigurationPushed | PeersChanged | KeeperAnswer
+    ConfigurationAsked
+    | ConfigurationPushed
+    | InstancesListed
+    | PeersChanged
+    | KeeperAnswer
 )
 
 #: Seconds between two checks of the confirmation.
-CHECK_INTERVAL_S = 0.5
+CHECK_INTERVAL_S = 0.25
 
 _log = logging.getLogger(__name__)
 
@@ -93,6 +99,7 @@
         clock: Clock,
     ) -> None:
         """Start without a configuration."""
+        self._node = node
         self._chart = chart
         self._decode = decode
         self._errands = errands
@@ -113,17 +120,21 @@
 
     def on_message(self, message: KeeperMessage) -> None:
         """Take news of versions, or answer with what is in force."""
-        if isinstance(message, ConfigurationAsked):
-            message.reply.post(self._document)
-        elif isinstance(message, ConfigurationPushed):
-            self._offer(message.document)
-            message.reply.post(self._document.version)
-        elif isinstance(message, PeersChanged):
-            self._hear(message)
-        elif isinstance(message, VersionRead):
-            self._take_version(message)
-        else:
-            self._take_document(message)
+        match message:
+            case ConfigurationAsked():
+                message.reply.post(self._document)
+            case ConfigurationPushed():
+                self._offer(message.document)
+                message.reply.post(self._document.version)
+            case InstancesListed():
+                voters = voters_of(message.instances, self._node)
+                self._known = replace(self._known, voters=voters)
+            case PeersChanged():
+                self._hear(message)
+            case VersionRead():
+                self._take_version(message)
+            case DocumentFetched():
+                self._take_document(message)
 
     def on_timer(self) -> float | None:
         """Check the confirmation and ask for what is due."""
--- a/pomelogauge/tasks/entry_namer.py
+++ b/pomelogauge/tasks/entry_namer.py
@@ -8,6 +8,7 @@
 )
 from ..model.ids import DataCentreName, NodeName
 from ..model.peers import NodeReport, PeerView
+from ..model.topology import Instance, InstanceRole
 from .messages import ConfigurationInForce, Entries, InstancesListed
 
 #: Most addresses in one answer to a caller.
@@ -35,6 +36,7 @@
         self._choice: EntryChoice | None = None
         self._leaving: frozenset[NodeName] = frozenset()
         self._drained: frozenset[DataCentreName] = frozenset()
+        self._listed: tuple[Instance, ...] = ()
 
     @property
     def is_chosen(self) -> bool:
@@ -46,7 +48,12 @@
         self._choice = None
 
     def take_list(self, message: InstancesListed) -> None:
-        """Learn who is leaving."""
+        """Learn which routers there are and who is leaving."""
+        self._listed = tuple(
+            instance
+            for instance in message.instances
+            if instance.role is InstanceRole.ROUTER
+        )
         self._leaving = frozenset(
             NodeName(instance.name)
             for instance in message.instances
@@ -61,7 +68,9 @@
 
     def choose(self, own: NodeReport, peers: tuple[PeerView, ...]) -> None:
         """Choose among this process and its live peers."""
-        facts = EntryFacts(own, peers, self._leaving, self._drained)
+        facts = EntryFacts(
+            own, peers, self._leaving, self._drained, self._listed
+        )
         self._choice = choose_entries(facts)
 
     def entries(self) -> Entries:
--- a/pomelogauge/tasks/membership.py
+++ b/pomelogauge/tasks/membership.py
@@ -33,7 +33,7 @@
 from .peer_messages import GossipEnded, SendGossip
 
 #: Most seconds between two messages to the subscribers.
-PUBLISH_INTERVAL_S = 1.0
+PUBLISH_INTERVAL_S = 0.5
 #: Range of the first turn of the answers to callers.
 _FIRST_TURNS = 1000
 
--- a/pomelogauge/wire/callers_http.py
+++ b/pomelogauge/wire/callers_http.py
@@ -113,7 +113,7 @@
         # A fault of the project's own must not end the server's thread.
         try:
             read = read_request(environ, self._parts.cfg.max_body_bytes)
-            return _merge(read.bind(self._route))
+            return self._merge(read.bind(self._route))
         except Exception:
             _log.exception('callers: a request failed')
             refusal = Refusal(
@@ -169,10 +169,22 @@
             return text_answer('ready\n')
         return text_answer('not ready\n', UNAVAILABLE)
 
-    def _entry(self, req: HttpRequest) -> Result[HttpAnswer, Refusal]:
+    def _merge(self, answered: Result[HttpAnswer, Refusal]) -> HttpAnswer:
+        if not isinstance(answered, Failure):
+            return answered.unwrap()
+        refusal = answered.failure()
+        entries = None
+        if refusal.code in _ASK_OTHERS:
+            entries = self._entries()
+        return refusal_answer(refusal, entries.addresses if entries else ())
+
+    def _entries(self) -> Entries | None:
         reply: Mailbox[Entries] = Mailbox()
         self._parts.entries.post(EntriesAsked(reply))
-        entries = reply.take(self._parts.cfg.entries_timeout_s)
+        return reply.take(self._parts.cfg.entries_timeout_s)
+
+    def _entry(self, req: HttpRequest) -> Result[HttpAnswer, Refusal]:
+        entries = self._entries()
         if entries is None:
             message = 'the entries are not known'
             return Failure(req.refuse(RefusalCode.INTERNAL, message))
@@ -194,7 +206,5 @@
         return json_answer({'object': 'list', 'data': listed})
 
 
-def _merge(answered: Result[HttpAnswer, Refusal]) -> HttpAnswer:
-    if isinstance(answered, Failure):
-        return refusal_answer(answered.failure())
-    return answered.unwrap()
+#: Refusals of this router only; another one may take the request.
+_ASK_OTHERS = frozenset((RefusalCode.CUT_OFF, RefusalCode.DRAINING))
--- a/pomelogauge/wire/http_answers.py
+++ b/pomelogauge/wire/http_answers.py
@@ -5,7 +5,7 @@
 from collections.abc import Generator
 from dataclasses import dataclass
 
-from ..model.ids import RequestId
+from ..model.ids import Address, RequestId
 from ..model.request import Refusal, RefusalCode
 
 JSON_TYPE = 'application/json'
@@ -69,19 +69,34 @@
     return HttpAnswer(status, text.encode(), 'text/plain; charset=utf-8')
 
 
-def refusal_answer(refusal: Refusal) -> HttpAnswer:
-    """Return the answer that says a refusal."""
+def refusal_answer(
+    refusal: Refusal,
+    entries: tuple[Address, ...] = (),
+) -> HttpAnswer:
+    """Return the answer that says a refusal.
+
+    Parameters
+    ----------
+    refusal
+        What is refused.
+    entries
+        Routers to ask instead.
+
+    """
     headers = request_headers(refusal.request)
     if refusal.retry_after_s > 0:
         seconds = math.ceil(refusal.retry_after_s)
         headers = (*headers, Header('Retry-After', str(seconds)))
     status = _STATUS.get(refusal.code, UNAVAILABLE)
-    return HttpAnswer(status, encode_refusal(refusal), headers=headers)
+    return HttpAnswer(status, encode_refusal(refusal, entries), headers=headers)
 
 
-def encode_refusal(refusal: Refusal) -> bytes:
+def encode_refusal(
+    refusal: Refusal,
+    entries: tuple[Address, ...] = (),
+) -> bytes:
     """Return the JSON document of a refusal."""
-    error = {
+    error: dict[str, object] = {
         'message': refusal.message,
         'type': _error_type(refusal.code),
         'code': refusal.code,
@@ -89,6 +104,8 @@
         'retry_after_s': refusal.retry_after_s,
         'request_id': refusal.request,
     }
+    if entries:
+        error['entries'] = entries
     return json.dumps({'error': error}).encode()
 
 
--- a/test/test_configuration_keeper.py
+++ b/test/test_configuration_keeper.py
@@ -28,10 +28,12 @@
     ConfigurationAsked,
     ConfigurationDocument,
     ConfigurationPushed,
+    InstancesListed,
     PeersChanged,
 )
 
 from .peer_fakes import FakeClock, FakeLinks, report, view
+from .test_membership import listed
 
 SETTINGS = SpreadSettings()
 DOWN = Failure(PlatformError(PlatformFault.UNAVAILABLE, 'down'))
@@ -189,6 +191,16 @@
         self.hear(view('b', 5))
         self.assertIs(self.phase(), NodePhase.READY)
 
+    def test_too_few_of_the_listed_peers_do_not_confirm(self) -> None:
+        instances = tuple(map(listed, 'abcd'))
+        self.keeper.on_message(InstancesListed(instances))
+        self.push(document(5))
+        self.run_errands(SETTINGS.cut_off_after_s + 1)
+        self.hear(view('b', 5), view('x', 5))
+        self.assertIs(self.phase(), NodePhase.CUT_OFF)
+        self.hear(view('b', 5), view('c', 5))
+        self.assertIs(self.phase(), NodePhase.READY)
+
     def test_the_store_confirms(self) -> None:
         self.source.version = 5
         self.run_errands()
--- a/test/test_resolve.py
+++ b/test/test_resolve.py
@@ -1,6 +1,7 @@
 """Tests of the choice of routers for callers."""
 
 import unittest
+from dataclasses import replace
 
 from pomelogauge.decide.resolve import (
     EntryFacts,
@@ -12,6 +13,7 @@
 from pomelogauge.model.topology import InstanceRole
 
 from .peer_fakes import report, view
+from .test_membership import listed
 
 FAR = DataCentreName('dc2')
 
@@ -44,6 +46,20 @@
         choice = choose_entries(facts)
         self.assertEqual(order_entries(choice, 0, 8), ('fit:80',))
 
+    def test_names_the_silent_ones_where_nobody_takes_work(self) -> None:
+        facts = EntryFacts(
+            report('a', phase=NodePhase.CUT_OFF),
+            (view('b', phase=NodePhase.CUT_OFF),),
+            drained=frozenset((FAR,)),
+            listed=(
+                *map(listed, 'abc'),
+                replace(listed('d'), data_centre=FAR),
+                replace(listed('e'), leaving=True),
+            ),
+        )
+        choice = choose_entries(facts)
+        self.assertEqual(order_entries(choice, 0, 8), ('c:80',))
+
     def test_names_itself_alone_unless_leaving(self) -> None:
         cut_off = report('a', phase=NodePhase.CUT_OFF)
         self.assertEqual(
--- a/test/test_spread.py
+++ b/test/test_spread.py
@@ -14,7 +14,6 @@
     VersionState,
 )
 from pomelogauge.model.ids import ConfigVersion
-from pomelogauge.model.peers import NodePhase
 
 from .peer_fakes import view
 
@@ -38,12 +37,6 @@
         self.assertEqual(spread.pick_source(PEERS, 5, rng), 'c:90')
         self.assertIsNone(spread.pick_source(PEERS, 6, rng))
 
-    def test_a_starting_peer_confirms_nothing(self) -> None:
-        starting = (view('b', 0, phase=NodePhase.STARTING),)
-        self.assertIsNone(spread.confirmation_age_s(starting, 0))
-        self.assertIsNone(spread.confirmation_age_s(PEERS, 2))
-        self.assertEqual(spread.confirmation_age_s(PEERS, 3), 0)
-
     def test_an_older_version_than_known_is_not_confirmed(self) -> None:
         known = KnownVersions(1, in_force=ConfigVersion(3)).with_peers(PEERS)
         self.assertTrue(known.is_behind)
