Tell peers of a publication and prepare for a drain

Cause: a publication reached the processes only through their reads of the store, which take three calls in turn, so that a store that waits a second before each call alone took longer than the 3 s for a version to be in force.

Status finds its peers too, shows the warmth of replicas, and fails when a peer is silent. A controller names only the shards whose lease it holds.

--- a/pomelogauge/app/operator_settings.py
+++ b/pomelogauge/app/operator_settings.py
@@ -7,7 +7,15 @@
 from .setting_fields import Form, Hint, setting
 from .settings import address_hint, period_hint
 
-_PEERS_HELP = 'Addresses of peers for gRPC, host:port, separated by commas.'
+_PEERS_HELP = (
+    'Addresses of peers for gRPC, host:port, separated by commas; '
+    "empty takes those of the platform's list."
+)
+_NOTICE_HELP = (
+    'Longest time in which capacity is made ready elsewhere first, in seconds; '
+    '0 drains at once.'
+)
+_MAX_NOTICE_S = 86400
 
 _PEERS = Form(
     'list of host:port, separated by commas',
@@ -16,21 +24,13 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class DrainSettings:
-    """Settings of the commands that change the configuration."""
+class PlatformSettings:
+    """Settings of the commands that ask the platform."""
 
     platform: Address = setting(address_hint('Address of the platform'))
     platform_timeout_s: float = setting(
         period_hint('Deadline of a call to the platform'), 2.0
     )
-    publisher: str = setting(
-        Hint('Who publishes; empty takes the name of the user.'), ''
-    )
-
-    @property
-    def publisher_name(self) -> str:
-        """Name that the loser of a race is told."""
-        return self.publisher or getpass.getuser()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -50,9 +50,12 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class PublishSettings(DrainSettings, PeersSettings):
-    """Settings of the command that publishes a manifest."""
+class PublishSettings(PlatformSettings, PeersSettings):
+    """Settings of the commands that change the configuration."""
 
+    publisher: str = setting(
+        Hint('Who publishes; empty takes the name of the user.'), ''
+    )
     wait: bool = setting(
         Hint('Return once every live process has the version in force.'), False
     )
@@ -60,7 +63,33 @@
         period_hint('Time after which waiting fails'), 10.0
     )
 
+    @property
+    def publisher_name(self) -> str:
+        """Name that the loser of a race is told."""
+        return self.publisher or getpass.getuser()
+
+
+@dataclass(frozen=True, kw_only=True)
+class DrainSettings(PublishSettings):
+    """Settings of the command that takes a data centre out."""
+
+    notice: float = setting(
+        Hint(_NOTICE_HELP, 0, _MAX_NOTICE_S),
+        0.0,
+    )
+
 
 @dataclass(frozen=True, kw_only=True)
 class StatusSettings(PeersSettings):
     """Settings of the command that prints the status of peers."""
+
+    platform: str = setting(
+        Hint('Address of the platform, host:port, whose list names the peers.'),
+        '',
+    )
+    platform_timeout_s: float = setting(
+        period_hint('Deadline of a call to the platform'), 2.0
+    )
+    allow_silent: bool = setting(
+        Hint('End with code 0 although a peer does not answer.'), False
+    )
--- a/pomelogauge/app/publish.py
+++ b/pomelogauge/app/publish.py
@@ -1,37 +1,27 @@
-"""Publishes configurations for operators and waits until they are in force."""
-
-from collections.abc import Iterator
+"""Publishes configurations for operators."""
 
 from returns.pipeline import is_successful
 
+from ..decide.data_centre_chart import DataCentreChart
 from ..decide.publication import (
-    DrainChange,
+    DataCentreChange,
     apply_change,
     apply_manifest,
-    is_done,
     is_known,
-    lagging,
 )
 from ..model.errors import UserError
-from ..model.ids import NO_VERSION, Address, ConfigVersion
+from ..model.ids import NO_VERSION
 from ..model.manifest import Configuration, Manifest
-from ..model.peers import NodeReport
 from ..platform.configuration_store import (
     ConfigurationStore,
     LostRace,
     PublishError,
 )
 from ..platform.protocols import PlatformError, PlatformFault
-from ..tasks.clock import Clock
-from ..tasks.links import PeerLinks
-from ..tasks.mailbox import Mailbox
 
 #: Publications that one command tries while other operators publish.
 _MAX_TRIES = 10
 
-#: Seconds between questions to peers while waiting.
-_ASK_INTERVAL_S = 0.1
-
 
 def publish_manifest(
     store: ConfigurationStore,
@@ -56,10 +46,11 @@
 
 def publish_change(
     store: ConfigurationStore,
-    change: DrainChange,
+    change: DataCentreChange,
+    chart: DataCentreChart,
     publisher: str,
 ) -> Configuration:
-    """Drain or return one data centre.
+    """Take one data centre out, or bring it back.
 
     When another operator was first, the change is applied to what that
     operator published, as both concern different things.
@@ -78,9 +69,9 @@
     """
     base = _base(store, change)
     for _ in range(_MAX_TRIES):
-        if is_done(change, base):
+        wanted = apply_change(change, base, chart, publisher)
+        if wanted is base:
             return base
-        wanted = apply_change(change, base, publisher)
         published = store.publish(wanted, base.version)
         if is_successful(published):
             return published.unwrap()
@@ -91,68 +82,6 @@
     raise UserError(f'{_MAX_TRIES} other publications were first; try again')
 
 
-def wait_in_force(
-    links: PeerLinks,
-    peers: tuple[Address, ...],
-    version: ConfigVersion,
-    clock: Clock,
-    limit_s: float,
-) -> None:
-    """Return once every live process reports a version.
-
-    Parameters
-    ----------
-    links
-        Links to peers.
-    peers
-        Peers to ask; they name the other live processes.
-    version
-        Version that shall be in force.
-    clock
-        Measures the limit.
-    limit_s
-        Seconds after which waiting fails.
-
-    Raises
-    ------
-    UserError
-        A process had not reported the version in time.
-
-    """
-    until_s = clock.now_s() + limit_s
-    pause: Mailbox[None] = Mailbox()
-    late = _late(links, peers, version)
-    while late:
-        if clock.now_s() >= until_s:
-            named = ', '.join(late)
-            raise UserError(f'version {version} is not in force at {named}')
-        pause.take(_ASK_INTERVAL_S)
-        late = _late(links, peers, version)
-
-
-def _late(
-    links: PeerLinks,
-    peers: tuple[Address, ...],
-    version: ConfigVersion,
-) -> tuple[str, ...]:
-    silent: list[str] = []
-    reports: list[NodeReport] = []
-    for address in peers:
-        found = tuple(_reports(links, address))
-        reports.extend(found)
-        if not found:
-            silent.append(f'{address} (no answer)')
-    return (*silent, *lagging(reports, version))
-
-
-def _reports(links: PeerLinks, address: Address) -> Iterator[NodeReport]:
-    status = links.status(address)
-    if is_successful(status):
-        yield status.unwrap().sender
-        for view in status.unwrap().peers:
-            yield view.report
-
-
 def _newest(store: ConfigurationStore) -> Configuration | None:
     newest = store.newest()
     if is_successful(newest):
@@ -160,7 +89,7 @@
     raise _refused(newest.failure())
 
 
-def _base(store: ConfigurationStore, change: DrainChange) -> Configuration:
+def _base(store: ConfigurationStore, change: DataCentreChange) -> Configuration:
     base = _newest(store)
     if base is None:
         raise UserError('no configuration is published yet')
--- a/pomelogauge/app/settings_page.py
+++ b/pomelogauge/app/settings_page.py
@@ -38,8 +38,8 @@
         _section('Router and controller', common),
         _section('Router', _own(RouterSettings, common)),
         _section('Controller', _own(ControllerSettings, common)),
-        _section('`dc drain`, `dc return`', definitions(DrainSettings)),
-        _section('`publish`', definitions(PublishSettings)),
+        _section('`publish`, `dc return`', definitions(PublishSettings)),
+        _section('`dc drain`', definitions(DrainSettings)),
         _section('`status`', definitions(StatusSettings)),
         _orderings(),
     )
--- a/pomelogauge/app/status.py
+++ b/pomelogauge/app/status.py
@@ -1,20 +1,39 @@
 """Renders the status of peers for operators."""
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 
-from returns.pipeline import is_successful
+from returns.result import Success
 
-from ..model.ids import Address
 from ..model.peers import NodeReport
+from ..model.placement import ReplicaView
 from ..tasks.links import PeerLinks
 from ..tasks.messages import NodeStatus
+from .peer_finder import AskedPeer
 
 
-def status_lines(
+@dataclass(frozen=True)
+class PeerStatus:
+    """What one peer answered.
+
+    Parameters
+    ----------
+    lines
+        Lines for the operator.
+    is_silent
+        It did not answer.
+
+    """
+
+    lines: tuple[str, ...]
+    is_silent: bool = False
+
+
+def ask_status(
     links: PeerLinks,
-    peers: tuple[Address, ...],
-) -> Iterator[str]:
-    """Yield the lines that tell of each peer.
+    peers: tuple[AskedPeer, ...],
+) -> Iterator[PeerStatus]:
+    """Yield the status of each peer.
 
     Parameters
     ----------
@@ -24,12 +43,14 @@
         Peers to ask.
 
     """
-    for address in peers:
-        status = links.status(address)
-        if is_successful(status):
-            yield from _peer_lines(status.unwrap())
+    for peer in peers:
+        status = links.status(peer.address)
+        if isinstance(status, Success):
+            yield PeerStatus(tuple(_peer_lines(status.unwrap())))
         else:
-            yield f'{address}: no answer: {status.failure().message}'
+            message = status.failure().message
+            line = f'{peer}: no answer: {message}'
+            yield PeerStatus((line,), is_silent=True)
 
 
 def _peer_lines(status: NodeStatus) -> Iterator[str]:
@@ -39,12 +60,19 @@
     for shard in status.shards:
         yield f'  shard {shard}'
     for view in status.views:
-        replica = view.replica
-        state = 'serving' if view.serving else replica.state
-        yield (
-            f'  replica {replica.replica} of {replica.deployment}: {state}, '
-            f'{view.running} running, bears {view.bearable}'
-        )
+        yield f'  replica {_view_line(view)}'
+
+
+def _view_line(view: ReplicaView) -> str:
+    replica = view.replica
+    state = 'serving' if view.serving else replica.state
+    warmth = 'warm' if 0 < view.capacity <= view.bearable else 'cold'
+    centres = sorted({member.data_centre for member in replica.members})
+    return (
+        f'{replica.replica} of {replica.deployment} '
+        f'in {", ".join(centres)}: {state}, {warmth}, '
+        f'{view.running} running, bears {view.bearable} of {view.capacity}'
+    )
 
 
 def _report_line(report: NodeReport) -> str:
--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -6,21 +6,22 @@
 
 import click
 
-from ..decide.publication import DrainChange
+from ..decide.data_centre_chart import DataCentreEvent
+from ..decide.publication import DataCentreChange
 from ..model.errors import Finding, FindingsError, Place, UserError
-from ..model.ids import DataCentreName
-from ..platform.configuration_store import ConfigurationStore
-from ..tasks.clock import MonotonicClock
+from ..model.ids import Address, DataCentreName
+from ..model.manifest import Configuration
 from .connections import Connections
 from .late_import import late_import
 from .manifest_file import read_manifest
 from .operator_settings import DrainSettings, PublishSettings, StatusSettings
-from .publish import publish_change, publish_manifest, wait_in_force
+from .peer_finder import given_peers, listed_peers
+from .publisher import Publisher
 from .setting_options import setting_options, settings_from
 from .settings import ControllerSettings, RouterSettings
 from .settings_page import render_settings_page
 from .standin_commands import StandinGroup
-from .status import status_lines
+from .status import ask_status
 from .user_errors import ReportingGroup
 
 
@@ -46,24 +47,11 @@
 def publish(to: Connections, /, manifest: str, **flags: Any) -> None:
     """Check the file MANIFEST and publish it as the next version."""
     cfg = settings_from(PublishSettings, flags)
-    if cfg.wait and not cfg.peer_addresses:
-        finding = Finding(Place('--peers'), 'is required with --wait')
-        raise FindingsError([finding])
     checked = read_manifest(manifest)
-    # Links come first, so that nothing is published that can't be awaited.
-    links = to.links(cfg.peer_timeout_s) if cfg.wait else None
-    store = _store(to, cfg)
-    published = publish_manifest(store, checked, cfg.publisher_name)
+    publisher = Publisher(to, cfg)
+    published = publisher.publish(checked)
     click.echo(f'published version {published.version}')
-    if links:
-        wait_in_force(
-            links,
-            cfg.peer_addresses,
-            published.version,
-            MonotonicClock(),
-            cfg.wait_limit_s,
-        )
-        click.echo(f'version {published.version} is in force')
+    _wait(publisher, published, cfg)
 
 
 @cli.group()
@@ -77,16 +65,31 @@
 @click.pass_obj
 def drain(to: Connections, /, name: str, **flags: Any) -> None:
     """Send no new work to the data centre NAME."""
-    _change(to, DrainChange(DataCentreName(name), drained=True), flags)
+    cfg = settings_from(DrainSettings, flags)
+    publisher = Publisher(to, cfg)
+    data_centre = DataCentreName(name)
+    if cfg.notice:
+        _prepare(publisher, data_centre, cfg.notice)
+    drained = publisher.change(
+        DataCentreChange(data_centre, DataCentreEvent.DRAIN)
+    )
+    click.echo(f'{name} is drained, version {drained.version}')
+    _wait(publisher, drained, cfg)
 
 
 @dc.command('return')
 @click.argument('name')
-@setting_options(DrainSettings)
+@setting_options(PublishSettings)
 @click.pass_obj
 def bring_back(to: Connections, /, name: str, **flags: Any) -> None:
     """Send work to the data centre NAME again."""
-    _change(to, DrainChange(DataCentreName(name), drained=False), flags)
+    cfg = settings_from(PublishSettings, flags)
+    publisher = Publisher(to, cfg)
+    returned = publisher.change(
+        DataCentreChange(DataCentreName(name), DataCentreEvent.BRING_BACK)
+    )
+    click.echo(f'{name} is in service, version {returned.version}')
+    _wait(publisher, returned, cfg)
 
 
 @cli.command()
@@ -95,11 +98,21 @@
 def status(to: Connections, /, **flags: Any) -> None:
     """Print what peers say of themselves."""
     cfg = settings_from(StatusSettings, flags)
-    if not cfg.peer_addresses:
-        raise FindingsError([Finding(Place('--peers'), 'is required')])
+    peers = given_peers(cfg.peer_addresses)
+    if not peers:
+        if not cfg.platform:
+            message = 'is required without --platform'
+            raise FindingsError([Finding(Place('--peers'), message)])
+        platform = to.platform(Address(cfg.platform), cfg.platform_timeout_s)
+        peers = listed_peers(platform)
     links = to.links(cfg.peer_timeout_s)
-    for line in status_lines(links, cfg.peer_addresses):
-        click.echo(line)
+    silent = 0
+    for answered in ask_status(links, peers):
+        silent += int(answered.is_silent)
+        for line in answered.lines:
+            click.echo(line)
+    if silent and not cfg.allow_silent:
+        raise UserError(f'{silent} of {len(peers)} peers do not answer')
 
 
 @cli.command()
@@ -147,13 +160,25 @@
 )
 
 
-def _change(to: Connections, change: DrainChange, flags: Any) -> None:
-    cfg = settings_from(DrainSettings, flags)
-    store = _store(to, cfg)
-    published = publish_change(store, change, cfg.publisher_name)
-    state = 'drained' if change.drained else 'in service'
-    click.echo(f'{change.data_centre} is {state}, version {published.version}')
-
-
-def _store(to: Connections, cfg: DrainSettings) -> ConfigurationStore:
-    return ConfigurationStore(to.platform(cfg.platform, cfg.platform_timeout_s))
+def _prepare(
+    publisher: Publisher,
+    name: DataCentreName,
+    notice_s: float,
+) -> None:
+    """Have capacity made ready elsewhere and wait for it."""
+    prepared = publisher.change(
+        DataCentreChange(name, DataCentreEvent.ANNOUNCE)
+    )
+    click.echo(f'{name} is prepared, version {prepared.version}')
+    for short in publisher.wait_for_capacity(prepared, notice_s):
+        click.echo(f'the notice is over: {short}')
+
+
+def _wait(
+    publisher: Publisher,
+    published: Configuration,
+    cfg: PublishSettings,
+) -> None:
+    if cfg.wait:
+        publisher.wait_in_force(published.version, cfg.wait_limit_s)
+        click.echo(f'version {published.version} is in force')
--- a/pomelogauge/decide/formation.py
+++ b/pomelogauge/decide/formation.py
@@ -92,7 +92,7 @@
     The deployment with the highest priority goes first. A deployment takes
     instances only while replicas are missing over all shards.
     """
-    if picture.data_centre in picture.configuration.drained:
+    if picture.data_centre in _going_out(picture.configuration):
         return None
     deployments = picture.configuration.manifest.deployments
     for deployment in sorted(deployments, key=_by_priority):
@@ -122,6 +122,8 @@
     deployment = find_deployment(replica.deployment, picture.configuration)
     if deployment is None or len(replica.members) != deployment.span:
         return False
+    if _serves_until_drained(replica, deployment, picture):
+        return True
     counted = _counted(deployment, picture)
     kept = sorted(counted, key=_ordinal)[: deployment.replicas]
     return any(other.replica == replica.replica for other in kept)
@@ -201,7 +203,29 @@
     return tuple(
         data_centre
         for data_centre in deployment.data_centres
-        if data_centre not in configuration.drained
+        if data_centre not in _going_out(configuration)
+    )
+
+
+def _going_out(configuration: Configuration) -> frozenset[DataCentreName]:
+    """Return the data centres in which nothing is formed."""
+    return frozenset(configuration.drained + configuration.preparing)
+
+
+def _serves_until_drained(
+    replica: Replica,
+    deployment: Deployment,
+    picture: ShardPicture,
+) -> bool:
+    """Return whether a replica stays while others are formed elsewhere."""
+    configuration = picture.configuration
+    staying = set(deployment.data_centres).difference(configuration.drained)
+    centres = {member.data_centre for member in replica.members}
+    if not centres.intersection(configuration.preparing):
+        return False
+    members = replica.members
+    return centres <= staying and not any(
+        member.instance in picture.leaving for member in members
     )
 
 
--- a/pomelogauge/decide/publication.py
+++ b/pomelogauge/decide/publication.py
@@ -6,49 +6,71 @@
 from ..model.ids import ConfigVersion, DataCentreName, NodeName
 from ..model.manifest import Configuration, Manifest
 from ..model.peers import NodePhase, NodeReport
+from .data_centre_chart import (
+    DataCentreChart,
+    DataCentreEvent,
+    DataCentreFacts,
+    DataCentreState,
+)
 
 
 @dataclass(frozen=True)
-class DrainChange:
+class DataCentreChange:
     """What an operator wants of one data centre.
 
     Parameters
     ----------
     data_centre
         The data centre.
-    drained
-        Whether it shall receive no new work.
+    event
+        Event of the data centre chart.
 
     """
 
     data_centre: DataCentreName
-    drained: bool
+    event: DataCentreEvent
 
 
-def is_done(change: DrainChange, configuration: Configuration) -> bool:
-    """Return whether a configuration has what the change wants."""
-    drained = change.data_centre in configuration.drained
-    return drained == change.drained
+def state_of(
+    data_centre: DataCentreName,
+    configuration: Configuration,
+) -> DataCentreState:
+    """Return what a configuration says of a data centre."""
+    if data_centre in configuration.drained:
+        return DataCentreState.DRAINED
+    if data_centre in configuration.preparing:
+        return DataCentreState.PREPARING
+    return DataCentreState.IN_SERVICE
 
 
-def is_known(change: DrainChange, configuration: Configuration) -> bool:
+def is_known(change: DataCentreChange, configuration: Configuration) -> bool:
     """Return whether a configuration names the data centre."""
     centres = {centre.name for centre in configuration.manifest.data_centres}
-    return change.data_centre in centres.union(configuration.drained)
+    return change.data_centre in centres.union(
+        configuration.drained, configuration.preparing
+    )
 
 
 def apply_change(
-    change: DrainChange,
+    change: DataCentreChange,
     configuration: Configuration,
+    chart: DataCentreChart,
     publisher: str,
 ) -> Configuration:
-    """Return the configuration to publish next."""
-    drained = set(configuration.drained) - {change.data_centre}
-    if change.drained:
-        drained.add(change.data_centre)
+    """Return the configuration to publish next; the same for no change."""
+    name = change.data_centre
+    before = state_of(name, configuration)
+    after = chart.step(before, change.event, DataCentreFacts()).state
+    if after is before:
+        return configuration
     return replace(
         configuration,
-        drained=tuple(sorted(drained)),
+        drained=_with(
+            configuration.drained, name, after is DataCentreState.DRAINED
+        ),
+        preparing=_with(
+            configuration.preparing, name, after is DataCentreState.PREPARING
+        ),
         publisher=publisher,
     )
 
@@ -87,3 +109,12 @@
             newest[report.node] = max(known, report.version)
     late = [node for node, known in newest.items() if known < version]
     return tuple(sorted(late))
+
+
+def _with(
+    names: tuple[DataCentreName, ...],
+    name: DataCentreName,
+    wanted: bool,
+) -> tuple[DataCentreName, ...]:
+    others = set(names) - {name}
+    return tuple(sorted(others | {name} if wanted else others))
--- a/pomelogauge/model/manifest.py
+++ b/pomelogauge/model/manifest.py
@@ -136,6 +136,8 @@
         Data centres that receive no new work.
     publisher
         Who published it, for the loser of a race.
+    preparing
+        Data centres that will be drained: capacity is formed elsewhere.
 
     """
 
@@ -143,3 +145,4 @@
     manifest: Manifest = field(default_factory=Manifest)
     drained: tuple[DataCentreName, ...] = ()
     publisher: str = ''
+    preparing: tuple[DataCentreName, ...] = ()
--- a/pomelogauge/platform/configuration_store.py
+++ b/pomelogauge/platform/configuration_store.py
@@ -80,8 +80,9 @@
     """
 
     def __init__(self, platform: Platform) -> None:
-        """Keep no state besides the platform."""
+        """Have read nothing yet."""
         self._platform = platform
+        self._last = _Current()
 
     def newest(self) -> Result[Configuration | None, PlatformError]:
         """Return the newest configuration; ``None`` when there is none."""
@@ -94,12 +95,17 @@
     def document(self, version: ConfigVersion) -> Result[bytes, PlatformError]:
         """Return the document of the published version.
 
+        Where the last read of the row named this version, the row is not
+        read again: on a slow store that would double the time.
+
         Parameters
         ----------
         version
-            Version that must still be the published one.
+            Version that must be the published one.
 
         """
+        if version != NO_VERSION and self._last.row.version == version:
+            return self._document(self._last)
         current = self._current()
         if not is_successful(current):
             return Failure(current.failure())
@@ -195,7 +201,9 @@
         return Failure(PlatformError(PlatformFault.UNSETTLED, message))
 
     def _current(self) -> Result[_Current, PlatformError]:
-        return self._platform.read(CURRENT_KEY).bind(_decode_row)
+        read = self._platform.read(CURRENT_KEY).bind(_decode_row)
+        self._last = read.value_or(self._last)
+        return read
 
     def _configuration(
         self,
--- a/pomelogauge/tasks/grant_desk.py
+++ b/pomelogauge/tasks/grant_desk.py
@@ -213,7 +213,12 @@
         return 2 * self._times.grant_life_s
 
     def _status(self) -> NodeStatus:
-        shards = tuple(self._shards)
+        now_s = self._clock.now_s()
+        shards = tuple(
+            name
+            for name, shard in self._shards.items()
+            if shard.held and now_s < shard.held_until_s
+        )
         return NodeStatus(self._report, self._peers, self._views(), shards)
 
 
--- a/pomelogauge/wire/configuration_document.py
+++ b/pomelogauge/wire/configuration_document.py
@@ -54,6 +54,8 @@
         manifest=build_manifest(document['manifest']),
         drained=tuple(map(DataCentreName, document['drained'])),
         publisher=document['publisher'],
+        # Documents of earlier releases name none.
+        preparing=tuple(map(DataCentreName, document.get('preparing', ()))),
     )
 
 
--- a/pomelogauge/wire/schema.py
+++ b/pomelogauge/wire/schema.py
@@ -57,8 +57,12 @@
             'properties': {
                 'version': {'type': 'integer', 'minimum': 0},
                 'manifest': manifest_schema(),
-                'drained': {'type': 'array', 'items': {'type': 'string'}},
+                'drained': _NAMES,
+                'preparing': _NAMES,
                 'publisher': {'type': 'string'},
             },
         }
     )
+
+
+_NAMES = {'type': 'array', 'items': {'type': 'string'}}
--- a/test/test_configuration_store.py
+++ b/test/test_configuration_store.py
@@ -83,6 +83,12 @@
         superseded = self.store.document(first.version).failure()
         self.assertEqual(superseded.fault, PlatformFault.CONFLICT)
 
+    def test_a_read_row_is_not_read_again_for_its_document(self) -> None:
+        version = self.store.publish(by('ada'), NONE).unwrap().version
+        self.store.current_version().unwrap()
+        self.platform.read = None  # type: ignore
+        self.assertTrue(self.store.document(version).unwrap())
+
     def test_the_loser_of_a_race_learns_who_won(self) -> None:
         other = ConfigurationStore(self.platform)
         self.platform.before = lambda: other.publish(by('bo'), NONE)
--- a/test/test_formation.py
+++ b/test/test_formation.py
@@ -52,6 +52,25 @@
 
 
 class FormationTest(unittest.TestCase):
+    def test_replicas_stay_while_others_are_formed_elsewhere(self) -> None:
+        at = picture(replica(0, A), replica(1, B))
+        preparing = replace(at.configuration, preparing=(B,))
+        at = replace(
+            at,
+            configuration=preparing,
+            patient=frozenset((QUOTES.name,)),
+        )
+        plan = plan_formation(at)
+        assert plan is not None
+        self.assertEqual(plan.slot, 'quotes#2')
+        for ordinal, data_centre in ((0, A), (1, B), (2, A)):
+            formed = replace(at, replicas=(*at.replicas, replica(2, A)))
+            self.assertTrue(is_wanted(replica(ordinal, data_centre), formed))
+        self.assertIsNone(plan_formation(replace(at, data_centre=B)))
+        drained = replace(preparing, drained=(B,), preparing=())
+        at = replace(at, configuration=drained)
+        self.assertFalse(is_wanted(replica(1, B), at))
+
     def test_data_centres_take_turns(self) -> None:
         plan = plan_formation(picture())
         assert plan is not None
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -3,6 +3,7 @@
 import subprocess
 import sys
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from click.testing import CliRunner, Result
@@ -27,6 +28,8 @@
 from pomelogauge.tasks.links import LinkError
 from pomelogauge.tasks.messages import NodeStatus
 
+from .test_membership import listed
+
 GOOD = 'docs/examples/manifest.yaml'
 BROKEN = 'docs/examples/broken.yaml'
 PLATFORM = ('--platform', '127.0.0.1:9', '--publisher', 'ada')
@@ -37,6 +40,11 @@
 
     def __init__(self, *versions: int) -> None:
         self.versions = list(versions)
+        self.pushed: list[str] = []
+
+    def push(self, address: Address, document: object) -> object:
+        self.pushed.append(address)
+        return Failure(LinkError(address, 'refused'))
 
     def status(self, address: Address) -> object:
         if address == 'dead:1':
@@ -87,6 +95,31 @@
         self.assertEqual(outcome.exit_code, 1)
         self.assertIn('not in force at dead:1 (no answer)', outcome.stderr)
 
+    def test_listed_peers_are_told_and_awaited(self) -> None:
+        self.platform.listed = (
+            listed('r1'),
+            replace(listed('dead'), peer_address=Address('dead:1')),
+            replace(listed('leaving'), leaving=True),
+        )
+        outcome = self.run_cli('publish', GOOD, *PLATFORM, '--wait')
+        # No live process hears the dead one any more.
+        self.assertIn('version 1 is in force', outcome.stdout)
+        self.assertCountEqual(self.links.pushed, ('r1:90', 'dead:1'))
+        outcome = self.run_cli('status', *PLATFORM[:2])
+        self.assertIn('dead: no answer', outcome.stdout)
+        self.assertEqual(outcome.exit_code, 1)
+
+    def test_a_notice_prepares_first(self) -> None:
+        self.run_cli('publish', GOOD, *PLATFORM)
+        before = self.newest()
+        notice = ('--notice', '0.01')
+        outcome = self.run_cli('dc', 'drain', 'klang-2', *notice, *PLATFORM)
+        self.assertIn('klang-2 is prepared, version 2\n', outcome.stdout)
+        self.assertIn('are warm elsewhere', outcome.stdout)
+        self.assertIn('klang-2 is drained, version 3\n', outcome.stdout)
+        drained = replace(before, version=3, drained=('klang-2',))
+        self.assertEqual(self.newest(), drained)
+
     def test_drain_and_return(self) -> None:
         self.run_cli('publish', GOOD, *PLATFORM)
         for _ in range(2):
@@ -122,8 +155,8 @@
         self.assertEqual(len(outcome.stderr.splitlines()), 5)
         self.assertIn("--port: 'x' is no whole number", outcome.stderr)
         self.assertEqual(self.run_cli('router', '--spam').exit_code, 2)
-        outcome = self.run_cli('publish', GOOD, *PLATFORM, '--wait')
-        self.assertEqual(outcome.stderr, '--peers: is required with --wait\n')
+        outcome = self.run_cli('status')
+        self.assertIn('--peers: is required without', outcome.stderr)
 
     def test_a_platform_that_is_down_is_one_line(self) -> None:
         self.platform.fault = PlatformError(
@@ -147,6 +180,10 @@
         outcome = self.run_cli('status', '--peers', '127.0.0.1:2, dead:1')
         self.assertIn('r1: router in klang-1', outcome.stdout)
         self.assertIn('dead:1: no answer: refused', outcome.stdout)
+        self.assertEqual(outcome.exit_code, 1)
+        self.assertIn('1 of 2 peers do not answer', outcome.stderr)
+        allowed = ('--allow-silent', '--peers', 'dead:1')
+        self.assertEqual(self.run_cli('status', *allowed).exit_code, 0)
 
         outcome = self.run_cli('status', '--peers', 'a:1,b')
         self.assertEqual(outcome.exit_code, 2)
