--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -137,6 +137,29 @@
     late_import('lab.demo', 'run_demo')()
 
 
+@cli.group()
+def bench() -> None:
+    """Measure the system on embedded stand-ins."""
+
+
+@bench.command('config')
+@click.option('--json', 'json_path', default='', help='File for the result.')
+@click.option('--publications', default=100, help='How many versions.')
+@click.option('--limit-s', default=75.0, help='When the last one may begin.')
+@click.option('--seed', default=1, help='Seed of the choice of processes.')
+def bench_config(
+    json_path: str,
+    publications: int,
+    limit_s: float,
+    seed: int,
+) -> None:
+    """Measure until when a published version is in force everywhere."""
+    spec = late_import('lab.bench_config', 'ConfigBenchSpec')(
+        publications=publications, limit_s=limit_s, seed=seed
+    )
+    late_import('lab.bench_config', 'bench_config')(spec, json_path)
+
+
 @cli.command('hash-key')
 def hash_key() -> None:
     """Print the hash of a caller's key read from standard input."""
