Close a router at once whose confirmation is over

Cause: a router that was paused answered callers by its old phase until its configuration keeper had run, and placed waiting requests by a version that may be old while it was cut off.

The keeper tells the dispatcher until when the version is confirmed; the dispatcher compares that with its clock before each message, and refuses who waits when the router is cut off, truthfully as not run.

--- a/pomelogauge/app/peer_parts.py
+++ b/pomelogauge/app/peer_parts.py
@@ -31,6 +31,7 @@
     InstancesListed,
     PeersChanged,
     PhaseChanged,
+    VersionConfirmed,
 )
 from ..tasks.task import Task
 from ..wire.configuration_document import decode_configuration
@@ -48,12 +49,13 @@
 
 @dataclass(frozen=True)
 class PeerSubscribers:
-    """Who learns of peers, instances, configurations and phases."""
+    """Who learns of peers, instances, configurations and their state."""
 
     peers: tuple[Outbox[PeersChanged], ...]
     instances: tuple[Outbox[InstancesListed], ...]
     configurations: tuple[Outbox[ConfigurationInForce], ...]
     phases: tuple[Outbox[PhaseChanged], ...]
+    confirmations: tuple[Outbox[VersionConfirmed], ...] = ()
 
 
 @dataclass(frozen=True)
@@ -163,6 +165,7 @@
             KeeperPorts(
                 (membership, *subscribers.configurations),
                 (membership, *subscribers.phases),
+                subscribers.confirmations,
             ),
             self._cfg.cut_off_after_s,
             self._clock,
--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -111,6 +111,7 @@
             instances=(core.dispatcher,),
             configurations=(core.dispatcher,),
             phases=(core.dispatcher,),
+            confirmations=(core.dispatcher,),
         ),
     )
     ended: Mailbox[bool] = Mailbox()
--- a/pomelogauge/tasks/configuration_keeper.py
+++ b/pomelogauge/tasks/configuration_keeper.py
@@ -30,6 +30,7 @@
     InstancesListed,
     PeersChanged,
     PhaseChanged,
+    VersionConfirmed,
 )
 from .peer_messages import DocumentFetched, VersionRead
 
@@ -59,11 +60,14 @@
         Learn of each configuration that comes into force.
     phases
         Learn whether the process may take new work.
+    confirmations
+        Learn until when the version is confirmed.
 
     """
 
     subscribers: tuple[Outbox[ConfigurationInForce], ...]
     phases: tuple[Outbox[PhaseChanged], ...]
+    confirmations: tuple[Outbox[VersionConfirmed], ...] = ()
 
 
 class ConfigurationKeeper:
@@ -183,6 +187,9 @@
 
     def _check(self) -> None:
         silent_s = self._known.unconfirmed_s(self._clock.now_s())
+        until_s = self._known.confirmed_at_s + self._cut_off_after_s
+        for outbox in self._ports.confirmations:
+            outbox.post(VersionConfirmed(until_s))
         event = VersionEvent.CONFIRMED
         if silent_s > self._cut_off_after_s:
             event = VersionEvent.SILENT
--- a/pomelogauge/tasks/dispatcher.py
+++ b/pomelogauge/tasks/dispatcher.py
@@ -9,8 +9,9 @@
 from ..decide.target_warmth import WarmthChart, WarmthRules
 from ..model.manifest import Configuration
 from ..model.peers import ExchangeAsk, NodePhase, NodeReport, ReplicaUse
-from ..model.request import PlaceEnd
+from ..model.request import PlaceEnd, RefusalCode
 from .clock import Clock
+from .confirmed_phase import ConfirmedPhase
 from .fleet import Fleet
 from .messages import (
     AskPlace,
@@ -25,6 +26,7 @@
     PhaseChanged,
     RunningAsked,
     RunningCounted,
+    VersionConfirmed,
 )
 from .model_desk import ModelDesk
 from .published import Published
@@ -44,6 +46,7 @@
     | InstancesListed
     | PhaseChanged
     | RunningAsked
+    | VersionConfirmed
 )
 
 
@@ -101,6 +104,7 @@
         self._models = ModelDesk(cfg.limits, self._fleet, policy, published)
         services = ServiceFleet(cfg.own.data_centre, cfg.fleet.suspect_s)
         self._services = ServiceDesk(services, cfg.limits.retry_after_s)
+        self._phase = ConfirmedPhase()
         self._sequence = 0
 
     def on_start(self) -> None:
@@ -113,12 +117,14 @@
     def on_timer(self) -> float | None:
         """Refuse what is out of time and place what can be placed."""
         now_s = self._clock.now_s()
+        self._refresh_phase(now_s)
         self._models.do_due(now_s)
         return self._models.next_due_s(now_s)
 
     def on_message(self, message: DispatcherMessage) -> None:
         """Take one message."""
         now_s = self._clock.now_s()
+        self._refresh_phase(now_s)
         match message:
             case AskPlace():
                 self._models.admit(message, now_s)
@@ -152,7 +158,10 @@
                     message.replica, message.incarnation
                 )
             case PhaseChanged():
-                self._take_phase(message.phase)
+                self._phase.tell(message.phase)
+            case VersionConfirmed():
+                self._phase.confirm(message.until_s)
+        self._refresh_phase(now_s)
         self._models.wake(now_s)
 
     def _take_configuration(self, configuration: Configuration) -> None:
@@ -170,11 +179,17 @@
         )
         self._fleet.set_leaving(leaving)
 
-    def _take_phase(self, phase: NodePhase) -> None:
+    def _refresh_phase(self, now_s: float) -> None:
         state = self._published.latest()
-        # A process that leaves stays leaving, whatever confirms it later.
-        if state.phase is not NodePhase.LEAVING:
-            self._published.publish(replace(state, phase=phase))
+        phase = self._phase.at(now_s)
+        if phase is state.phase:
+            return
+        self._published.publish(replace(state, phase=phase))
+        if phase is NodePhase.CUT_OFF:
+            # Who waits would be placed by a version that may be old.
+            self._models.refuse_all(
+                RefusalCode.CUT_OFF, 'this entry is cut off'
+            )
 
     def _running(self) -> int:
         placed = sum(count for _, count in self._fleet.running())
--- a/pomelogauge/tasks/messages.py
+++ b/pomelogauge/tasks/messages.py
@@ -61,6 +61,13 @@
     phase: NodePhase
 
 
+@dataclass(frozen=True)
+class VersionConfirmed:
+    """The version in force is confirmed until a time of the own clock."""
+
+    until_s: float
+
+
 @dataclass(frozen=True)
 class PeerHeard:
     """A peer's gossip arrived.
--- a/pomelogauge/tasks/model_desk.py
+++ b/pomelogauge/tasks/model_desk.py
@@ -107,10 +107,14 @@
         if now_s >= self._release_at_s:
             self.wake(now_s)
 
-    def refuse_all(self) -> None:
-        """Refuse all who wait, as the router stops."""
+    def refuse_all(
+        self,
+        code: RefusalCode = RefusalCode.DRAINING,
+        message: str = 'this entry stops',
+    ) -> None:
+        """Refuse all who wait, as the router stops or is cut off."""
         for queued in self._queue:
-            self._refuse(queued, RefusalCode.DRAINING, 'this entry stops')
+            self._refuse(queued, code, message)
 
     def next_due_s(self, now_s: float) -> float | None:
         """Return seconds until a deadline, or until a hold is over."""
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -42,6 +42,7 @@
     IncarnationSeen,
     InstancesListed,
     PhaseChanged,
+    VersionConfirmed,
 )
 from pomelogauge.tasks.published import Published
 from pomelogauge.tasks.router_state import RouterState
@@ -77,6 +78,16 @@
     def tell(self, message) -> None:
         self.dispatcher.on_message(message)
 
+    def test_a_late_confirmation_closes_at_once(self) -> None:
+        waiting = self.ask('waiting')
+        self.tell(VersionConfirmed(self.clock.at_s + 1))
+        self.clock.at_s += 2
+        late = self.ask('late')
+        for reply in (waiting, late):
+            self.assertIs(reply.take(0).code, RefusalCode.CUT_OFF)
+        self.tell(VersionConfirmed(self.clock.at_s + 1))
+        self.assertTrue(self.published.latest().is_ready)
+
     def grant(
         self,
         *views: ReplicaView,
