Take no push for a confirmation, and name no drained router

Cause: tests over real processes showed that a push confirmed a version for the cut-off time, so that a minority which the operator's command reached took new work again; and that a drained router named itself while it alone knew the newest version.

What confirms a version is now worked out from what the store and the peers last said, also when a version is adopted. Where every router that takes work is behind, those are named rather than a drained one.

--- a/pomelogauge/decide/resolve.py
+++ b/pomelogauge/decide/resolve.py
@@ -54,17 +54,18 @@
 def choose_entries(facts: EntryFacts) -> EntryChoice:
     """Return the routers that take new work.
 
-    Where none is known, a partition may hide some: the listed ones that are
-    silent here are named, else this one, if it stays.
+    Those behind the own version come second: they may not know yet what was
+    taken out, but either learn it or are cut off. Where nobody known takes
+    work, a partition may hide some: the listed ones that are silent here are
+    named, else this one, if it stays.
     """
     reports = (facts.own, *(view.report for view in facts.peers))
-    fit: list[NodeReport | Instance] = [
-        report for report in reports if _takes_work(report, facts)
-    ]
-    if not fit:
-        fit.extend(_silent(facts))
+    open_now = [report for report in reports if _takes_work(report, facts)]
+    newest = [at for at in open_now if at.version >= facts.own.version]
+    fit: Sequence[NodeReport | Instance] = newest or open_now
+    fit = fit or tuple(_silent(facts))
     if not fit and _stays(facts.own, facts):
-        fit = [facts.own]
+        fit = (facts.own,)
     own_centre = facts.own.data_centre
     return EntryChoice(
         _addresses(at for at in fit if at.data_centre == own_centre),
@@ -95,11 +96,9 @@
 
 
 def _takes_work(report: NodeReport, facts: EntryFacts) -> bool:
-    # A router behind the own version may not know yet what was taken out.
     return (
         _stays(report, facts)
         and report.phase is NodePhase.READY
-        and report.version >= facts.own.version
         and report.data_centre not in facts.drained
     )
 
--- a/pomelogauge/tasks/configuration_keeper.py
+++ b/pomelogauge/tasks/configuration_keeper.py
@@ -151,17 +151,17 @@
         """Close nothing; the reader and the couriers own the sockets."""
 
     def _hear(self, message: PeersChanged) -> None:
-        self._known = self._known.with_peers(message.peers)
-        at_s = self._known.peer_confirmed_at_s(self._clock.now_s())
-        if at_s is not None:
-            self._confirm(at_s)
+        now_s = self._clock.now_s()
+        self._known = self._known.with_peers(message.peers, now_s)
+        self._serve_nothing()
 
     def _take_version(self, message: VersionRead) -> None:
         self._errands.version_came()
         if isinstance(message.outcome, Success):
-            version = message.outcome.unwrap()
-            self._known = self._known.with_version(version)
-            self._confirm(message.asked_at_s)
+            self._known = self._known.with_stored(
+                message.outcome.unwrap(), message.asked_at_s
+            )
+            self._serve_nothing()
             return
         _log.warning(
             'configuration: version not read: %s', message.outcome.failure()
@@ -176,13 +176,10 @@
         _log.warning('configuration: document not fetched: %s', fault)
         self._errands.document_failed(fault)
 
-    def _confirm(self, at_s: float) -> None:
-        """Take it that nothing newer than the known versions existed."""
-        if self._known.is_behind:
-            return
-        self._known = self._known.with_time(at_s)
-        if self._state is VersionState.UNKNOWN:
-            # Nothing is published yet, says one who would know.
+    def _serve_nothing(self) -> None:
+        """Begin where those who would know say that nothing is published."""
+        is_confirmed = self._known.evidence_at_s() is not None
+        if self._state is VersionState.UNKNOWN and is_confirmed:
             self._offer(self._document)
 
     def _check(self) -> None:
@@ -211,6 +208,7 @@
         self._state = move.state
         self._adopt(document, configuration)
         self._tell_phase(move.action)
+        self._check()
 
     def _adopt(
         self,
@@ -219,9 +217,7 @@
     ) -> None:
         _log.info('configuration: version %d is in force', document.version)
         self._document = replace(document, sender=self._document.sender)
-        self._known = self._known.with_adopted(
-            document.version, self._clock.now_s()
-        )
+        self._known = self._known.with_adopted(document.version)
         for subscriber in self._ports.subscribers:
             subscriber.post(ConfigurationInForce(configuration))
         self._errands.push(self._document, self._known.peers)
--- /dev/null
+++ b/test/process_fixtures.py
@@ -0,0 +1,105 @@
+"""An installation of real processes for tests."""
+
+import tempfile
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+
+from returns.result import Success
+
+from pomelogauge.app.connections import Connections
+from pomelogauge.app.operator_settings import PublishSettings
+from pomelogauge.app.publisher import Publisher
+from pomelogauge.lab.cluster import Cluster, ClusterSpec
+from pomelogauge.lab.demo import publish
+from pomelogauge.lab.manifests import manifest_for, manifest_text
+from pomelogauge.lab.standin_control import StandinMode
+from pomelogauge.model.ids import Address, NodeName
+from pomelogauge.model.peers import NodePhase, NodeReport
+from pomelogauge.tasks.messages import NodeStatus
+from pomelogauge.wire.peer_client import GrpcLinks
+
+#: Seconds that any step may take; far more than it needs.
+LIMIT_S = 20.0
+_ASK_S = 0.1
+
+
+class Installation:
+    """Processes of one test class, with the means to disturb them."""
+
+    def __init__(self, spec: ClusterSpec) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix='pomelogauge-')
+        self.path = Path(self._folder.name)
+        self.cluster = Cluster(spec, self.path)
+        self.links = GrpcLinks(NodeName('test'), 1)
+
+    def start(self) -> None:
+        self.cluster.start_targets()
+        text = manifest_text(manifest_for(self.cluster.spec))
+        publish(self.cluster, self.path, text)
+        self.cluster.start_entries()
+        self.wait(lambda: self.all_are(NodePhase.READY, 1), 'ready')
+
+    def end(self) -> None:
+        self.cluster.end()
+        self.links.close()
+        self._folder.cleanup()
+
+    def addresses(self) -> dict[NodeName, Address]:
+        return {
+            NodeName(ready.name): ready.peer_address
+            for started in self.cluster.members
+            if started.process.alive
+            for ready in started.process.ready
+            if ready.peer_address
+        }
+
+    def status(self, node: str) -> NodeStatus | None:
+        answer = self.links.status(self.addresses()[NodeName(node)])
+        return answer.unwrap() if isinstance(answer, Success) else None
+
+    def report(self, node: str) -> NodeReport | None:
+        status = self.status(node)
+        return status.sender if status else None
+
+    def all_are(
+        self,
+        phase: NodePhase,
+        version: int,
+        nodes: Iterable[str] = (),
+    ) -> bool:
+        reports = [self.report(node) for node in nodes or self.addresses()]
+        return all(
+            at is not None and at.phase is phase and at.version >= version
+            for at in reports
+        )
+
+    def wait(self, holds: Callable[[], bool], what: str) -> None:
+        until_s = time.monotonic() + LIMIT_S
+        while not holds():
+            if time.monotonic() > until_s:
+                raise AssertionError(f'not {what} within {LIMIT_S} s')
+            time.sleep(_ASK_S)
+
+    def publisher(self, name: str = 'test') -> Publisher:
+        cfg = PublishSettings(platform=self.cluster.platform, publisher=name)
+        return Publisher(Connections(), cfg)
+
+    def set_store(self, mode: str, delay_s: float = 0) -> None:
+        self.cluster.control.set_mode(
+            self.cluster.platform, StandinMode(mode, delay_s=delay_s)
+        )
+
+    def cut(self, nodes: tuple[str, ...]) -> None:
+        """Cut nodes off together from all others and from the store."""
+        known = self.addresses()
+        others = tuple(node for node in known if node not in nodes)
+        for node, address in known.items():
+            far = others if node in nodes else nodes
+            self.links.cut(address, far).unwrap()
+        self.cluster.control.cut(self.cluster.platform, nodes)
+
+    def heal(self) -> None:
+        for address in self.addresses().values():
+            self.links.cut(address, ()).unwrap()
+        self.cluster.control.cut(self.cluster.platform, ())
--- a/test/test_resolve.py
+++ b/test/test_resolve.py
@@ -60,6 +60,16 @@
         choice = choose_entries(facts)
         self.assertEqual(order_entries(choice, 0, 8), ('c:80',))
 
+    def test_names_those_behind_rather_than_a_drained_one(self) -> None:
+        facts = EntryFacts(
+            report('a', 2, data_centre=FAR),
+            (view('behind', 1),),
+            drained=frozenset((FAR,)),
+            listed=(listed('silent'),),
+        )
+        choice = choose_entries(facts)
+        self.assertEqual(order_entries(choice, 0, 8), ('behind:80',))
+
     def test_names_itself_alone_unless_leaving(self) -> None:
         cut_off = report('a', phase=NodePhase.CUT_OFF)
         self.assertEqual(
