--- a/pomelogauge/tasks/configuration_keeper.py
+++ b/pomelogauge/tasks/configuration_keeper.py
@@ -6,6 +6,7 @@
 
 from returns.result import Result, Success
 
+from ..decide.confirmation import voters_of
 from ..decide.known_versions import KnownVersions
 from ..decide.version_chart import (
     VersionAction,
@@ -26,19 +27,25 @@
     ConfigurationDocument,
     ConfigurationInForce,
     ConfigurationPushed,
+    InstancesListed,
     PeersChanged,
     PhaseChanged,
+    VersionConfirmed,
 )
 from .peer_messages import DocumentFetched, VersionRead
 
 Decode = Callable[[bytes], Result[Configuration, tuple[Finding, ...]]]
 KeeperAnswer = VersionRead | DocumentFetched
 KeeperMessage = (
-    ConfigurationAsked | ConfigurationPushed | PeersChanged | KeeperAnswer
+    ConfigurationAsked
+    | ConfigurationPushed
+    | InstancesListed
+    | PeersChanged
+    | KeeperAnswer
 )
 
 #: Seconds between two checks of the confirmation.
-CHECK_INTERVAL_S = 0.5
+CHECK_INTERVAL_S = 0.25
 
 _log = logging.getLogger(__name__)
 
@@ -53,11 +60,14 @@
         Learn of each configuration that comes into force.
     phases
         Learn whether the process may take new work.
+    confirmations
+        Learn until when the version is confirmed.
 
     """
 
     subscribers: tuple[Outbox[ConfigurationInForce], ...]
     phases: tuple[Outbox[PhaseChanged], ...]
+    confirmations: tuple[Outbox[VersionConfirmed], ...] = ()
 
 
 class ConfigurationKeeper:
@@ -93,6 +103,7 @@
         clock: Clock,
     ) -> None:
         """Start without a configuration."""
+        self._node = node
         self._chart = chart
         self._decode = decode
         self._errands = errands
@@ -113,17 +124,21 @@
 
     def on_message(self, message: KeeperMessage) -> None:
         """Take news of versions, or answer with what is in force."""
-        if isinstance(message, ConfigurationAsked):
-            message.reply.post(self._document)
-        elif isinstance(message, ConfigurationPushed):
-            self._offer(message.document)
-            message.reply.post(self._document.version)
-        elif isinstance(message, PeersChanged):
-            self._hear(message)
-        elif isinstance(message, VersionRead):
-            self._take_version(message)
-        else:
-            self._take_document(message)
+        match message:
+            case ConfigurationAsked():
+                message.reply.post(self._document)
+            case ConfigurationPushed():
+                self._offer(message.document)
+                message.reply.post(self._document.version)
+            case InstancesListed():
+                voters = voters_of(message.instances, self._node)
+                self._known = replace(self._known, voters=voters)
+            case PeersChanged():
+                self._hear(message)
+            case VersionRead():
+                self._take_version(message)
+            case DocumentFetched():
+                self._take_document(message)
 
     def on_timer(self) -> float | None:
         """Check the confirmation and ask for what is due."""
@@ -136,17 +151,17 @@
         """Close nothing; the reader and the couriers own the sockets."""
 
     def _hear(self, message: PeersChanged) -> None:
-        self._known = self._known.with_peers(message.peers)
-        at_s = self._known.peer_confirmed_at_s(self._clock.now_s())
-        if at_s is not None:
-            self._confirm(at_s)
+        now_s = self._clock.now_s()
+        self._known = self._known.with_peers(message.peers, now_s)
+        self._serve_nothing()
 
     def _take_version(self, message: VersionRead) -> None:
         self._errands.version_came()
         if isinstance(message.outcome, Success):
-            version = message.outcome.unwrap()
-            self._known = self._known.with_version(version)
-            self._confirm(message.asked_at_s)
+            self._known = self._known.with_stored(
+                message.outcome.unwrap(), message.asked_at_s
+            )
+            self._serve_nothing()
             return
         _log.warning(
             'configuration: version not read: %s', message.outcome.failure()
@@ -161,17 +176,17 @@
         _log.warning('configuration: document not fetched: %s', fault)
         self._errands.document_failed(fault)
 
-    def _confirm(self, at_s: float) -> None:
-        """Take it that nothing newer than the known versions existed."""
-        if self._known.is_behind:
-            return
-        self._known = self._known.with_time(at_s)
-        if self._state is VersionState.UNKNOWN:
-            # Nothing is published yet, says one who would know.
+    def _serve_nothing(self) -> None:
+        """Begin where those who would know say that nothing is published."""
+        is_confirmed = self._known.evidence_at_s() is not None
+        if self._state is VersionState.UNKNOWN and is_confirmed:
             self._offer(self._document)
 
     def _check(self) -> None:
         silent_s = self._known.unconfirmed_s(self._clock.now_s())
+        until_s = self._known.confirmed_at_s + self._cut_off_after_s
+        for outbox in self._ports.confirmations:
+            outbox.post(VersionConfirmed(until_s))
         event = VersionEvent.CONFIRMED
         if silent_s > self._cut_off_after_s:
             event = VersionEvent.SILENT
@@ -193,6 +208,7 @@
         self._state = move.state
         self._adopt(document, configuration)
         self._tell_phase(move.action)
+        self._check()
 
     def _adopt(
         self,
@@ -201,9 +217,7 @@
     ) -> None:
         _log.info('configuration: version %d is in force', document.version)
         self._document = replace(document, sender=self._document.sender)
-        self._known = self._known.with_adopted(
-            document.version, self._clock.now_s()
-        )
+        self._known = self._known.with_adopted(document.version)
         for subscriber in self._ports.subscribers:
             subscriber.post(ConfigurationInForce(configuration))
         self._errands.push(self._document, self._known.peers)
--- a/pomelogauge/wire/callers_http.py
+++ b/pomelogauge/wire/callers_http.py
@@ -213,10 +213,22 @@
             return text_answer('ready\n')
         return text_answer('not ready\n', UNAVAILABLE)
 
-    def _entry(self, req: HttpRequest) -> Result[HttpAnswer, Refusal]:
+    def _merge(self, answered: Result[HttpAnswer, Refusal]) -> HttpAnswer:
+        if not isinstance(answered, Failure):
+            return answered.unwrap()
+        refusal = answered.failure()
+        entries = None
+        if refusal.code in _ASK_OTHERS:
+            entries = self._entries()
+        return refusal_answer(refusal, entries.addresses if entries else ())
+
+    def _entries(self) -> Entries | None:
         reply: Mailbox[Entries] = Mailbox()
         self._parts.entries.post(EntriesAsked(reply))
-        entries = reply.take(self._parts.cfg.entries_timeout_s)
+        return reply.take(self._parts.cfg.entries_timeout_s)
+
+    def _entry(self, req: HttpRequest) -> Result[HttpAnswer, Refusal]:
+        entries = self._entries()
         if entries is None:
             message = 'the entries are not known'
             return Failure(req.refuse(RefusalCode.INTERNAL, message))
@@ -250,3 +262,7 @@
     """Yield a body and end its span with it."""
     with span, closing(body):
         yield from body
+
+
+#: Refusals of this router only; another one may take the request.
+_ASK_OTHERS = frozenset((RefusalCode.CUT_OFF, RefusalCode.DRAINING))
