Run the controllers' tasks under random faults with fake time

Cause: the leases and replicas were tested one fault at a time; faults that meet (a holder paused while its write or order is on its way, a lost answer, an outage, crashed and paused engines, restarts) were not.

--- /dev/null
+++ b/test/control_simulation.py
@@ -0,0 +1,643 @@
+"""Controllers, engines and the platform under fake time and random faults."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+from random import Random
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide.lease_chart import LEASE_WORDS
+from pomelogauge.decide.replica_chart import REPLICA_WORDS
+from pomelogauge.engines.protocols import (
+    EngineError,
+    EngineFault,
+    LoadOrder,
+    UnloadOrder,
+)
+from pomelogauge.lab.checkers_control import (
+    Event,
+    GroupServed,
+    LeaseBelieved,
+    LeaseDropped,
+    LeaseTaken,
+    OrderTaken,
+    RowsWritten,
+)
+from pomelogauge.model.ids import (
+    Address,
+    ConfigVersion,
+    DataCentreName,
+    DeploymentName,
+    DomainName,
+    Epoch,
+    Incarnation,
+    InstanceName,
+    ModelName,
+    NodeName,
+    ReplicaId,
+    ShardName,
+)
+from pomelogauge.model.manifest import Configuration, Deployment, Manifest
+from pomelogauge.model.placement import EngineState, EngineStatus, Lease
+from pomelogauge.model.times import ControlTimes
+from pomelogauge.model.topology import Instance, InstanceRole
+from pomelogauge.platform.protocols import (
+    Committed,
+    PlatformError,
+    PlatformFault,
+    Row,
+    RowKey,
+    Transaction,
+)
+from pomelogauge.standins.memory_platform import MemoryPlatform
+from pomelogauge.tasks.control_messages import (
+    LeaseHeld,
+    LeasePaused,
+    OwnerAddress,
+)
+from pomelogauge.tasks.engine_watch import EngineWatch
+from pomelogauge.tasks.lease_keeper import LeaseKeeper
+from pomelogauge.tasks.messages import (
+    ConfigurationInForce,
+    InstancesListed,
+    ShardViews,
+)
+from pomelogauge.tasks.settle import TransactionNames
+from pomelogauge.tasks.shard_owner import OwnerLinks, ShardOwner
+from pomelogauge.wire.rows import (
+    LEASES,
+    MEMBERS,
+    REPLICAS,
+    decode_lease,
+    decode_membership,
+    decode_replica,
+)
+
+LEASE_CHART = load_chart('shard_lease', LEASE_WORDS)
+REPLICA_CHART = load_chart('replica', REPLICA_WORDS)
+STEP_S = 0.125
+LOAD_S = 1.0
+#: Seconds in which the owner must notice that a member has changed.
+NOTICE_S = 2.5
+#: Fencing numbers let an order arrive as late as it likes.
+LATE_ORDER_S = 20.0
+CLOCK_DRIFT = 0.01
+DOWN = PlatformError(PlatformFault.UNAVAILABLE, 'down')
+LOST = PlatformError(PlatformFault.UNSETTLED, 'lost')
+DATA_CENTRE = DataCentreName('a')
+
+
+@dataclass(frozen=True)
+class Scene:
+    """What is simulated, and which mechanisms are off."""
+
+    seed: int
+    checks_fence: bool = True
+    lease_condition: bool = True
+    #: Bound of the life of an order to an engine that ignores fencing numbers.
+    order_life_s: float = 1.0
+    times: ControlTimes = field(default_factory=ControlTimes)
+
+
+@dataclass
+class DriftingClock:
+    """Clock of one process, with a rate of its own."""
+
+    world: 'World'
+    rate: float
+
+    def now_s(self) -> float:
+        return self.world.now_s * self.rate
+
+
+class SimEngine:
+    """One engine; a pause keeps its state, a crash loses it."""
+
+    def __init__(self, at: Instance, checks_fence: bool) -> None:
+        self.at = at
+        self.checks_fence = checks_fence
+        self.paused_until_s = 0.0
+        self.down_until_s = 0.0
+        self.changed_s = 0.0
+        self.ready_s = 0.0
+        self.lives = 0
+        self.status = EngineStatus(at.name, Incarnation('0'), EngineState.EMPTY)
+
+    def crash(self, now_s: float, down_s: float) -> None:
+        self.lives += 1
+        incarnation = Incarnation(f'{self.lives}')
+        self.status = EngineStatus(self.at.name, incarnation, EngineState.EMPTY)
+        self.down_until_s = now_s + down_s
+        self.changed_s = now_s
+
+    def answers(self, now_s: float) -> bool:
+        return now_s >= max(self.paused_until_s, self.down_until_s)
+
+    def tick(self, now_s: float) -> None:
+        loading = self.status.state is EngineState.LOADING
+        if loading and now_s >= self.ready_s and self.answers(now_s):
+            self.status = replace(self.status, state=EngineState.READY)
+
+    def take(
+        self, order: LoadOrder | UnloadOrder, now_s: float
+    ) -> EngineError | None:
+        epoch = _epoch(order)
+        if self.checks_fence and epoch < self.status.epoch:
+            return EngineError(EngineFault.OLD_FENCE, 'old')
+        if isinstance(order, UnloadOrder):
+            self._unload(order)
+        elif (self.status.replica, self.status.epoch) != _name(order):
+            self.changed_s = now_s
+            self.ready_s = now_s + LOAD_S
+            self.status = replace(
+                self.status,
+                state=EngineState.LOADING,
+                replica=order.replica.replica,
+                epoch=epoch,
+                rank=order.rank,
+            )
+        return None
+
+    def _unload(self, order: UnloadOrder) -> None:
+        if self.status.replica == order.replica:
+            self.status = replace(
+                self.status, state=EngineState.EMPTY, replica=ReplicaId('')
+            )
+
+
+class SimTables:
+    """One controller's connection to the platform."""
+
+    def __init__(
+        self, process: 'SimProcess', lease: Lease | None = None
+    ) -> None:
+        self.process = process
+        self.world = process.world
+        self.lease = lease
+
+    def read(self, key: RowKey) -> Result[Row | None, PlatformError]:
+        return self.world.platform.read(key)
+
+    def scan(
+        self, table: str, prefix: str = ''
+    ) -> Result[tuple[Row, ...], PlatformError]:
+        return self.world.platform.scan(table, prefix)
+
+    def commit(
+        self, transaction: Transaction
+    ) -> Result[Committed, PlatformError]:
+        world = self.world
+        if not world.scene.lease_condition:
+            kept = tuple(
+                one for one in transaction.conditions if one.key.table != LEASES
+            )
+            if self.lease:
+                transaction = replace(transaction, conditions=kept)
+        if world.platform.fault:
+            return Failure(world.platform.fault)
+        chance = world.rng.random() if world.faulty else 1.0
+        if chance < 0.03:
+            delay_s = world.rng.uniform(0, 8)
+            world.later(delay_s, lambda: self._apply(transaction))
+            self.process.pause_in_call()
+            return Failure(LOST)
+        outcome = self._apply(transaction)
+        return Failure(LOST) if chance < 0.08 else outcome
+
+    def _apply(
+        self, transaction: Transaction
+    ) -> Result[Committed, PlatformError]:
+        world = self.world
+        fault, world.platform.fault = world.platform.fault, None
+        outcome = world.platform.commit(transaction)
+        if isinstance(outcome, Success):
+            world.note_writes(transaction, self.lease)
+        world.platform.fault = fault
+        return outcome
+
+
+class SimControl:
+    """One owner's or watch's connections to engines."""
+
+    def __init__(
+        self, process: 'SimProcess', lease: Lease | None = None
+    ) -> None:
+        self.process = process
+        self.world = process.world
+        self.lease = lease
+        self.late: list[Callable[[], None]] = []
+
+    def status(self, address: Address) -> Result[EngineStatus, EngineError]:
+        engine = self.world.engines[address]
+        now_s = self.world.now_s
+        if now_s < engine.down_until_s:
+            return Failure(EngineError(EngineFault.UNREACHABLE, 'refused'))
+        if not engine.answers(now_s):
+            return Failure(EngineError(EngineFault.CUT, 'silent'))
+        return Success(engine.status)
+
+    def load(
+        self, address: Address, order: LoadOrder
+    ) -> Result[EngineStatus, EngineError]:
+        return self._order(address, order)
+
+    def unload(
+        self, address: Address, order: UnloadOrder
+    ) -> Result[EngineStatus, EngineError]:
+        return self._order(address, order)
+
+    def settle(self) -> None:
+        """Let the orders on their way arrive, as a hand-over waits for."""
+        for arrive in self.late:
+            arrive()
+        self.late.clear()
+
+    def close(self) -> None:
+        """Own no sockets."""
+
+    def _order(
+        self, address: Address, order: LoadOrder | UnloadOrder
+    ) -> Result[EngineStatus, EngineError]:
+        world = self.world
+        engine = world.engines[address]
+        if world.now_s < engine.down_until_s:
+            return Failure(EngineError(EngineFault.UNREACHABLE, 'refused'))
+        silent = not engine.answers(world.now_s)
+        if silent or (world.faulty and world.rng.random() < 0.1):
+            self._send_late(engine, order)
+            return Failure(EngineError(EngineFault.CUT, 'no answer'))
+        return self._arrive(engine, order)
+
+    def _send_late(
+        self, engine: SimEngine, order: LoadOrder | UnloadOrder
+    ) -> None:
+        life_s = self.world.scene.order_life_s
+        if engine.checks_fence:
+            life_s = LATE_ORDER_S
+        arrived: list[bool] = []
+
+        def arrive() -> None:
+            if not arrived and engine.answers(self.world.now_s):
+                self._arrive(engine, order)
+            arrived.append(True)
+
+        self.late.append(arrive)
+        self.world.later(self.world.rng.uniform(0, life_s), arrive)
+        self.process.pause_in_call()
+
+    def _arrive(
+        self, engine: SimEngine, order: LoadOrder | UnloadOrder
+    ) -> Result[EngineStatus, EngineError]:
+        before = engine.status
+        error = engine.take(order, self.world.now_s)
+        if error:
+            return Failure(error)
+        assert self.lease is not None
+        self.world.history.append(
+            OrderTaken(
+                self.world.now_s,
+                self.lease.shard,
+                self.lease.epoch,
+                before,
+                _epoch(order),
+                engine.checks_fence,
+            )
+        )
+        return Success(engine.status)
+
+
+class SimTask:
+    """An actor whose messages wait until its process runs."""
+
+    def __init__(self, process: 'SimProcess', actor: Any) -> None:
+        self.process = process
+        self.actor = actor
+        self.waiting: list[Any] = []
+        process.tasks.append(self)
+        actor.on_start()
+
+    def post(self, message: Any) -> None:
+        self.waiting.append(message)
+
+    def stop(self, timeout_s: float | None = None) -> None:
+        if self in self.process.tasks:
+            self.process.tasks.remove(self)
+            self.actor.on_stop()
+
+    def run(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for message in waiting:
+            self.actor.on_message(message)
+        self.actor.on_timer()
+
+
+class SimShardTask(SimTask):
+    """An owner; records what it counts on."""
+
+    def __init__(
+        self, process: 'SimProcess', actor: ShardOwner, control: SimControl
+    ) -> None:
+        super().__init__(process, actor)
+        self.control = control
+
+    def post(self, message: Any) -> None:
+        super().post(message)
+        match message:
+            case LeaseHeld():
+                self.process.believe(message)
+            case LeasePaused():
+                self.process.drop(self.control.lease)
+
+    def stop(self, timeout_s: float | None = None) -> None:
+        if timeout_s:
+            self.control.settle()
+        super().stop(timeout_s)
+        self.process.drop(self.control.lease)
+
+
+class SimProcess:
+    """One life of one controller."""
+
+    def __init__(self, world: 'World', node: str, life: int) -> None:
+        self.world = world
+        self.node = NodeName(node)
+        self.life = life
+        self.paused_until_s = 0.0
+        self.tasks: list[SimTask] = []
+        self.views: dict[ShardName, ShardViews] = {}
+        drift = world.rng.uniform(-CLOCK_DRIFT, CLOCK_DRIFT)
+        self.clock = DriftingClock(world, 1 + drift)
+        self.times = world.scene.times
+        keeper = LeaseKeeper(
+            self.node,
+            Incarnation(f'{node}.{life}'),
+            SimTables(self),
+            self,
+            LEASE_CHART,
+            self.times,
+            self.clock,
+        )
+        self.keeper = SimTask(self, keeper)
+        self.keeper.post(ConfigurationInForce(world.configuration))
+        self.keeper.post(InstancesListed(world.listed))
+
+    def start(self, lease: Any, owner: Any = None) -> SimTask:
+        """Start an owner, or a watch for an owner."""
+        if isinstance(lease, Lease):
+            return self._start_owner(lease)
+        control = SimControl(self)
+        watch = EngineWatch(lease, control, owner, self.times, self.clock)
+        return SimTask(self, watch)
+
+    def post(self, message: ShardViews) -> None:
+        """Take the views in the place of the grant desk."""
+        self.views[message.shard] = message
+
+    def run(self) -> None:
+        tasks = self.world.rng.sample(self.tasks, len(self.tasks))
+        for task in tasks:
+            if task in self.tasks and self.runs():
+                task.run()
+
+    def runs(self) -> bool:
+        return self.world.now_s >= self.paused_until_s
+
+    def pause_in_call(self) -> None:
+        """Pause while something it sent is on its way."""
+        if self.world.faulty and self.world.rng.random() < 0.5:
+            pause_s = self.world.rng.uniform(0, 8)
+            self.paused_until_s = self.world.now_s + pause_s
+
+    def believe(self, held: LeaseHeld) -> None:
+        self.world.history.append(
+            LeaseBelieved(
+                self.world.now_s,
+                held.lease.shard,
+                self.node,
+                held.lease.epoch,
+                held.held_until_s / self.clock.rate,
+            )
+        )
+
+    def drop(self, lease: Lease | None) -> None:
+        assert lease is not None
+        dropped = LeaseDropped(self.world.now_s, lease.shard, lease.epoch)
+        self.world.history.append(dropped)
+
+    def _start_owner(self, lease: Lease) -> SimTask:
+        control = SimControl(self, lease)
+        owner = ShardOwner(
+            lease,
+            TransactionNames(f'{lease.shard} {lease.epoch}', f'{self.life}'),
+            OwnerLinks(SimTables(self, lease), control, self, self),
+            REPLICA_CHART,
+            self.times,
+            self.clock,
+            Random(self.world.rng.getrandbits(32)),
+        )
+        task = SimShardTask(self, owner, control)
+        task.post(OwnerAddress(task))
+        return task
+
+
+@dataclass(frozen=True)
+class _Late:
+    due_s: float
+    act: Callable[[], object]
+
+
+class World:
+    """Everything; one step runs every process that is not paused."""
+
+    def __init__(self, scene: Scene) -> None:
+        self.scene = scene
+        self.rng = Random(scene.seed)
+        self.now_s = 100.0
+        self.faulty = False
+        self.platform = MemoryPlatform()
+        self.history: list[Event] = []
+        self.configuration = _configuration(scene)
+        self.listed = tuple(_instances())
+        self.engines = {
+            at.address: SimEngine(at, scene.checks_fence) for at in self.listed
+        }
+        self._late: list[_Late] = []
+        self._outage_until_s = 0.0
+        self._lives = 0
+        self.processes = [self._process(f'n{number}') for number in range(3)]
+
+    def later(self, delay_s: float, act: Callable[[], object]) -> None:
+        self._late.append(_Late(self.now_s + delay_s, act))
+
+    def run(self, seconds: float, *, faulty: bool) -> None:
+        self.faulty = faulty
+        if not faulty:
+            self._heal()
+        for _ in range(int(seconds / STEP_S)):
+            self.now_s += STEP_S
+            if faulty:
+                self._harm()
+            self._step()
+
+    def serving(self) -> list[GroupServed]:
+        """Return the replicas that holders of a live lease offer."""
+        offered = []
+        for process in self.processes:
+            now_s = process.clock.now_s()
+            for views in process.views.values():
+                if now_s >= views.held_until_s:
+                    continue
+                offered.extend(
+                    self._served(view.replica)
+                    for view in views.views
+                    if view.serving
+                )
+        return offered
+
+    def note_writes(
+        self, transaction: Transaction, lease: Lease | None
+    ) -> None:
+        for write in transaction.writes:
+            if write.key.table == LEASES:
+                self._note_lease(write.key)
+        if lease is not None:
+            self.history.append(self._rows(lease))
+
+    def _note_lease(self, key: RowKey) -> None:
+        row = self.platform.read(key).unwrap()
+        assert row is not None
+        lease = decode_lease(row).unwrap()
+        if lease.holder:
+            taken = LeaseTaken(self.now_s, lease.shard, lease.epoch)
+            self.history.append(taken)
+
+    def _rows(self, lease: Lease) -> RowsWritten:
+        replicas = self.platform.scan(REPLICAS).unwrap()
+        members = self.platform.scan(MEMBERS).unwrap()
+        return RowsWritten(
+            self.now_s,
+            lease.shard,
+            lease.epoch,
+            tuple(decode_replica(row).unwrap() for row in replicas),
+            tuple(decode_membership(row).unwrap() for row in members),
+        )
+
+    def _step(self) -> None:
+        due = [late for late in self._late if late.due_s <= self.now_s]
+        self._late = [late for late in self._late if late.due_s > self.now_s]
+        for late in due:
+            late.act()
+        down = self.now_s < self._outage_until_s
+        self.platform.fault = DOWN if down else None
+        for engine in self.engines.values():
+            engine.tick(self.now_s)
+        running = [process for process in self.processes if process.runs()]
+        self.rng.shuffle(running)
+        for process in running:
+            process.run()
+        self.history.extend(filter(self._was_noticed, self.serving()))
+
+    def _served(self, replica: Any) -> GroupServed:
+        reports = [
+            self.engines[member.address].status
+            for member in replica.members
+            if self.now_s >= self.engines[member.address].down_until_s
+        ]
+        return GroupServed(self.now_s, replica, tuple(reports))
+
+    def _was_noticed(self, served: GroupServed) -> bool:
+        """Leave out what the owner can't know yet, and paused owners."""
+        changed_s = [
+            self.engines[member.address].changed_s
+            for member in served.replica.members
+        ]
+        woke_s = [process.paused_until_s for process in self.processes]
+        return self.now_s - max(*changed_s, *woke_s) > NOTICE_S
+
+    def _harm(self) -> None:
+        if self.rng.random() < 0.12:
+            harms = (
+                self._crash_engine,
+                self._pause_engine,
+                self._pause_process,
+                self._restart_process,
+                self._take_out_store,
+            )
+            self.rng.choice(harms)()
+
+    def _crash_engine(self) -> None:
+        engine = self.rng.choice(list(self.engines.values()))
+        engine.crash(self.now_s, self.rng.uniform(0, 6))
+
+    def _pause_engine(self) -> None:
+        engine = self.rng.choice(list(self.engines.values()))
+        engine.paused_until_s = self.now_s + self.rng.uniform(0, 6)
+
+    def _pause_process(self) -> None:
+        process = self.rng.choice(self.processes)
+        process.paused_until_s = self.now_s + self.rng.uniform(0, 8)
+
+    def _restart_process(self) -> None:
+        place = self.rng.randrange(len(self.processes))
+        gone = self.processes[place]
+        for lease in _leases(gone):
+            gone.drop(lease)
+        self.processes[place] = self._process(gone.node)
+
+    def _take_out_store(self) -> None:
+        self._outage_until_s = self.now_s + self.rng.uniform(0, 6)
+
+    def _heal(self) -> None:
+        self._outage_until_s = 0
+        for process in self.processes:
+            process.paused_until_s = 0
+        for engine in self.engines.values():
+            engine.paused_until_s = 0
+            engine.down_until_s = 0
+
+    def _process(self, node: str) -> SimProcess:
+        self._lives += 1
+        return SimProcess(self, node, self._lives)
+
+
+def _leases(process: SimProcess) -> Iterator[Lease]:
+    for task in process.tasks:
+        if isinstance(task, SimShardTask) and task.control.lease:
+            yield task.control.lease
+
+
+def _instances() -> Iterator[Instance]:
+    for number in range(10):
+        yield Instance(
+            InstanceName(f'e{number}'),
+            InstanceRole.ENGINE,
+            Address(f'127.0.0.1:{number}'),
+            DATA_CENTRE,
+            DomainName(f'd{number // 5}'),
+            8,
+        )
+
+
+def _configuration(scene: Scene) -> Configuration:
+    deployment = Deployment(
+        DeploymentName('quotes'),
+        ModelName('m'),
+        '1',
+        4,
+        2,
+        (DATA_CENTRE,),
+        checks_fence=scene.checks_fence,
+    )
+    return Configuration(ConfigVersion(1), Manifest(deployments=(deployment,)))
+
+
+def _epoch(order: LoadOrder | UnloadOrder) -> Epoch:
+    if isinstance(order, LoadOrder):
+        return order.replica.epoch
+    return order.epoch
+
+
+def _name(order: LoadOrder) -> tuple[ReplicaId, Epoch]:
+    return order.replica.replica, order.replica.epoch
