Carry a replica's capacity to the routers

Cause: the exchange left the capacity out, so that a router between real processes took every replica for one of unknown capacity: its warmth machine never got warm, and with a controller that does not answer nothing was sent once the grant had lapsed. Change: ReplicaView carries the capacity as field 7. Result: the codec's test compares a view with a capacity; it failed before.

--- a/pomelogauge/wire/replica_codec.py
+++ b/pomelogauge/wire/replica_codec.py
@@ -36,6 +36,7 @@
             bearable=view.bearable,
             waiting_s=view.waiting_s,
             incarnation=view.incarnation,
+            capacity=view.capacity,
         )
         for view in views
     ]
@@ -60,6 +61,7 @@
             bearable=message.bearable,
             waiting_s=message.waiting_s,
             incarnation=Incarnation(message.incarnation),
+            capacity=message.capacity,
         )
         for message in messages
     )
--- a/test/test_peer_codec.py
+++ b/test/test_peer_codec.py
@@ -67,7 +67,7 @@
     (MEMBER,),
     ReplicaState.SERVING,
 )
-VIEW = ReplicaView(REPLICA, True, 2, 5, 0.5, Incarnation('i2'))
+VIEW = ReplicaView(REPLICA, True, 2, 5, 0.5, Incarnation('i2'), 8)
 
 
 class PeerCodecTest(unittest.TestCase):
