Measure what a router adds to the streams that it relays

Cause: the relay's cost was not known. Change: `bench relay` starts one router, one controller and four stand-in engines, keeps 110 streams open directly and through the router in turn, and then lets the engines send sixteen times faster.

--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -124,6 +124,19 @@
     late_import('lab.demo', 'run_demo')()
 
 
+@cli.group()
+def bench() -> None:
+    """Measure parts of the system on stand-ins."""
+
+
+@bench.command('relay')
+@click.option('--json', 'json_path', default='', help='File for all figures.')
+@click.option('--seed', default=1, help='Seed of the load.')
+def bench_relay(json_path: str, seed: int) -> None:
+    """Measure what a router adds to the streams that it relays."""
+    click.echo(late_import('lab.bench_relay', 'run_bench')(seed, json_path))
+
+
 @cli.command('hash-key')
 def hash_key() -> None:
     """Print the hash of a caller's key read from standard input."""
