Pass tokens through a router without decoding them

Cause: the router read and wrote JSON for each token, and its interpreter was busy for close to a whole core at 2,400 tokens/s. Ruled out: parsing in another process; a token would cross a queue then. Change: an event of the usual form that names the request is told by a regular expression and passed on as it came; any other form is decoded as before.

--- a/pomelogauge/engines/http_streams.py
+++ b/pomelogauge/engines/http_streams.py
@@ -178,10 +178,11 @@
 
     def _events(self) -> Iterator[Result[Token | StreamEnd, EngineError]]:
         reader = EventReader()
+        request = self._ask.request
         try:
             for received in self._received:
                 for event in reader.feed(received):
-                    yield parse_event(event).alt(_malformed)
+                    yield parse_event(event, request).alt(_malformed)
         except (HTTPError, OSError) as exc:
             yield _cut(f'the stream was cut: {exc}')
 
--- a/pomelogauge/engines/protocols.py
+++ b/pomelogauge/engines/protocols.py
@@ -102,12 +102,15 @@
     index
         Place in the answer, from zero.
     text
-        The text.
+        The text; empty where only the event is told.
+    event
+        Encoded chunk that may be passed on as it came; empty for none.
 
     """
 
     index: int
     text: str
+    event: bytes = b''
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/wire/chat_route.py
+++ b/pomelogauge/wire/chat_route.py
@@ -12,6 +12,7 @@
 from ..model.request import ModelRequest, Refusal, RefusalCode
 from ..tasks.caller_task import CallerItem, CallerParts, CallerTask, Ended
 from . import chat_bodies
+from .chat_events import text_of
 from .http_answers import Header, HttpAnswer, encode_refusal, request_headers
 from .http_requests import HttpRequest
 
@@ -57,7 +58,7 @@
         if isinstance(sent, Refusal):
             return Failure(sent)
         if isinstance(sent, Token):
-            texts.append(sent.text)
+            texts.append(text_of(sent))
     document = chat_bodies.whole_chat(asked.request, asked.model, texts)
     body = json.dumps(document).encode()
     headers = request_headers(asked.request)
@@ -98,6 +99,8 @@
 
 def _encode(request: RequestId, model: str, sent: CallerItem) -> bytes:
     match sent:
+        case Token(event=event) if event:
+            return chat_bodies.encode_event(event)
         case Token():
             return chat_bodies.encode_token(request, model, sent)
         case Ended():
--- /dev/null
+++ b/test/test_chat_events.py
@@ -0,0 +1,42 @@
+"""Tests of the events of chat streams."""
+
+import json
+import unittest
+
+from returns.result import Success
+
+from pomelogauge.engines.protocols import Token
+from pomelogauge.model.ids import RequestId
+from pomelogauge.wire.chat_events import EventReader, parse_event, text_of
+
+REQUEST = RequestId('r-1')
+
+
+def event(text: str, index: int = 3, **more: object) -> bytes:
+    choice = {'delta': {'content': text}, 'finish_reason': None}
+    chunk = {'id': REQUEST, **more, 'choices': [choice], 'token': index}
+    return json.dumps(chunk).encode()
+
+
+class ChatEventsTest(unittest.TestCase):
+    def test_passes_the_usual_form_on_as_it_came(self) -> None:
+        for text in ('shoe', '"token": 9}', '"id": "r-2"', '\\', '\u00e9\n'):
+            sent = event(text)
+            token = parse_event(sent, REQUEST).unwrap()
+            self.assertEqual(token, Token(3, '', sent))
+            self.assertEqual(text_of(token), text)
+
+    def test_decodes_any_other_form(self) -> None:
+        last = event('t').replace(b'null', b'"stop"')
+        other = event('t', id='r-2')
+        later = event('t')[:-1] + b', "usage": null}'
+        for sent in (last, other, later):
+            parsed = parse_event(sent, REQUEST)
+            self.assertEqual(parsed, Success(Token(3, 't')))
+
+    def test_cuts_events_wherever_the_bytes_are_cut(self) -> None:
+        sent = b'data: one\n\ndata: two\n\n'
+        for cut in range(len(sent)):
+            reader = EventReader()
+            events = (*reader.feed(sent[:cut]), *reader.feed(sent[cut:]))
+            self.assertEqual(events, (b'one', b'two'))
