--- a/pomelogauge/wire/callers_http.py
+++ b/pomelogauge/wire/callers_http.py
@@ -159,12 +159,6 @@
             )
             return refusal_answer(refusal)
 
-    def _merge(self, answered: Result[HttpAnswer, Refusal]) -> HttpAnswer:
-        if isinstance(answered, Failure):
-            self._notes.note(answered.failure())
-            return refusal_answer(answered.failure())
-        return answered.unwrap()
-
     def _route(self, req: HttpRequest) -> Result[HttpAnswer, Refusal]:
         match (req.method, req.path):
             case ('GET', '/healthz'):
@@ -217,6 +211,7 @@
         if not isinstance(answered, Failure):
             return answered.unwrap()
         refusal = answered.failure()
+        self._notes.note(refusal)
         entries = None
         if refusal.code in _ASK_OTHERS:
             entries = self._entries()
