--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -178,6 +178,13 @@
     click.echo(hashlib.sha256(key).hexdigest())
 
 
+@cli.command('charts-page')
+def charts_page() -> None:
+    """Print the diagrams of all state charts in Markdown."""
+    render = late_import('charts.diagram', 'render_charts_page')
+    click.echo(render(), nl=False)
+
+
 @cli.command('settings-page')
 def settings_page() -> None:
     """Print the page of all settings in Markdown."""
--- a/test/test_charts.py
+++ b/test/test_charts.py
@@ -1,7 +1,9 @@
 """Tests of the chart reader."""
 
 import unittest
+from pathlib import Path
 
+from pomelogauge.charts.diagram import render_charts_page
 from pomelogauge.charts.reader import bind_text, load_chart, parse_chart
 from pomelogauge.decide.lease_chart import (
     LEASE_WORDS,
@@ -63,3 +65,7 @@
         for text in ('', '[]', 'statechart: 3', '{', 'statechart:\n  name: x'):
             with self.subTest(text), self.assertRaises(FindingsError):
                 parse_chart('bad', text)
+
+    def test_the_charts_page_is_up_to_date(self) -> None:
+        page = Path('docs/charts.md').read_text(encoding='utf-8')
+        self.assertEqual(page, render_charts_page())
