--- a/pomelogauge/lab/checkers.py
+++ b/pomelogauge/lab/checkers.py
@@ -1,7 +1,9 @@
 """Checkers of the promises that every scenario's record must keep."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
 from itertools import pairwise
 
 from ..standins.tokens import messages_digest, token_of
@@ -13,6 +15,7 @@
     Checker,
     DataCentreOf,
     EngineCounted,
+    EngineSeen,
     EngineStreamed,
     Event,
     Failed,
@@ -28,6 +31,8 @@
 #: Seconds after which nothing new may reach a drained data centre or a
 #: leaving instance.
 NO_NEW_WORK_S = 3.0
+#: Seconds after which no request reaches a replica that has lost a member.
+LOST_KNOWN_S = 2.0
 #: Seconds within which an accepted version must be in force.
 IN_FORCE_S = 5.0
 _NOT_RUN = 'not_run'
@@ -135,6 +140,36 @@
             highest[row.instance] = max(known, row.epoch)
 
 
+@dataclass(frozen=True)
+class _Loss:
+    """A replica without one of its members, for a while."""
+
+    replica: str
+    from_s: float
+    until_s: float
+
+    def covers(self, replica: str, at_s: float) -> bool:
+        """Tell whether it was known for long and not over at some time."""
+        known = self.from_s + LOST_KNOWN_S < at_s < self.until_s
+        return known and replica == self.replica
+
+
+class PartialGroupChecker:
+    """No request is run by a replica that has lost a member."""
+
+    name = 'partial-group'
+
+    def check(self, events: Sequence[Event]) -> Iterator[Breach]:
+        """Look for requests sent after the loss and run by its replica."""
+        sent = _sent_at_s(events)
+        losses = tuple(_losses(events))
+        for stream in events_of(EngineStreamed, events):
+            at_s = sent.get(stream.request, 0)
+            if any(loss.covers(stream.replica, at_s) for loss in losses):
+                message = f'{stream.request} was run by {stream.replica}'
+                yield Breach(self.name, at_s, message)
+
+
 class NoNewWorkChecker:
     """Drained data centres and leaving instances get no new work."""
 
@@ -207,6 +242,7 @@
     AtMostOnceChecker(),
     ColdTargetChecker(),
     OneGroupChecker(),
+    PartialGroupChecker(),
     NoNewWorkChecker(),
     VersionChecker(),
 )
@@ -218,6 +254,36 @@
     return ''.join(token_of(digest, index) for index in range(asked.max_tokens))
 
 
+def _losses(events: Sequence[Event]) -> Iterator[_Loss]:
+    """Yield the losses of members that the tool has caused."""
+    replicas: dict[str, str] = {}
+    for event in events:
+        if isinstance(event, MemberRowSeen):
+            replicas[event.instance] = event.replica
+        elif isinstance(event, FaultMade) and _ends_member(event):
+            replica = replicas.get(event.subject, '')
+            yield _Loss(
+                replica, event.at_s, _regained_s(events, event, replica)
+            )
+
+
+def _regained_s(
+    events: Sequence[Event],
+    loss: FaultMade,
+    replica: str,
+) -> float:
+    """Return when a lost member was first seen ready in its replica again."""
+    for seen in events_of(EngineSeen, events):
+        again = (seen.instance, seen.replica) == (loss.subject, replica)
+        if again and seen.state == 'ready' and seen.asked_at_s > loss.at_s:
+            return seen.at_s
+    return math.inf
+
+
+def _ends_member(fault: FaultMade) -> bool:
+    return fault.kind == 'kill' or fault.detail == 'crash'
+
+
 def _sent_at_s(events: Sequence[Event]) -> dict[str, float]:
     """Return when each request left its caller, by the router's name."""
     callers = {
--- a/pomelogauge/lab/cluster.py
+++ b/pomelogauge/lab/cluster.py
@@ -122,34 +122,24 @@
         """Address of the platform's stand-in."""
         return self.processes.find(_PLATFORM).ready[0].address
 
-    def start_targets(self) -> None:
-        """Start the platform, the engines and the plain services."""
+    def start_platform(self) -> None:
+        """Start the platform."""
         flags = self.spec.platform_flags
         command = Command(_PLATFORM, ('standin', _PLATFORM, *flags))
         self.processes.start(command).await_ready()
-        fresh = [
-            started
-            for data_centre in self.spec.data_centres
-            for started in self._targets_of(data_centre)
-        ]
-        self._await_and_list(fresh)
+
+    def start_targets(self) -> None:
+        """Start the platform, the engines and the plain services."""
+        self.start_platform()
+        self._await_and_list(self._launch_targets())
 
     def start_entries(self) -> None:
         """Start the routers and controllers."""
-        counts = (
-            (InstanceRole.CONTROLLER, self.spec.controllers),
-            (InstanceRole.ROUTER, self.spec.routers),
-        )
-        fresh: list[Started] = []
-        for data_centre, (role, count) in product(
-            self.spec.data_centres,
-            counts,
-        ):
-            fresh.extend(
-                self.start_entry(role, data_centre, number)
-                for number in range(count)
-            )
-        self._await_and_list(fresh)
+        self._await_and_list(self._launch_entries())
+
+    def start_rest(self) -> None:
+        """Start all but the platform at once."""
+        self._await_and_list([*self._launch_targets(), *self._launch_entries()])
 
     def start_entry(
         self,
@@ -206,6 +196,29 @@
         """End all processes at once, without their graceful shutdown."""
         self.processes.kill_all()
 
+    def _launch_targets(self) -> list[Started]:
+        return [
+            started
+            for data_centre in self.spec.data_centres
+            for started in self._targets_of(data_centre)
+        ]
+
+    def _launch_entries(self) -> list[Started]:
+        counts = (
+            (InstanceRole.CONTROLLER, self.spec.controllers),
+            (InstanceRole.ROUTER, self.spec.routers),
+        )
+        fresh: list[Started] = []
+        for data_centre, (role, count) in product(
+            self.spec.data_centres,
+            counts,
+        ):
+            fresh.extend(
+                self.start_entry(role, data_centre, number)
+                for number in range(count)
+            )
+        return fresh
+
     def _await_and_list(self, fresh: list[Started]) -> None:
         for started in fresh:
             started.process.await_ready()
--- a/pomelogauge/lab/steps_operators.py
+++ b/pomelogauge/lab/steps_operators.py
@@ -2,7 +2,10 @@
 
 from returns.pipeline import is_successful
 
+from ..app.connections import open_platform
+from ..app.publish import publish_manifest
 from ..model.peers import NodePhase
+from ..platform.configuration_store import ConfigurationStore
 from .manifests import manifest_for, manifest_text
 from .processes import Command, Process
 from .record import VersionPublished
@@ -12,6 +15,7 @@
 from .world import ORGANISATIONS, World
 
 _COMMAND_LIMIT_S = 20.0
+_PLATFORM_TIMEOUT_S = 2.0
 _PUBLISHED = 'published version '
 
 
@@ -20,9 +24,16 @@
 )
 def publish(world: World, replicas: int, span: int) -> None:
     """Publish a manifest; it must be accepted."""
-    process = _start_publication(world, replicas, span)
-    if not _accepted(world, process):
-        raise StepError(f'refused: {process.last_log_lines()}')
+    _publish(world, replicas, span)
+
+
+@VOCABULARY.step(
+    'a manifest with {int} replica(s) of {int} instance(s) that ignore the '
+    'fence is published'
+)
+def publish_without_fence(world: World, replicas: int, span: int) -> None:
+    """Publish a manifest for engines that ignore the fencing number."""
+    _publish(world, replicas, span, checks_fence=False)
 
 
 @VOCABULARY.step(
@@ -86,6 +97,29 @@
     wait_until(lambda: _not_in_phase(world, target, phase), limit_s)
 
 
+def _publish(
+    world: World,
+    replicas: int,
+    span: int,
+    *,
+    checks_fence: bool = True,
+) -> None:
+    """Publish as the operators' command does, without its process."""
+    publisher = f'operator-{world.number()}'
+    manifest = manifest_for(
+        world.cluster.spec,
+        replicas,
+        span,
+        ORGANISATIONS,
+        checks_fence=checks_fence,
+    )
+    platform = open_platform(world.cluster.platform, _PLATFORM_TIMEOUT_S)
+    store = ConfigurationStore(platform)
+    published = publish_manifest(store, manifest, publisher)
+    at_s = world.recorder.now_s()
+    world.recorder.post(VersionPublished(at_s, published.version, publisher))
+
+
 def _start_publication(world: World, replicas: int, span: int) -> Process:
     number = world.number()
     cluster = world.cluster
