Join spans of peers and orders, and run random faults under load

Change: calls of peers that carry a trace context get a server span; pushes and fetches of a configuration and engine orders start one. The client tells an observer of every exchange, so that answers to tries that were repeated are checked as well.

--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -124,6 +124,23 @@
     late_import('lab.demo', 'run_demo')()
 
 
+@cli.group()
+def bench() -> None:
+    """Run measurements on embedded stand-ins."""
+
+
+@bench.command()
+@click.option('--faults', default=40, help='How many faults.')
+@click.option('--seed', default=1, help='Of the faults and the load.')
+@click.option('--rate-per-s', default=24.0, help='Requests a second.')
+@click.option('--json', 'json_path', default='', help='File for the figures.')
+def faults(faults: int, seed: int, rate_per_s: float, json_path: str) -> None:
+    """Do random faults under load and check every promise to callers."""
+    plan = late_import('lab.bench_faults', 'FaultPlan')
+    run = late_import('lab.bench_faults', 'bench_faults')
+    run(plan(faults, seed, rate_per_s), json_path, click.echo)
+
+
 @cli.command('hash-key')
 def hash_key() -> None:
     """Print the hash of a caller's key read from standard input."""
--- a/pomelogauge/client.py
+++ b/pomelogauge/client.py
@@ -3,6 +3,7 @@
 import json
 import time
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -38,6 +39,32 @@
     is_drawn: bool = False
 
 
+@dataclass(frozen=True)
+class Observed:
+    """One exchange with a router.
+
+    Parameters
+    ----------
+    address
+        Router that was asked.
+    key
+        Idempotency key; empty for none.
+    begun_s
+        Monotonic time at which it began.
+    outcome
+        The answer or the error.
+
+    """
+
+    address: str
+    key: str
+    begun_s: float
+    outcome: Result[Any, CallError]
+
+
+Observer = Callable[[Observed], None]
+
+
 class Client:
     """Calls models and plain services; belongs to one thread.
 
@@ -51,6 +78,8 @@
         ``http`` or ``https``.
     pool
         Connections; ``None`` opens a pool of its own.
+    observe
+        Called with every answer and error, those that are tried again too.
 
     """
 
@@ -60,12 +89,14 @@
         key: str,
         scheme: str = 'http',
         pool: urllib3.PoolManager | None = None,
+        observe: Observer | None = None,
     ) -> None:
         """Open no connection yet."""
         self._seeds = seeds
         self._scheme = scheme
         self._headers = {'Authorization': f'Bearer {key}'}
         self._kept = KeptEntries()
+        self._observe = observe or _ignore
         self._pool = pool or urllib3.PoolManager(retries=False)
 
     def entries(self) -> tuple[str, ...]:
@@ -196,6 +227,19 @@
         path: str,
         body: str,
         key: CallKey | None,
+    ) -> Result[Any, CallError]:
+        begun_s = time.monotonic()
+        outcome = self._exchange(address, path, body, key)
+        name = key.key if key else ''
+        self._observe(Observed(address, name, begun_s, outcome))
+        return outcome
+
+    def _exchange(
+        self,
+        address: str,
+        path: str,
+        body: str,
+        key: CallKey | None,
     ) -> Result[Any, CallError]:
         headers = {**self._headers, 'Content-Type': 'application/json'}
         if key:
@@ -221,6 +265,10 @@
         return read_answer(answer, begun_s)
 
 
+def _ignore(observed: Observed) -> None:
+    """Observe nothing."""
+
+
 def _is_store_down(outcome: Result[Any, CallError]) -> bool:
     if not isinstance(outcome, Failure):
         return False
--- a/pomelogauge/engines/http_control.py
+++ b/pomelogauge/engines/http_control.py
@@ -1,6 +1,7 @@
 """Orders to engines and their reports over HTTP."""
 
 import urllib3
+from opentelemetry.trace import SpanKind
 from returns.result import Failure, Result
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -11,6 +12,7 @@
 from ..model.ids import Address, NodeName
 from ..model.placement import EngineStatus
 from ..model.request import Execution
+from ..tasks.spans import hop, trace_parent
 from ..wire.engine_json import decode_status, encode_load, encode_unload
 from .protocols import EngineError, EngineFault, LoadOrder, UnloadOrder
 
@@ -35,8 +37,8 @@
         self._pools = urllib3.PoolManager(
             retries=False,
             timeout=urllib3.Timeout(connect=timeout_s, read=timeout_s),
-            headers={'X-Client': node},
         )
+        self._node = node
 
     def status(self, address: Address) -> Result[EngineStatus, EngineError]:
         """Return the engine's own report."""
@@ -67,7 +69,11 @@
         address: Address,
         body: bytes,
     ) -> Result[EngineStatus, EngineError]:
-        return self._call('POST', f'http://{address}/v1/orders', body)
+        with hop('engine order', SpanKind.CLIENT):
+            return self._call('POST', f'http://{address}/v1/orders', body)
+
+    def _headers(self) -> dict[str, str]:
+        return {'X-Client': self._node, **_trace_headers()}
 
     def _call(
         self,
@@ -76,7 +82,9 @@
         body: bytes | None = None,
     ) -> Result[EngineStatus, EngineError]:
         try:
-            answer = self._pools.request(method, url, body=body, redirect=False)
+            answer = self._pools.request(
+                method, url, body=body, headers=self._headers(), redirect=False
+            )
         except (ConnectTimeoutError, NewConnectionError) as refused:
             return _fail(
                 EngineFault.UNREACHABLE, str(refused), Execution.NOT_RUN
@@ -91,6 +99,11 @@
         return _fail(fault, f'HTTP {answer.status}', Execution.NOT_RUN)
 
 
+def _trace_headers() -> dict[str, str]:
+    parent = trace_parent()
+    return {'traceparent': parent} if parent else {}
+
+
 def _fail(
     fault: EngineFault,
     message: str,
--- a/pomelogauge/wire/peer_client.py
+++ b/pomelogauge/wire/peer_client.py
@@ -4,12 +4,14 @@
 from typing import Any, TypeVar
 
 import grpc
+from opentelemetry.trace import SpanKind
 from returns.result import Failure, Result, Success
 
 from ..model.ids import Address, ConfigVersion, NodeName
 from ..model.peers import ExchangeAnswer, ExchangeAsk
 from ..tasks.links import LinkError
 from ..tasks.messages import ConfigurationDocument, Gossip, NodeStatus
+from ..tasks.spans import hop, trace_parent
 from . import peer_pb2
 from .cuts import LinkCuts
 from .metadata import NODE_KEY, TRACE_KEY
@@ -40,9 +42,6 @@
         Deadline of each call, in seconds.
     cuts
         Peers to which calls fail at once.
-    traceparent
-        Returns the trace context of the present call, if any.
-
     """
 
     def __init__(
@@ -50,13 +49,11 @@
         node: NodeName,
         timeout_s: float,
         cuts: LinkCuts | None = None,
-        traceparent: Callable[[], str] | None = None,
     ) -> None:
         """Start without channels."""
         self._node = node
         self._timeout_s = timeout_s
         self._cuts = cuts or LinkCuts()
-        self._traceparent = traceparent
         self._channels = PeerChannels()
         self._names: dict[Address, NodeName] = {}
 
@@ -80,7 +77,10 @@
     ) -> Result[ConfigurationDocument, LinkError]:
         """Ask a peer for its configuration."""
         ask = peer_pb2.ConfigurationAsk(asker=self._node, at_least=at_least)
-        answer = self._call(address, 'FetchConfiguration', ask, decode_document)
+        with hop('configuration fetch', SpanKind.CLIENT):
+            answer = self._call(
+                address, 'FetchConfiguration', ask, decode_document
+            )
         return answer.bind(
             lambda heard: self._checked(address, heard.sender, heard),
         )
@@ -91,12 +91,13 @@
         document: ConfigurationDocument,
     ) -> Result[ConfigVersion, LinkError]:
         """Push a configuration; the answer is the peer's version."""
-        return self._call(
-            address,
-            'PushConfiguration',
-            encode_document(document),
-            _decode_version,
-        )
+        with hop('configuration push', SpanKind.CLIENT):
+            return self._call(
+                address,
+                'PushConfiguration',
+                encode_document(document),
+                _decode_version,
+            )
 
     def exchange(
         self,
@@ -168,7 +169,7 @@
 
     def _metadata(self) -> tuple[tuple[str, str], ...]:
         own = (NODE_KEY, self._node)
-        trace = self._traceparent() if self._traceparent else ''
+        trace = trace_parent()
         return (own, (TRACE_KEY, trace)) if trace else (own,)
 
     def _is_cut(self, address: Address) -> bool:
--- a/pomelogauge/wire/peer_server.py
+++ b/pomelogauge/wire/peer_server.py
@@ -9,6 +9,7 @@
 from .peer_pb2_grpc import add_PeerServicer_to_server
 from .peer_ports import PeerPorts
 from .peer_servicer import PeerServicer
+from .span_interceptor import SpanInterceptor
 
 #: Threads that serve calls; none waits longer than the servicer's deadline.
 POOL_THREADS = 16
@@ -38,6 +39,7 @@
         self._may_cut = may_cut
         self._server = grpc.server(
             self._pool,
+            interceptors=(SpanInterceptor(),),
             options=_OPTIONS,
             maximum_concurrent_rpcs=MAX_CALLS,
         )
