--- a/pomelogauge/lab/plots.py
+++ b/pomelogauge/lab/plots.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from matplotlib.figure import Figure
-from matplotlib.ticker import ScalarFormatter
+from matplotlib.ticker import MaxNLocator, ScalarFormatter
 
 from .measurement import Measurement, RequestResult, Sample
 
@@ -187,7 +187,7 @@
         )
     panel.margins(y=1 - 1 / _HEADROOM)
     _mark(panel, measured)
-    panel.yaxis.get_major_locator().set_params(integer=True)
+    panel.yaxis.set_major_locator(MaxNLocator(integer=True))
     panel.legend(fontsize='small', loc='lower right')
     _label(panel, 'time (s)', 'version in force')
 
--- /dev/null
+++ b/test/test_fuzz.py
@@ -0,0 +1,203 @@
+"""Fuzzing of what comes from outside: it is decoded or refused, no more."""
+
+import copy
+import json
+import unittest
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Result, Success
+
+from pomelogauge.charts.reader import chart_text, parse_chart
+from pomelogauge.decide.manifest_check import check_manifest
+from pomelogauge.lab.record import decode_event
+from pomelogauge.model.errors import FindingsError
+from pomelogauge.model.ids import RowVersion
+from pomelogauge.platform.protocols import Row, RowKey
+from pomelogauge.wire import (
+    chat_bodies,
+    chat_events,
+    configuration_document,
+    configuration_row,
+    engine_json,
+    intent_rows,
+    manifest_document,
+    platform_json,
+    rows,
+)
+from pomelogauge.wire.yaml_document import parse_document
+
+# Small counts keep CI short; a longer run sets another profile.
+settings.register_profile(
+    'ci',
+    max_examples=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile('ci')
+
+MANIFEST = json.loads(
+    json.dumps(
+        parse_document('m', Path('docs/examples/manifest.yaml').read_bytes())
+        .unwrap()
+        .root
+    )
+)
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.text(max_size=8)
+)
+JSON = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+TEXTS = st.text(max_size=60) | JSON.map(json.dumps)
+
+CHAT = {'model': 'quotes', 'stream': True, 'messages': [{'role': 'user'}]}
+STATUS = {
+    'instance': 'e',
+    'incarnation': 'i',
+    'state': 'ready',
+    'replica': 'r',
+    'epoch': 1,
+    'rank': 0,
+    'load': {'running': 0, 'completed': 0, 'bearable': 1, 'capacity': 2},
+}
+MEMBER = {
+    'instance': 'e',
+    'address': 'a:1',
+    'data_centre': 'n',
+    'domain': 'd',
+    'rank': 0,
+}
+ROW_DOCUMENT = {
+    'holder': 'h',
+    'epoch': 1,
+    'incarnation': 'i',
+    'count': 2,
+    'replica': 'r',
+    'deployment': 'd',
+    'shard': 's',
+    'state': 'serving',
+    'members': [MEMBER],
+    'version': 3,
+    'object': 'o',
+    'publisher': 'p',
+}
+
+
+def places(document: Any) -> Iterator[tuple[Any, Any]]:
+    """Yield every container of a document with each of its keys."""
+    keys: Any = ()
+    if isinstance(document, dict):
+        keys = tuple(document)
+    elif isinstance(document, list):
+        keys = range(len(document))
+    for key in keys:
+        yield document, key
+        yield from places(document[key])
+
+
+@st.composite
+def changed(draw: Any, document: Any) -> Any:
+    """Draw a document with some of its parts replaced or removed."""
+    document = copy.deepcopy(document)
+    for _ in range(draw(st.integers(1, 3))):
+        found = list(places(document))
+        if not found:
+            break
+        container, key = draw(st.sampled_from(found))
+        if draw(st.booleans()) and isinstance(container, dict):
+            del container[key]
+        else:
+            container[key] = draw(JSON)
+    return document
+
+
+def row(text: str) -> Row:
+    return Row(RowKey('t', 'd#0'), RowVersion(1), text, 'tx')
+
+
+class FuzzTest(unittest.TestCase):
+    def settled(self, outcome: Result[Any, Any]) -> None:
+        self.assertIsInstance(outcome, Success | Failure)
+
+    @given(changed(MANIFEST) | JSON)
+    def test_manifests(self, document: Any) -> None:
+        body = json.dumps(document).encode()
+        decoded = manifest_document.decode_manifest('m', body)
+        if isinstance(decoded, Failure):
+            self.assertTrue(decoded.failure())
+        else:
+            tuple(check_manifest(decoded.unwrap().manifest))
+
+    @given(st.binary(max_size=80))
+    def test_bytes_that_are_no_manifest(self, body: bytes) -> None:
+        self.settled(manifest_document.decode_manifest('m', body))
+        self.settled(configuration_document.decode_configuration(body))
+
+    @given(
+        st.binary(max_size=80)
+        | (changed(CHAT) | JSON).map(lambda found: json.dumps(found).encode())
+    )
+    def test_chat_bodies(self, body: bytes) -> None:
+        self.settled(chat_bodies.parse_chat(body))
+
+    @given(
+        st.binary(max_size=80)
+        | (changed(STATUS) | JSON).map(lambda found: json.dumps(found).encode())
+    )
+    def test_answers_of_outside_systems(self, body: bytes) -> None:
+        decoders: tuple[Callable[[bytes], Result[Any, Any]], ...] = (
+            engine_json.decode_status,
+            platform_json.decode_transaction,
+            platform_json.decode_committed,
+            platform_json.decode_instances,
+            chat_events.parse_event,
+            lambda found: platform_json.decode_row('t', found),
+            lambda found: platform_json.decode_rows('t', found),
+        )
+        for decode in decoders:
+            self.settled(decode(body))
+
+    @given(TEXTS | changed(ROW_DOCUMENT).map(json.dumps))
+    def test_rows(self, text: str) -> None:
+        decoders: tuple[Callable[[Row], Result[Any, Any]], ...] = (
+            rows.decode_lease,
+            rows.decode_heartbeat,
+            rows.decode_membership,
+            rows.decode_replica,
+            intent_rows.decode_intent,
+        )
+        for decode in decoders:
+            self.settled(decode(row(text)))
+        self.settled(configuration_row.decode_configuration_row(text))
+
+    @given(st.data())
+    def test_charts(self, drawn: Any) -> None:
+        lines = chart_text('replica').splitlines()
+        at = drawn.draw(st.integers(0, len(lines) - 1))
+        lines[at] = drawn.draw(st.text(max_size=20))
+        try:
+            parse_chart('fuzzed', '\n'.join(lines))
+        except FindingsError as exc:
+            self.assertTrue(exc.findings)
+
+    @given(TEXTS)
+    def test_lines_of_records(self, line: str) -> None:
+        self.assertRaises(ValueError, decode_event, line)
+
+
+if __name__ == '__main__':
+    unittest.main()
