--- a/test/test_at_most_once.py
+++ b/test/test_at_most_once.py
@@ -124,6 +124,21 @@
         status, _ = self.send(self.routers[1], 'book', 'refused')
         self.assertEqual((status, self.runs('refused')), (200, 1))
 
+    def test_metrics_count_calls_and_refusals(self) -> None:
+        self.send(self.routers[0], 'book', 'counted')
+        self.send(self.routers[0], 'book', 'counted', '{"other": 1}')
+        conn = http.client.HTTPConnection(self.routers[0], timeout=LIMIT_S)
+        self.addCleanup(conn.close)
+        conn.request('GET', '/metrics')
+        text = conn.getresponse().read().decode()
+        for name in (
+            'pomelogauge_requests_served_total{label="organisation-0"}',
+            'pomelogauge_requests_refused_total'
+            '{label="idempotency_key_reused"}',
+            'pomelogauge_service_call_seconds_count',
+        ):
+            self.assertIn(name, text)
+
     def test_an_intent_whose_answer_was_lost_is_settled(self) -> None:
         self.set_platform('lose_answer', count=1, table='intents')
         status, _ = self.send(self.routers[0], 'book', 'lost')
--- a/test/test_http_streams.py
+++ b/test/test_http_streams.py
@@ -193,3 +193,27 @@
                 else:
                     self.assertIsInstance(outcome, Failure)
                     self.assertEqual(outcome.failure().execution, execution)
+
+    def test_a_call_cut_at_any_byte_may_have_run(self) -> None:
+        ask = ServiceAsk(RequestId('r-1'), CallName('pay'), 'key', b'{}')
+        calls = HttpServiceCalls(CallSettings(NODE))
+        for size in (0, 1, 100_000):
+            with socket.create_server(('127.0.0.1', 0)) as server:
+                address = Address(f'127.0.0.1:{server.getsockname()[1]}')
+                thread = threading.Thread(
+                    target=self.read_and_cut, args=(server, size)
+                )
+                thread.start()
+                outcome = calls.call(address, ask)
+                thread.join(10)
+            execution = outcome.failure().execution
+            self.assertEqual(execution, Execution.MAY_HAVE_RUN)
+        # Nothing listens there any more.
+        refused = calls.call(address, ask).failure()
+        self.assertEqual(refused.execution, Execution.NOT_RUN)
+
+    def read_and_cut(self, server: socket.socket, size: int) -> None:
+        conn, _ = server.accept()
+        with conn:
+            if size:
+                conn.recv(size)
