Serve callers over HTTPS where the settings name a certificate

Cause: callers' keys and answers crossed the network in the clear. The files are read again when they change; wrong or expired ones are findings at the start and a log line later, with the former certificate still in use. The handshake runs in the caller's task, so that a silent caller holds up nobody.

--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -50,6 +50,7 @@
 from .peer_parts import PeerParts, PeerSubscribers, PeerWiring
 from .settings import RouterSettings
 from .task_set import TaskSet
+from .tls_settings import callers_tls
 
 #: Bodies up to this many times the bound are read and refused in JSON;
 #: the connection of a longer one is closed.
@@ -149,6 +150,7 @@
             header_limit_s=cfg.header_timeout_s,
             max_body_bytes=BODY_READ_FACTOR * cfg.max_body_bytes,
             stop_timeout_s=int(cfg.shutdown_limit_s),
+            tls=callers_tls(cfg),
         ),
     )
 
--- a/pomelogauge/app/settings.py
+++ b/pomelogauge/app/settings.py
@@ -138,6 +138,10 @@
     header_timeout_s: float = setting(
         period_hint('Deadline for the headers of a request'), 10.0
     )
+    tls_cert: str = setting(
+        Hint('File with the certificate for HTTPS; empty for HTTP.'), ''
+    )
+    tls_key: str = setting(Hint('File with the key of the certificate.'), '')
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/pomelogauge/wire/callers_server.py
+++ b/pomelogauge/wire/callers_server.py
@@ -9,6 +9,7 @@
 from cheroot import wsgi
 
 from .callers_connections import CallerConnection, CallerGateway
+from .tls import ReloadingAdapter, TlsFiles
 from .wsgi_types import StartResponse, WsgiApp
 
 _log = logging.getLogger(__name__)
@@ -38,6 +39,8 @@
         Connections kept between two requests.
     stop_timeout_s
         Seconds for which a graceful stop waits for what runs.
+    tls
+        Certificate and key for HTTPS; ``None`` for HTTP.
 
     """
 
@@ -52,6 +55,7 @@
     max_body_bytes: int = 8_388_608
     idle_connections: int = 2048
     stop_timeout_s: int = 120
+    tls: TlsFiles | None = None
 
 
 class CallersServer:
@@ -100,6 +104,8 @@
             shutdown_timeout=self._cfg.stop_timeout_s,
         )
         self._limit(self._server)
+        if self._cfg.tls:
+            self._server.ssl_adapter = ReloadingAdapter(self._cfg.tls)
         self._server.prepare()
         bound: int = self._server.bind_addr[1]
         return bound
