--- /dev/null
+++ b/pomelogauge/app/bench_ui.py
@@ -0,0 +1,66 @@
+"""The commands that measure the system."""
+
+import click
+
+from .late_import import late_import
+
+
+@click.group()
+def bench() -> None:
+    """Measure the system on embedded stand-ins."""
+
+
+@bench.command('config')
+@click.option('--json', 'json_path', default='', help='File for the result.')
+@click.option('--publications', default=100, help='How many versions.')
+@click.option('--limit-s', default=75.0, help='When the last one may begin.')
+@click.option('--seed', default=1, help='Seed of the choice of processes.')
+def bench_config(
+    json_path: str,
+    publications: int,
+    limit_s: float,
+    seed: int,
+) -> None:
+    """Measure until when a published version is in force everywhere."""
+    spec = late_import('lab.bench_config', 'ConfigBenchSpec')(
+        publications=publications, limit_s=limit_s, seed=seed
+    )
+    late_import('lab.bench_config', 'bench_config')(spec, json_path)
+
+
+@bench.command('relay')
+@click.option('--json', 'json_path', default='', help='File for all figures.')
+@click.option('--seed', default=1, help='Seed of the load.')
+def bench_relay(json_path: str, seed: int) -> None:
+    """Measure what a router adds to the streams that it relays."""
+    click.echo(late_import('lab.bench_relay', 'run_bench')(seed, json_path))
+
+
+@bench.command('faults')
+@click.option('--faults', default=40, help='How many faults.')
+@click.option('--seed', default=1, help='Of the faults and the load.')
+@click.option('--rate-per-s', default=24.0, help='Requests a second.')
+@click.option('--json', 'json_path', default='', help='File for the figures.')
+def bench_faults(
+    faults: int,
+    seed: int,
+    rate_per_s: float,
+    json_path: str,
+) -> None:
+    """Do random faults under load and check every promise to callers."""
+    plan = late_import('lab.bench_faults', 'FaultPlan')
+    run = late_import('lab.bench_faults', 'bench_faults')
+    run(plan(faults, seed, rate_per_s), json_path, click.echo)
+
+
+@bench.command('once')
+def bench_once() -> None:
+    """Call what may not be repeated, with the table service up and down."""
+    late_import('lab.bench_once', 'bench_once')(click.echo)
+
+
+@bench.command('capacity')
+@click.option('--json', 'json_path', default='', help='File for the figures.')
+def bench_capacity(json_path: str) -> None:
+    """Measure what idle routers and controllers cost at several sizes."""
+    late_import('lab.bench_capacity', 'bench_capacity')(json_path, click.echo)
--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -11,6 +11,7 @@
 from ..model.errors import Finding, FindingsError, Place, UserError
 from ..model.ids import Address, DataCentreName
 from ..model.manifest import Configuration
+from .bench_ui import bench
 from .connections import Connections
 from .lab_commands import lab
 from .late_import import late_import
@@ -138,37 +139,6 @@
     late_import('lab.demo', 'run_demo')()
 
 
-@cli.group()
-def bench() -> None:
-    """Measure the system on embedded stand-ins."""
-
-
-@bench.command('config')
-@click.option('--json', 'json_path', default='', help='File for the result.')
-@click.option('--publications', default=100, help='How many versions.')
-@click.option('--limit-s', default=75.0, help='When the last one may begin.')
-@click.option('--seed', default=1, help='Seed of the choice of processes.')
-def bench_config(
-    json_path: str,
-    publications: int,
-    limit_s: float,
-    seed: int,
-) -> None:
-    """Measure until when a published version is in force everywhere."""
-    spec = late_import('lab.bench_config', 'ConfigBenchSpec')(
-        publications=publications, limit_s=limit_s, seed=seed
-    )
-    late_import('lab.bench_config', 'bench_config')(spec, json_path)
-
-
-@bench.command('relay')
-@click.option('--json', 'json_path', default='', help='File for all figures.')
-@click.option('--seed', default=1, help='Seed of the load.')
-def bench_relay(json_path: str, seed: int) -> None:
-    """Measure what a router adds to the streams that it relays."""
-    click.echo(late_import('lab.bench_relay', 'run_bench')(seed, json_path))
-
-
 @cli.command('hash-key')
 def hash_key() -> None:
     """Print the hash of a caller's key read from standard input."""
@@ -192,6 +162,7 @@
 
 
 cli.add_command(lab)
+cli.add_command(bench)
 cli.add_command(
     StandinGroup(
         'standin',
--- a/pomelogauge/client.py
+++ b/pomelogauge/client.py
@@ -4,7 +4,7 @@
 import time
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 import urllib3
@@ -25,6 +25,8 @@
 TRIES = 4
 #: Code of a refusal because the table service is down.
 STORE_DOWN = 'store_unavailable'
+#: Seconds for which keys are minted after such a refusal.
+MINT_FOR_S = 5.0
 _OK = 200
 
 
@@ -45,12 +47,29 @@
 
 
 @dataclass(frozen=True)
-class CallBody:
-    """What is sent; a chat has no key."""
+class Observed:
+    """One exchange with a router.
 
-    path: str
-    body: str
-    key: CallKey | None = None
+    Parameters
+    ----------
+    address
+        Router that was asked.
+    key
+        Idempotency key; empty for none.
+    begun_s
+        Monotonic time at which it began.
+    outcome
+        The answer or the error.
+
+    """
+
+    address: str
+    key: str
+    begun_s: float
+    outcome: Result[Any, CallError]
+
+
+Observer = Callable[[Observed], None]
 
 
 class Client:
@@ -66,6 +85,10 @@
         ``http`` or ``https``.
     pool
         Connections; ``None`` opens a pool of its own.
+    observe
+        Called with every answer and error, those that are tried again too.
+    on_token
+        Called after each token of a stream with the number of tokens so far.
 
     """
 
@@ -75,12 +98,17 @@
         key: str,
         scheme: str = 'http',
         pool: urllib3.PoolManager | None = None,
+        observe: Observer | None = None,
+        on_token: Callable[[int], None] = ignore_tokens,
     ) -> None:
         """Open no connection yet."""
         self._seeds = seeds
         self._scheme = scheme
         self._headers = {'Authorization': f'Bearer {key}'}
         self._kept = KeptEntries()
+        self._mint_until_s = 0.0
+        self._observe = observe or _ignore
+        self._on_token = on_token
         self._pool = pool or urllib3.PoolManager(retries=False)
 
     def entries(self) -> tuple[str, ...]:
@@ -97,23 +125,10 @@
         model: str,
         prompt: str,
         max_tokens: int = 32,
-        on_token: Callable[[int], None] = ignore_tokens,
     ) -> Result[ChatAnswer, CallError]:
         """Ask a model and read the whole streamed answer.
 
         A request that was not run is sent again, to another router.
-
-        Parameters
-        ----------
-        model
-            Name of the model.
-        prompt
-            Content of the only message.
-        max_tokens
-            Bound of the answer.
-        on_token
-            Called after each token with the number of tokens so far.
-
         """
         body = {
             'model': model,
@@ -121,8 +136,7 @@
             'max_tokens': max_tokens,
             'messages': [{'role': 'user', 'content': prompt}],
         }
-        call = CallBody('/v1/chat/completions', json.dumps(body))
-        return self._try_all(call, on_token)
+        return self._try_all('/v1/chat/completions', json.dumps(body))
 
     def call(
         self,
@@ -150,7 +164,7 @@
             is_drawn=not idempotency_key,
         )
         path = f'/v1/services/{service}/{call}'
-        return self._try_all(CallBody(path, json.dumps(body), key))
+        return self._try_all(path, json.dumps(body), key)
 
     def _ask_entries(self) -> None:
         for address in (*self._kept.addresses, *self._seeds):
@@ -178,12 +192,14 @@
     def _mint_key(self, address: str) -> CallKey:
         """Return a key that only the router at this address may run."""
         answer = self._get(address, '/v1/idempotency-key')
-        return CallKey(str(answer['key']) if answer else '')
+        key = str(answer['key']) if answer else uuid.uuid4().hex
+        return CallKey(key)
 
     def _try_all(
         self,
-        call: CallBody,
-        on_token: Callable[[int], None] = ignore_tokens,
+        path: str,
+        body: str,
+        key: CallKey | None = None,
     ) -> Result[Any, CallError]:
         error = CallError('unreachable', 'no router is known', 'not_run')
         entries = self.entries()
@@ -191,7 +207,7 @@
             if not entries:
                 break
             address = entries[number % len(entries)]
-            outcome = self._send_or_mint(address, call, on_token)
+            outcome = self._send_or_mint(address, path, body, key)
             if not isinstance(outcome, Failure):
                 return outcome
             error = outcome.failure()
@@ -205,35 +221,52 @@
     def _send_or_mint(
         self,
         address: str,
-        call: CallBody,
-        on_token: Callable[[int], None],
+        path: str,
+        body: str,
+        key: CallKey | None,
     ) -> Result[Any, CallError]:
-        outcome = self._send(address, call, on_token)
-        drawn = call.key is not None and call.key.is_drawn
-        if not drawn or not _is_store_down(outcome):
+        if key is None or not key.is_drawn:
+            return self._send(address, path, body, key)
+        if time.monotonic() < self._mint_until_s:
+            return self._send(address, path, body, self._mint_key(address))
+        outcome = self._send(address, path, body, key)
+        if not _is_store_down(outcome):
             return outcome
         # The call was not sent, so that another key may name it.
+        self._mint_until_s = time.monotonic() + MINT_FOR_S
         minted = self._mint_key(address)
-        if not minted.key:
-            return outcome
-        return self._send(address, replace(call, key=minted), on_token)
+        return self._send(address, path, body, minted)
 
     def _send(
         self,
         address: str,
-        call: CallBody,
-        on_token: Callable[[int], None],
+        path: str,
+        body: str,
+        key: CallKey | None,
+    ) -> Result[Any, CallError]:
+        begun_s = time.monotonic()
+        outcome = self._exchange(address, path, body, key)
+        name = key.key if key else ''
+        self._observe(Observed(address, name, begun_s, outcome))
+        return outcome
+
+    def _exchange(
+        self,
+        address: str,
+        path: str,
+        body: str,
+        key: CallKey | None,
     ) -> Result[Any, CallError]:
         headers = {**self._headers, 'Content-Type': 'application/json'}
-        if call.key:
-            headers['Idempotency-Key'] = call.key.key
+        if key:
+            headers['Idempotency-Key'] = key.key
         begun_s = time.monotonic()
         timeout = urllib3.Timeout(connect=ENTRY_TIMEOUT_S, read=SILENCE_LIMIT_S)
         try:
             answer = self._pool.request(
                 'POST',
-                f'{self._scheme}://{address}{call.path}',
-                body=call.body,
+                f'{self._scheme}://{address}{path}',
+                body=body,
                 headers=headers,
                 timeout=timeout,
                 preload_content=False,
@@ -245,7 +278,11 @@
             return Failure(CallError('unreachable', str(exc), 'not_run'))
         except urllib3.exceptions.HTTPError as exc:
             return Failure(CallError('cut', str(exc), 'may_have_run'))
-        return read_answer(answer, begun_s, on_token)
+        return read_answer(answer, begun_s, self._on_token)
+
+
+def _ignore(observed: Observed) -> None:
+    """Observe nothing."""
 
 
 def _is_store_down(outcome: Result[Any, CallError]) -> bool:
--- a/pomelogauge/lab/bench_capacity.py
+++ b/pomelogauge/lab/bench_capacity.py
@@ -3,7 +3,7 @@
 import json
 import tempfile
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
@@ -119,10 +119,16 @@
                 cluster.end()
 
 
-def write_json(costs: tuple[SizeCost, ...], path: Path) -> None:
-    """Write results for reports."""
-    rows = [asdict(cost) for cost in costs]
-    path.write_text(json.dumps(rows, indent=1), encoding='utf-8')
+def bench_capacity(json_path: str, say: Callable[[str], None]) -> None:
+    """Measure all sizes, print a line for each and write the figures."""
+    found: list[SizeCost] = []
+    for cost in measure_capacity():
+        found.append(cost)
+        say(json.dumps(asdict(cost)))
+    if json_path:
+        text = json.dumps([asdict(one) for one in found], indent=1)
+        Path(json_path).write_text(text, encoding='utf-8')
+    say(f'capacity: {len(found)} sizes measured')
 
 
 def _measure(cluster: Cluster, size: Size, folder: Path) -> SizeCost:
--- a/pomelogauge/lab/callers.py
+++ b/pomelogauge/lab/callers.py
@@ -103,7 +103,6 @@
     ) -> Result[ChatAnswer, CallError]:
         """Send a chat request and wait for its end."""
         recorder = self._recorder
-        client = Client(routers, caller_key(chat.organisation))
         sent_at_s = recorder.now_s()
         recorder.post(
             ChatSent(
@@ -118,7 +117,9 @@
         def heard(count: int) -> None:
             recorder.post(TokenHeard(recorder.now_s(), chat.caller, count))
 
-        answer = client.chat(MODEL, chat.prompt, chat.max_tokens, heard)
+        key = caller_key(chat.organisation)
+        client = Client(routers, key, on_token=heard)
+        answer = client.chat(MODEL, chat.prompt, chat.max_tokens)
         if is_successful(answer):
             self._answered(chat, answer.unwrap())
         else:
--- a/pomelogauge/lab/steps_faults.py
+++ b/pomelogauge/lab/steps_faults.py
@@ -62,6 +62,15 @@
     world.note('mode', 'services', mode)
 
 
+@VOCABULARY.step('every service answers {float} s late for {int} call(s)')
+def service_late(world: World, delay_s: float, count: int) -> None:
+    """Let the plain services run calls at once and answer them late."""
+    mode = StandinMode('slow', delay_s=delay_s, count=count)
+    for address in world.cluster.addresses(InstanceRole.SERVICE):
+        world.cluster.control.set_mode(address, mode)
+    world.note('mode', 'services', mode.mode)
+
+
 @VOCABULARY.step('{target} is cut off from the platform')
 def cut_platform(world: World, target: str) -> None:
     """Cut one process's link to the platform."""
--- a/pomelogauge/wire/caller_answers.py
+++ b/pomelogauge/wire/caller_answers.py
@@ -29,7 +29,7 @@
     retry_after_s
         Seconds after which a repeat may succeed; zero for no hint.
     request
-        Identifier of the request; empty when unknown.
+        Identifier that the router gave; empty when none came.
 
     """
 
