Let the fault bench wait when everything has a fault already

Cause: with few processes of a kind the search for a victim never ended, and no open fault was mended meanwhile.

--- a/pomelogauge/lab/bench_faults.py
+++ b/pomelogauge/lab/bench_faults.py
@@ -175,9 +175,13 @@
     numbers = itertools.count()
     start_s = time.monotonic()
     open_faults: list[tuple[float, int, Fault]] = []
-    for number in range(count):
-        _mend_until(open_faults, start_s + number * GAP_S)
+    turns = itertools.count()
+    while count:
+        _mend_until(open_faults, start_s + next(turns) * GAP_S)
         fault = source.begin()
+        if fault is None:
+            continue
+        count -= 1
         say(f'{time.monotonic() - start_s:7.2f} s  {fault.name}')
         due_s = time.monotonic() + fault.lasts_s
         heapq.heappush(open_faults, (due_s, next(numbers), fault))
--- a/pomelogauge/lab/faults.py
+++ b/pomelogauge/lab/faults.py
@@ -76,12 +76,15 @@
             self._cut,
         )
 
-    def begin(self) -> Fault:
-        """Do a fault to something that has none at the moment."""
-        while True:
-            fault = self._rng.choice(self._kinds)()
+    def begin(self) -> Fault | None:
+        """Do a fault to something that has none; ``None`` if all have."""
+        kinds = list(self._kinds)
+        self._rng.shuffle(kinds)
+        for kind in kinds:
+            fault = kind()
             if fault:
                 return fault
+        return None
 
     def _fault(self, victim: str, what: str, mend: Mend) -> Fault:
         self._busy.add(victim)
