End a router at its limit though a target hangs

Cause: a test over real processes showed that a router whose target hangs had not ended 20 s after a signal with a limit of 10 s. The HTTP library joins a thread that waits for its target without a limit, and the interpreter does the same at its end.

After the limit of the shutdown the servers get 5 s more; then the process logs what it does and ends with code 1. What runs is waited for by the shutdown task, so that the HTTP server itself waits 2 s for last bytes only. The callers' library follows the entries that a refusal names.

--- a/pomelogauge/app/daemon.py
+++ b/pomelogauge/app/daemon.py
@@ -1,8 +1,11 @@
 """A daemon: servers that are bound first, tasks that run behind them."""
 
 import json
+import logging
+import os
 import signal
 import sys
+import threading
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 
@@ -27,6 +30,14 @@
     """A port can't be bound."""
 
 
+#: Seconds that the servers may take to end, whatever runs.
+SERVERS_LIMIT_S = 5.0
+#: Exit code of a process that cut requests at its limit.
+CUT_EXIT_CODE = 1
+
+_log = logging.getLogger(__name__)
+
+
 @dataclass(frozen=True)
 class ReadyLine:
     """The line that a process prints once it listens."""
@@ -140,8 +151,22 @@
         self.serve()
         self._print_ready()
         self.ended.take()
-        self.servers.stop()
+        stopping = threading.Thread(target=self.servers.stop, daemon=True)
+        stopping.start()
+        stopping.join(SERVERS_LIMIT_S)
         self.tasks.stop()
+        if stopping.is_alive():
+            self._cut()
+
+    def _cut(self) -> None:
+        """End the process though a caller's task waits for a target.
+
+        The HTTP library waits for such a task for ever, and so does the
+        interpreter at its end.
+        """
+        _log.warning('daemon: the limit has passed, what still runs is cut')
+        logging.shutdown()
+        os._exit(CUT_EXIT_CODE)
 
     def _on_signal(self, number: int, frame: object) -> None:
         self.end_asked()
--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -48,6 +48,9 @@
 from .settings import RouterSettings
 from .task_set import TaskSet
 
+#: Seconds for the last bytes of answers, once nothing runs at targets.
+LAST_BYTES_S = 2
+
 
 @dataclass(frozen=True)
 class RouterCore:
@@ -133,7 +136,7 @@
         ServerSettings(
             threads=cfg.worker_threads,
             idle_timeout_s=int(cfg.header_timeout_s),
-            stop_timeout_s=int(cfg.shutdown_limit_s),
+            stop_timeout_s=LAST_BYTES_S,
         ),
     )
 
--- a/pomelogauge/client.py
+++ b/pomelogauge/client.py
@@ -3,7 +3,9 @@
 import json
 import time
 import uuid
+from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import cycle
 from typing import Any
 
 import urllib3
@@ -136,22 +138,35 @@
         self, path: str, body: str, key: str
     ) -> Result[Any, CallError]:
         error = CallError('unreachable', 'no router is known', 'not_run')
-        entries = self.entries()
-        for number in range(TRIES):
-            if not entries:
+        turns: Iterator[str] = cycle(self.entries())
+        for _ in range(TRIES):
+            address = next(turns, '')
+            if not address:
                 break
-            address = entries[number % len(entries)]
             outcome = self._send(address, path, body, key)
             if not isinstance(outcome, Failure):
                 return outcome
             error = outcome.failure()
             if not error.repeatable:
                 break
-            if error.retry_after_s:
-                # The router knows when capacity comes back.
-                time.sleep(min(error.retry_after_s, ENTRY_TIMEOUT_S))
+            turns = self._next_turns(error, turns)
         return Failure(error)
 
+    def _next_turns(
+        self,
+        error: CallError,
+        turns: Iterator[str],
+    ) -> Iterator[str]:
+        """Return the addresses to try after a refusal."""
+        if error.entries:
+            # The router takes no new work and names who does.
+            self._kept = KeptEntries()
+            return cycle(error.entries)
+        if error.retry_after_s:
+            # The router knows when capacity comes back.
+            time.sleep(min(error.retry_after_s, ENTRY_TIMEOUT_S))
+        return turns
+
     def _send(
         self,
         address: str,
--- a/pomelogauge/wire/caller_answers.py
+++ b/pomelogauge/wire/caller_answers.py
@@ -28,6 +28,8 @@
         ``not_run``, ``may_have_run`` or ``ran``.
     retry_after_s
         Seconds after which a repeat may succeed; zero for no hint.
+    entries
+        Routers that the refusing one names instead.
 
     """
 
@@ -35,6 +37,7 @@
     message: str
     execution: str
     retry_after_s: float = 0
+    entries: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -99,6 +102,7 @@
         said.get('message', ''),
         said.get('execution', 'may_have_run'),
         float(said.get('retry_after_s') or 0),
+        tuple(said.get('entries', ())),
     )
 
 
--- a/test/process_fixtures.py
+++ b/test/process_fixtures.py
@@ -33,9 +33,10 @@
         self.cluster = Cluster(spec, self.path)
         self.links = GrpcLinks(NodeName('test'), 1)
 
-    def start(self) -> None:
+    def start(self, span: int = 4) -> None:
         self.cluster.start_targets()
-        text = manifest_text(manifest_for(self.cluster.spec))
+        manifest = manifest_for(self.cluster.spec, span=span)
+        text = manifest_text(manifest)
         publish(self.cluster, self.path, text)
         self.cluster.start_entries()
         self.wait(lambda: self.all_are(NodePhase.READY, 1), 'ready')
