--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -56,6 +56,9 @@
 #: the connection of a longer one is closed.
 BODY_READ_FACTOR = 4
 
+#: Seconds for the last bytes of answers, once nothing runs at targets.
+LAST_BYTES_S = 2
+
 
 @dataclass(frozen=True)
 class RouterCore:
@@ -150,7 +153,7 @@
             idle_timeout_s=math.ceil(cfg.header_timeout_s),
             header_limit_s=cfg.header_timeout_s,
             max_body_bytes=BODY_READ_FACTOR * cfg.max_body_bytes,
-            stop_timeout_s=int(cfg.shutdown_limit_s),
+            stop_timeout_s=LAST_BYTES_S,
             tls=callers_tls(cfg),
         ),
     )
--- a/pomelogauge/lab/experiment_dc.py
+++ b/pomelogauge/lab/experiment_dc.py
@@ -9,7 +9,9 @@
 
 from ..app.connections import open_platform
 from ..app.publish import publish_change, publish_manifest
-from ..decide.publication import DrainChange
+from ..charts.reader import load_chart
+from ..decide.data_centre_chart import DATA_CENTRE_WORDS, DataCentreEvent
+from ..decide.publication import DataCentreChange
 from ..model.ids import DataCentreName
 from ..model.topology import InstanceRole
 from ..platform.configuration_store import ConfigurationStore
@@ -192,10 +194,17 @@
     begun_s = time.monotonic()
     store = _store(cluster)
     name = DataCentreName(cluster.spec.data_centres[1])
-    plan = ((options.drain_at_s, True), (options.return_at_s, False))
-    for at_s, drained in plan:
+    chart = load_chart('data_centre', DATA_CENTRE_WORDS)
+    plan = (
+        (options.drain_at_s, DataCentreEvent.DRAIN),
+        (options.return_at_s, DataCentreEvent.BRING_BACK),
+    )
+    for at_s, event in plan:
         time.sleep(max(0, begun_s + at_s - time.monotonic()))
-        publish_change(store, DrainChange(name, drained=drained), 'experiment')
+        publish_change(
+            store, DataCentreChange(name, event), chart, 'experiment'
+        )
+        drained = event is DataCentreEvent.DRAIN
         what = f'{name} {"drained" if drained else "returned"}'
         marks.post(Mark(time.monotonic() - begun_s, what))
 
--- a/pomelogauge/wire/caller_answers.py
+++ b/pomelogauge/wire/caller_answers.py
@@ -30,6 +30,8 @@
         Seconds after which a repeat may succeed; zero for no hint.
     request
         Identifier that the router gave; empty when none came.
+    entries
+        Routers that the refusing one names instead.
 
     """
 
@@ -38,6 +40,7 @@
     execution: str
     retry_after_s: float = 0
     request: str = ''
+    entries: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -110,6 +113,7 @@
         said.get('execution', 'may_have_run'),
         float(said.get('retry_after_s') or 0),
         said.get('request_id', ''),
+        tuple(said.get('entries', ())),
     )
 
 
