Replace replicas one at a time when a model version changes

Cause: a changed model version or adapters of a deployment left its replicas as they were; only a deployment of another name loaded it.

Change: the row of a replica holds the version and adapters that its members were ordered to load, and its owner writes once that it serves, one write a formation. Every owner takes the lowest outdated ordinal of the same rows, and only while all others serve; that replica drains, and its slot forms anew. A deployment of one replica is out of service meanwhile.

--- a/pomelogauge/decide/formation.py
+++ b/pomelogauge/decide/formation.py
@@ -1,5 +1,6 @@
 """Which replicas a shard forms, and which it gives up."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ..model.ids import (
@@ -10,7 +11,7 @@
     ReplicaId,
 )
 from ..model.manifest import Configuration, Deployment
-from ..model.placement import Member, Replica
+from ..model.placement import Member, Replica, ReplicaState
 from ..model.topology import Instance
 
 _SLOT_MARK = '#'
@@ -127,6 +128,40 @@
     return any(other.replica == replica.replica for other in kept)
 
 
+def outdated(
+    deployment: Deployment,
+    replicas: Sequence[Replica],
+) -> Replica | None:
+    """Return the one replica that may be replaced by a newer version now.
+
+    Every owner takes the lowest ordinal of the same rows, and only while all
+    others serve. More rows than replicas are wanted says that its successor
+    is forming; it then goes on leaving.
+
+    Parameters
+    ----------
+    deployment
+        What is asked for.
+    replicas
+        All rows of the deployment.
+
+    """
+    old = [replica for replica in replicas if _is_old(replica, deployment)]
+    if not old:
+        return None
+    first = min(old, key=_ordinal)
+    others = [replica for replica in replicas if replica is not first]
+    is_leaving = len(others) >= deployment.replicas
+    all_serve = all(replica.state is ReplicaState.SERVING for replica in others)
+    has_others = len(others) >= deployment.replicas - 1
+    return first if is_leaving or (all_serve and has_others) else None
+
+
+def _is_old(replica: Replica, deployment: Deployment) -> bool:
+    wanted = (deployment.model_version, deployment.adapters)
+    return (replica.model_version, replica.adapters) != wanted
+
+
 def find_deployment(
     name: DeploymentName,
     configuration: Configuration,
@@ -175,12 +210,18 @@
     deployment: Deployment,
     picture: ShardPicture,
 ) -> tuple[Replica, ...]:
-    """Return the replicas that may stay where they stand."""
+    """Return the replicas that may stay where they stand as they are."""
     allowed = _allowed(deployment, picture.configuration)
-    return tuple(
+    named = [
         replica
         for replica in picture.replicas
         if replica.deployment == deployment.name
+    ]
+    replaced = outdated(deployment, named)
+    return tuple(
+        replica
+        for replica in named
+        if replica is not replaced
         and all(_may_stay(at, allowed, picture) for at in replica.members)
     )
 
--- a/pomelogauge/decide/shard_knowledge.py
+++ b/pomelogauge/decide/shard_knowledge.py
@@ -181,4 +181,6 @@
             Member(at.name, at.address, at.data_centre, at.domain, rank)
             for rank, at in enumerate(plan.instances)
         ),
+        model_version=plan.deployment.model_version,
+        adapters=plan.deployment.adapters,
     )
--- a/pomelogauge/model/placement.py
+++ b/pomelogauge/model/placement.py
@@ -95,6 +95,8 @@
         State in the chart.
     version
         Row version.
+    model_version, adapters
+        What its members were ordered to load.
 
     """
 
@@ -105,6 +107,8 @@
     members: tuple[Member, ...]
     state: ReplicaState = ReplicaState.CLAIMED
     version: RowVersion = ABSENT_ROW
+    model_version: str = ''
+    adapters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/tasks/replica_machines.py
+++ b/pomelogauge/tasks/replica_machines.py
@@ -100,6 +100,12 @@
             claimed, self._clock.now_s(), formed
         )
 
+    def note_row(self, row: Replica) -> None:
+        """Take the version of a known replica's row."""
+        machine = self._machines[row.replica]
+        replica = replace(machine.replica, version=row.version)
+        self._machines[row.replica] = replace(machine, replica=replica)
+
     def keep(self, named: Collection[ReplicaId]) -> None:
         """Drop the replicas whose rows are gone."""
         for gone in self._machines.keys() - named:
--- a/pomelogauge/tasks/replica_orders.py
+++ b/pomelogauge/tasks/replica_orders.py
@@ -105,7 +105,7 @@
             replica,
             member.rank,
             deployment.model,
-            deployment.model_version,
-            deployment.adapters,
+            replica.model_version,
+            replica.adapters,
         )
         yield _MemberOrder(member.instance, order)
--- a/pomelogauge/tasks/replica_rows.py
+++ b/pomelogauge/tasks/replica_rows.py
@@ -84,6 +84,14 @@
             lambda committed: replace(wanted, version=committed.versions[0])
         )
 
+    def mark(
+        self,
+        lease: Lease,
+        replica: Replica,
+    ) -> Result[Committed, PlatformError]:
+        """Write a replica's state, which the other shards plan by."""
+        return self._commit(lease, replica, encode_replica(replica), ())
+
     def release(
         self,
         lease: Lease,
--- a/pomelogauge/tasks/shard_owner.py
+++ b/pomelogauge/tasks/shard_owner.py
@@ -15,7 +15,7 @@
 from ..decide.replica_view import view_of
 from ..decide.shard_knowledge import ShardKnowledge, build_replica
 from ..model.ids import ReplicaId
-from ..model.placement import Lease, Member
+from ..model.placement import Lease, Member, ReplicaState
 from ..model.times import ControlTimes
 from ..model.topology import Instance, InstanceRole
 from ..platform.protocols import TableService
@@ -184,6 +184,7 @@
         replicas = self._replicas.replicas()
         self._replicas.unwanted = self._known.unwanted(replicas)
         self._watch()
+        self._mark()
         self._form()
 
     def _scan(self) -> None:
@@ -213,9 +214,24 @@
         self._replicas.keep({row.replica for row in adopted})
         own = {replica.replica for replica in self._replicas.replicas()}
         for row in adopted:
-            if row.replica not in own:
+            if row.replica in own:
+                self._replicas.note_row(row)
+            else:
                 self._replicas.add(row, formed=False)
 
+    def _mark(self) -> None:
+        """Tell the other shards by the rows which replicas serve."""
+        scan = self._known.scan
+        if scan is None or not self._may_write():
+            return
+        told = {row.replica: row.state for row in scan.replicas}
+        for replica in self._replicas.replicas():
+            is_serving = replica.state is ReplicaState.SERVING
+            if is_serving and told.get(replica.replica) != replica.state:
+                self._rows.mark(self._lease, replica)
+                # The row's version has changed; the memberships have not.
+                self._due = replace(self._due, scan_s=float('-inf'))
+
     def _forget_rows(self) -> None:
         """Read all rows again before the next write."""
         self._is_current = False
--- a/pomelogauge/wire/rows.py
+++ b/pomelogauge/wire/rows.py
@@ -98,6 +98,8 @@
             'epoch': replica.epoch,
             'shard': replica.shard,
             'state': replica.state.value,
+            'model_version': replica.model_version,
+            'adapters': list(replica.adapters),
             'members': [_member_document(member) for member in replica.members],
         }
     )
@@ -157,9 +159,18 @@
         tuple(_member(as_document(member)) for member in members),
         ReplicaState(text(document, 'state')),
         row.version,
+        text(document, 'model_version'),
+        _adapters(document),
     )
 
 
+def _adapters(document: Document) -> tuple[str, ...]:
+    names = document['adapters']
+    if not isinstance(names, list):
+        raise TypeError('adapters is no list')
+    return tuple(str(name) for name in names)
+
+
 def _member(document: Document) -> Member:
     return Member(
         InstanceName(text(document, 'instance')),
--- a/test/control_simulation.py
+++ b/test/control_simulation.py
@@ -468,7 +468,9 @@
         self.configuration = _configuration(scene)
         self.listed = tuple(_instances())
         self.engines = {
-            at.address: SimEngine(at, scene.checks_fence) for at in self.listed
+            at.address: SimEngine(at, scene.checks_fence)
+            for at in self.listed
+            if at.role is InstanceRole.ENGINE
         }
         self._late: list[_Late] = []
         self._outage_until_s = 0.0
@@ -488,6 +490,16 @@
                 self._harm()
             self._step()
 
+    def publish_model_version(self, model_version: str) -> None:
+        manifest = self.configuration.manifest
+        newer = replace(manifest.deployments[0], model_version=model_version)
+        self.configuration = replace(
+            self.configuration,
+            manifest=replace(manifest, deployments=(newer,)),
+        )
+        for process in self.processes:
+            process.keeper.post(ConfigurationInForce(self.configuration))
+
     def serving(self) -> list[GroupServed]:
         """Return the replicas that holders of a live lease offer."""
         offered = []
--- a/test/test_control_faults.py
+++ b/test/test_control_faults.py
@@ -13,7 +13,7 @@
 from pomelogauge.lab.checkers_control import check_control
 from pomelogauge.model.times import ControlTimes
 
-from .control_simulation import LATE_ORDER_S, Scene, World
+from .control_simulation import LATE_ORDER_S, STEP_S, Scene, World
 
 SEEDS = int(os.environ.get('POMELOGAUGE_FAULT_SEEDS', '2'))
 SECONDS = float(os.environ.get('POMELOGAUGE_FAULT_SECONDS', '60'))
@@ -45,6 +45,17 @@
                 names = {one.replica.replica for one in world.serving()}
                 self.assertEqual(len(names), 2, f'seed {seed}: no recovery')
 
+    def test_newer_version_leaves_one_replica_serving(self) -> None:
+        world = World(Scene(FIRST_SEED))
+        world.run(20, faulty=False)
+        world.publish_model_version('2')
+        for _ in range(300):
+            world.run(STEP_S, faulty=False)
+            self.assertGreaterEqual(len(world.serving()), 1)
+        versions = [one.replica.model_version for one in world.serving()]
+        self.assertEqual(versions, ['2', '2'])
+        self.assertEqual(check_control(world.history), ())
+
     def test_engines_that_check_fencing_numbers(self) -> None:
         self.check(checks_fence=True)
 
--- a/test/test_formation.py
+++ b/test/test_formation.py
@@ -6,6 +6,7 @@
 from pomelogauge.decide.formation import (
     ShardPicture,
     is_wanted,
+    outdated,
     plan_formation,
     replica_id,
 )
@@ -18,7 +19,7 @@
     ShardName,
 )
 from pomelogauge.model.manifest import Configuration, Deployment, Manifest
-from pomelogauge.model.placement import Member, Replica
+from pomelogauge.model.placement import Member, Replica, ReplicaState
 
 from .control_fakes import engine
 
@@ -48,6 +49,7 @@
         Epoch(1),
         ShardName(f'{data_centre}/d'),
         members,
+        model_version=QUOTES.model_version,
     )
 
 
@@ -93,6 +95,22 @@
         self.assertEqual(plan.slot, 'quotes#2')
         self.assertFalse(is_wanted(rows[0], leaving))
 
+    def test_newer_version_replaces_one_replica_at_a_time(self) -> None:
+        old, other, third = (
+            replace(replica(ordinal, A), state=ReplicaState.SERVING)
+            for ordinal in range(3)
+        )
+        newer = replace(QUOTES, model_version='2')
+        fresh = replace(old, model_version='2')
+        forming = replace(fresh, state=ReplicaState.LOADING)
+        self.assertIsNone(outdated(QUOTES, (old, other)))
+        self.assertIs(outdated(newer, (other, old)), old)
+        self.assertIs(outdated(newer, (old, other, third)), old)
+        self.assertIsNone(outdated(newer, (other,)))
+        self.assertIsNone(outdated(newer, (forming, other)))
+        self.assertIs(outdated(newer, (fresh, other)), other)
+        self.assertIs(outdated(newer, (fresh, other, forming)), other)
+
     def test_too_many_replicas_lose_the_highest_ordinal(self) -> None:
         rows = tuple(replica(ordinal, A) for ordinal in (5, 0, 2))
         kept = [is_wanted(row, picture(*rows)) for row in rows]
--- a/test/test_shard_owner.py
+++ b/test/test_shard_owner.py
@@ -7,6 +7,7 @@
 
 from pomelogauge.charts.reader import load_chart
 from pomelogauge.decide.replica_chart import REPLICA_WORDS
+from pomelogauge.engines.protocols import LoadOrder
 from pomelogauge.model.ids import (
     ConfigVersion,
     DataCentreName,
@@ -54,7 +55,13 @@
 )
 from pomelogauge.tasks.settle import TransactionNames
 from pomelogauge.tasks.shard_owner import OwnerLinks, ShardOwner
-from pomelogauge.wire.rows import LEASES, MEMBERS, decode_membership
+from pomelogauge.wire.rows import (
+    LEASES,
+    MEMBERS,
+    REPLICAS,
+    decode_membership,
+    decode_replica,
+)
 
 from .control_fakes import Box, FakeClock, FakeEngines, engine
 
@@ -271,6 +278,32 @@
         self.assertTrue(self.view().serving)
         self.assertEqual(len(self.engines.orders), orders)
 
+    def test_newer_version_is_loaded_after_what_runs(self) -> None:
+        self.run_for(3)
+        rows = self.platform.scan(REPLICAS).unwrap()
+        self.assertEqual(
+            decode_replica(rows[0]).unwrap().state, ReplicaState.SERVING
+        )
+        writes = self.platform._count
+        self.run_for(5)
+        self.assertEqual(self.platform._count, writes)
+        deployment = CONFIGURATION.manifest.deployments[0]
+        newer = replace(deployment, model_version='2')
+        manifest = replace(CONFIGURATION.manifest, deployments=(newer,))
+        configuration = replace(CONFIGURATION, manifest=manifest)
+        self.owner.on_message(ConfigurationInForce(configuration))
+        self.run_for(1)
+        self.assertEqual(self.view().replica.state, ReplicaState.DRAINING)
+        self.run_for(8)
+        self.assertTrue(self.view().serving)
+        self.assertEqual(self.view().replica.model_version, '2')
+        ordered = [
+            order.model_version
+            for order in self.engines.orders
+            if isinstance(order, LoadOrder)
+        ]
+        self.assertEqual(ordered, ['1'] * 4 + ['2'] * 4)
+
     def test_drained_data_centre_stays_out_in_an_outage(self) -> None:
         self.run_for(2)
         drained = replace(CONFIGURATION, drained=(DataCentreName('a'),))
