Let only controllers with a stake keep rows and watch leases

Cause: every controller wrote its row in holders twice a second and scanned two tables as often, so that 420 nodes would make 840 writes and 1,680 scans a second.

Change: decide/candidates.py ranks the listed controllers for each shard. Only one that holds a lease, ranks first, or could take a free lease keeps a row; the first three in rank look each second, all others each ten seconds. A row is withdrawn only after its last lease has lapsed, so that a lease kept for an owner that still acts isn't taken early.

--- a/pomelogauge/model/times.py
+++ b/pomelogauge/model/times.py
@@ -15,6 +15,10 @@
         Life of a lease, counted from before a renewal was sent.
     lease_margin_s
         What a taker waits beyond the term; longer than the life of an order.
+    candidate_scan_s
+        Period in which a controller looks at the leases that may become its.
+    bystander_scan_s
+        Period in which any other controller looks at them.
     settle_s
         A controller must have been live this long to be handed a shard.
     hand_over_interval_s
@@ -45,6 +49,8 @@
     renewal_s: float = 0.5
     lease_term_s: float = 2.0
     lease_margin_s: float = 1.0
+    candidate_scan_s: float = 1.0
+    bystander_scan_s: float = 10.0
     settle_s: float = 10.0
     hand_over_interval_s: float = 2.0
     scan_interval_s: float = 1.0
--- a/pomelogauge/tasks/holder_row.py
+++ b/pomelogauge/tasks/holder_row.py
@@ -74,6 +74,11 @@
         self._clock = clock
         self._names = TransactionNames(node, incarnation)
 
+    @property
+    def is_written(self) -> bool:
+        """Whether the row stands as far as is known."""
+        return self.heartbeat.version != ABSENT_ROW
+
     @property
     def condition(self) -> Condition:
         """Return the condition that the own row is unchanged."""
@@ -103,7 +108,11 @@
         return Renewal.FAILED
 
     def delete(self) -> None:
-        """Withdraw the row; the leases must have been given back."""
+        """Withdraw the row; the leases must have been given back.
+
+        Where the answer is lost, the row is found again before it is written
+        the next time, or swept once it is silent.
+        """
         self._tables.commit(
             Transaction(
                 self._names.fresh('withdraw'),
@@ -111,6 +120,7 @@
                 (Write(self.condition.key, None),),
             )
         )
+        self._forget()
 
     def _renewed(self, heartbeat: Heartbeat, sent_at_s: float) -> None:
         self.heartbeat = heartbeat
@@ -151,10 +161,13 @@
             return Renewal.FAILED
         if row:
             self._await(row.version)
+        self._forget()
+        return Renewal.SUPERSEDED
+
+    def _forget(self) -> None:
         self.heartbeat = replace(self.heartbeat, version=ABSENT_ROW)
         self.held_until_s = float('-inf')
         self.registered_s = float('inf')
-        return Renewal.SUPERSEDED
 
     def _await(self, version: RowVersion) -> None:
         wait_s = self._times.lease_term_s + self._times.lease_margin_s
--- a/pomelogauge/tasks/lease_keeper.py
+++ b/pomelogauge/tasks/lease_keeper.py
@@ -16,10 +16,12 @@
 from ..model.times import ControlTimes
 from ..platform.protocols import TableService
 from .clock import Clock
+from .contention import Contention
 from .control_messages import ShardTasks
 from .holder_row import HolderRow, Renewal
 from .holder_watch import HolderWatch
 from .lease_rows import LeaseRows, LeaseScan
+from .messages import InstancesListed
 from .owned_shards import KeeperMessage, OwnedShards
 from .settle import TransactionNames
 
@@ -86,6 +88,7 @@
         self._leases = LeaseRows(tables, names)
         self._owners = OwnedShards(owners)
         self._holders = HolderWatch(node, times, clock)
+        self._contention = Contention(node, times)
         self._chart = chart
         self._times = times
         self._clock = clock
@@ -99,15 +102,22 @@
     def on_message(self, message: KeeperMessage) -> None:
         """Remember and pass on what the owners of shards need."""
         self._owners.pass_on(message)
+        if isinstance(message, InstancesListed):
+            self._contention.take(message)
 
     def on_timer(self) -> float | None:
         """Renew, look and act once a period."""
         now_s = self._clock.now_s()
         if now_s < self._due_s:
             return self._due_s - now_s
-        self._due_s = now_s + self._times.renewal_s
+        holds = bool(self._owners.names())
+        is_needed = holds or self._contention.needs_row
+        self._due_s = now_s + self._contention.period_s(holds=holds)
         self._lapse()
-        self._renew()
+        if is_needed:
+            self._renew()
+        else:
+            self._look()
         self._lapse()
         for shard in self._owners.names():
             if self._machines[shard].state == LeaseState.HELD:
@@ -132,6 +142,33 @@
         if scan is not None:
             self._see(scan)
 
+    def _look(self) -> None:
+        """Look at the leases without a row, and so without taking any."""
+        # A lease that was kept for an owner that still acts must lapse first.
+        lapsed_s = self._row.held_until_s + self._times.lease_margin_s
+        if self._row.is_written and self._clock.now_s() >= lapsed_s:
+            self._row.delete()
+        scan = self._leases.scan()
+        if scan is not None:
+            self._holders.take(scan.heartbeats)
+            self._contend(scan)
+
+    def _contend(self, scan: LeaseScan) -> None:
+        """Note which leases lie free that this controller could have."""
+        rows = {lease.shard: lease for lease in scan.leases}
+        shards = self._owners.listed().difference(scan.unreadable)
+        leases = [rows.get(shard, Lease(shard)) for shard in shards]
+        self._contention.look(
+            [lease.shard for lease in leases if self._is_free(lease)]
+        )
+
+    def _is_free(self, lease: Lease) -> bool:
+        if lease.shard in self._owners.names():
+            return False
+        is_silent = self._holders.is_silent(lease.holder)
+        is_free = not lease.holder or is_silent
+        return is_free and is_wanted(lease, self._standing(), self._times)
+
     def _start_anew(self) -> None:
         _log.warning('leases: the own row was changed by another incarnation')
         for shard in self._owners.names():
@@ -140,6 +177,7 @@
 
     def _see(self, scan: LeaseScan) -> None:
         self._holders.take(scan.heartbeats)
+        self._contend(scan)
         rows = {lease.shard: lease for lease in scan.leases}
         wanted = rows.keys() | self._owners.listed()
         for shard in sorted(wanted.difference(scan.unreadable)):
--- a/test/control_simulation.py
+++ b/test/control_simulation.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide.candidates import CANDIDATES
 from pomelogauge.decide.lease_chart import LEASE_WORDS
 from pomelogauge.decide.replica_chart import REPLICA_WORDS
 from pomelogauge.engines.protocols import (
@@ -77,6 +78,8 @@
 
 LEASE_CHART = load_chart('shard_lease', LEASE_WORDS)
 REPLICA_CHART = load_chart('replica', REPLICA_WORDS)
+#: One more than the candidates for a shard.
+CONTROLLERS = CANDIDATES + 1
 STEP_S = 0.125
 LOAD_S = 1.0
 #: Seconds in which the owner must notice that a member has changed.
@@ -475,7 +478,9 @@
         self._late: list[_Late] = []
         self._outage_until_s = 0.0
         self._lives = 0
-        self.processes = [self._process(f'n{number}') for number in range(3)]
+        self.processes = [
+            self._process(f'n{number}') for number in range(CONTROLLERS)
+        ]
 
     def later(self, delay_s: float, act: Callable[[], object]) -> None:
         self._late.append(_Late(self.now_s + delay_s, act))
@@ -628,6 +633,13 @@
 
 
 def _instances() -> Iterator[Instance]:
+    for number in range(CONTROLLERS):
+        yield Instance(
+            InstanceName(f'n{number}'),
+            InstanceRole.CONTROLLER,
+            Address(''),
+            DATA_CENTRE,
+        )
     for number in range(10):
         yield Instance(
             InstanceName(f'e{number}'),
