--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import sys
+from pathlib import Path
 from typing import Any
 
 import click
@@ -124,6 +125,23 @@
     late_import('lab.demo', 'run_demo')()
 
 
+@cli.group()
+def bench() -> None:
+    """Measure parts of the system on embedded stand-ins."""
+
+
+@bench.command('replicas')
+@click.option('--json', 'path', type=click.Path(), help='Write the report.')
+@click.option('--losses', default=4, show_default=True, help='Lost members.')
+def bench_replicas(path: str | None, losses: int) -> None:
+    """Measure downtime after losses and the load on the platform."""
+    report = late_import('lab.bench_replicas', 'measure_replicas')(losses)
+    if path:
+        write = late_import('lab.bench_replicas', 'write_report')
+        write(report, Path(path))
+    click.echo(str(report))
+
+
 @cli.command('hash-key')
 def hash_key() -> None:
     """Print the hash of a caller's key read from standard input."""
