--- a/test/control_simulation.py
+++ b/test/control_simulation.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide.candidates import CANDIDATES
 from pomelogauge.decide.lease_chart import LEASE_WORDS
 from pomelogauge.decide.replica_chart import REPLICA_WORDS
 from pomelogauge.engines.protocols import (
@@ -77,6 +78,8 @@
 
 LEASE_CHART = load_chart('shard_lease', LEASE_WORDS)
 REPLICA_CHART = load_chart('replica', REPLICA_WORDS)
+#: One more than the candidates for a shard.
+CONTROLLERS = CANDIDATES + 1
 STEP_S = 0.125
 LOAD_S = 1.0
 #: Seconds in which the owner must notice that a member has changed.
@@ -468,12 +471,16 @@
         self.configuration = _configuration(scene)
         self.listed = tuple(_instances())
         self.engines = {
-            at.address: SimEngine(at, scene.checks_fence) for at in self.listed
+            at.address: SimEngine(at, scene.checks_fence)
+            for at in self.listed
+            if at.role is InstanceRole.ENGINE
         }
         self._late: list[_Late] = []
         self._outage_until_s = 0.0
         self._lives = 0
-        self.processes = [self._process(f'n{number}') for number in range(3)]
+        self.processes = [
+            self._process(f'n{number}') for number in range(CONTROLLERS)
+        ]
 
     def later(self, delay_s: float, act: Callable[[], object]) -> None:
         self._late.append(_Late(self.now_s + delay_s, act))
@@ -488,6 +495,16 @@
                 self._harm()
             self._step()
 
+    def publish_model_version(self, model_version: str) -> None:
+        manifest = self.configuration.manifest
+        newer = replace(manifest.deployments[0], model_version=model_version)
+        self.configuration = replace(
+            self.configuration,
+            manifest=replace(manifest, deployments=(newer,)),
+        )
+        for process in self.processes:
+            process.keeper.post(ConfigurationInForce(self.configuration))
+
     def serving(self) -> list[GroupServed]:
         """Return the replicas that holders of a live lease offer."""
         offered = []
@@ -616,6 +633,13 @@
 
 
 def _instances() -> Iterator[Instance]:
+    for number in range(CONTROLLERS):
+        yield Instance(
+            InstanceName(f'n{number}'),
+            InstanceRole.CONTROLLER,
+            Address(''),
+            DATA_CENTRE,
+        )
     for number in range(10):
         yield Instance(
             InstanceName(f'e{number}'),
