Count what a router may have started until it says so

Cause: the grant desk dropped a router's grant when it ended, though its requests may go on and its next ask may be lost or late; a router did not tell of lost requests that its target may still run; and a grant whose answer was lost, or that had become smaller, was counted for its whole life. Change: a grant counts until the router's next ask. The ask says what the router holds, and the desk counts no more than that; answers to any but the newest ask are dropped at the router, asks that come late get no grant. Lost requests that may still run are told as running.

--- a/pomelogauge/decide/grants.py
+++ b/pomelogauge/decide/grants.py
@@ -1,9 +1,9 @@
 """How the slots of a replica are shared among routers."""
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from ..model.ids import DeploymentName, NodeName, ReplicaId
+from ..model.ids import DeploymentName, Incarnation, NodeName, ReplicaId
 from ..model.peers import ExchangeAsk
 from ..model.placement import ReplicaView
 
@@ -20,15 +20,16 @@
 class Account:
     """What one router holds of one replica.
 
-    A router may still run what an older grant allowed, so that a grant counts
-    until it ends, also when a later one is smaller.
+    A router may still start what an older grant allowed. What it has started
+    is known only with its next ask, so that a grant counts until then, also
+    when it has ended.
 
     Parameters
     ----------
     router
         The router.
     issued
-        Its grants that have not ended.
+        Grants that it may have used since its last ask.
     running
         Requests that it last reported in progress.
     demand
@@ -38,6 +39,8 @@
         Granter's clock at its last ask.
     last_slots
         Size of its last grant.
+    incarnation, sequence
+        Of its last report.
 
     """
 
@@ -47,6 +50,17 @@
     demand: int = 0
     asked_at_s: float = float('-inf')
     last_slots: int = 0
+    incarnation: Incarnation = Incarnation('')
+    sequence: int = 0
+
+
+def is_late(account: Account, ask: ExchangeAsk) -> bool:
+    """Return whether a newer ask of the same process has been answered.
+
+    The router has given the late ask up, and what it says has changed.
+    """
+    is_same = ask.sender.incarnation == account.incarnation
+    return is_same and ask.sender.sequence < account.sequence
 
 
 def note_ask(
@@ -62,32 +76,33 @@
         for wish in ask.demands
         if wish.deployment == deployment
     )
-    running = sum(use.running for use in ask.uses if use.replica == replica)
-    return Account(
-        account.router,
-        _live(account, now_s),
-        running,
-        demand,
-        now_s,
-        account.last_slots,
+    uses = [use for use in ask.uses if use.replica == replica]
+    issued = _live(account, now_s)
+    if _follows(account, ask) and not any(use.held is None for use in uses):
+        # The router holds its newest grant only, and takes no answer to an
+        # ask before this one.
+        held = sum(use.held or 0 for use in uses)
+        issued = _cut(account.issued, held)
+    return replace(
+        account,
+        issued=issued,
+        running=sum(use.running for use in uses),
+        demand=demand,
+        asked_at_s=now_s,
+        incarnation=ask.sender.incarnation,
+        sequence=ask.sender.sequence,
     )
 
 
 def issue(account: Account, slots: int, until_s: float) -> Account:
     """Return an account with one more grant."""
-    return Account(
-        account.router,
-        (*account.issued, IssuedGrant(slots, until_s)),
-        account.running,
-        account.demand,
-        account.asked_at_s,
-        slots,
-    )
+    issued = (*account.issued, IssuedGrant(slots, until_s))
+    return replace(account, issued=issued, last_slots=slots)
 
 
-def outstanding(account: Account, now_s: float) -> int:
+def outstanding(account: Account) -> int:
     """Return the slots that a router may be using."""
-    return max(account.running, _granted(account, now_s))
+    return max(account.running, _most(account.issued))
 
 
 def slots_for(
@@ -124,9 +139,7 @@
         if now_s - account.asked_at_s < silent_after_s
     ]
     taken = sum(
-        outstanding(account, now_s)
-        for account in active
-        if account.router != router
+        outstanding(account) for account in active if account.router != router
     )
     taken += _silent_use(view, accounts, active, now_s)
     part = share(view.bearable, router, active)
@@ -167,9 +180,25 @@
     return tuple(grant for grant in account.issued if grant.until_s > now_s)
 
 
-def _granted(account: Account, now_s: float) -> int:
-    live = [grant.slots for grant in _live(account, now_s)]
-    return max(live, default=0)
+def _follows(account: Account, ask: ExchangeAsk) -> bool:
+    is_same = ask.sender.incarnation == account.incarnation
+    return is_same and ask.sender.sequence > account.sequence
+
+
+def _cut(
+    issued: tuple[IssuedGrant, ...],
+    held: int,
+) -> tuple[IssuedGrant, ...]:
+    """Return the grants when the router holds no more than it says."""
+    slots = min(_most(issued), held)
+    if not slots:
+        return ()
+    until_s = max(grant.until_s for grant in issued)
+    return (IssuedGrant(slots, until_s),)
+
+
+def _most(issued: Iterable[IssuedGrant]) -> int:
+    return max((grant.slots for grant in issued), default=0)
 
 
 def _silent_use(
@@ -184,7 +213,7 @@
     the engine's report less the use of the others says how many.
     """
     silent = [account for account in accounts if account not in active]
-    granted = sum(_granted(account, now_s) for account in silent)
+    granted = sum(_most(_live(account, now_s)) for account in silent)
     held = sum(max(account.last_slots, account.running) for account in silent)
     known = sum(account.running for account in active)
     unexplained = max(0, view.running - known)
--- a/pomelogauge/model/peers.py
+++ b/pomelogauge/model/peers.py
@@ -86,10 +86,23 @@
 
 @dataclass(frozen=True)
 class ReplicaUse:
-    """What one router has running on one replica."""
+    """What one router has of one replica.
+
+    Parameters
+    ----------
+    replica
+        The replica.
+    running
+        Requests in progress.
+    held
+        Slots of its grant, beyond which it starts nothing; ``None`` when
+        not told.
+
+    """
 
     replica: ReplicaId
     running: int
+    held: int | None = None
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/tasks/dispatcher.py
+++ b/pomelogauge/tasks/dispatcher.py
@@ -7,8 +7,9 @@
 from ..decide.queue import QueueLimits
 from ..decide.routing import Policy
 from ..decide.target_warmth import WarmthChart, WarmthRules
+from ..model.ids import NodeName
 from ..model.manifest import Configuration
-from ..model.peers import ExchangeAsk, NodePhase, NodeReport, ReplicaUse
+from ..model.peers import ExchangeAsk, NodePhase, NodeReport
 from ..model.request import PlaceEnd
 from .clock import Clock
 from .fleet import Fleet
@@ -108,6 +109,7 @@
         self._services = ServiceDesk(services, cfg.limits.retry_after_s)
         self._exchanges = exchanges
         self._sequence = 0
+        self._last_asks: dict[NodeName, int] = {}
 
     def on_start(self) -> None:
         """Wait for the configuration and for views."""
@@ -138,7 +140,7 @@
                 self._models.forget(message.request, now_s)
                 self._services.free(message.request, PlaceEnd.CANCELLED, now_s)
             case DemandAsked():
-                message.reply.post(self._demand())
+                message.reply.post(self._demand(message.controller, now_s))
             case RunningAsked():
                 message.reply.post(RunningCounted(self._running()))
             case _:
@@ -148,7 +150,7 @@
         """Take news of the world; it may make room for who waits."""
         match message:
             case ExchangeDone():
-                self._fleet.take_answer(message, now_s)
+                self._take_answer(message, now_s)
             case ConfigurationInForce():
                 self._take_configuration(message.configuration)
             case InstancesListed():
@@ -168,6 +170,12 @@
         if was_idle and self._models.waiting():
             self._exchanges.post(ExchangeHastened())
 
+    def _take_answer(self, done: ExchangeDone, now_s: float) -> None:
+        # The controller counts with what the newest ask said that is held.
+        # An answer to an older one could add to that.
+        if done.sequence == self._last_asks.get(done.controller, 0):
+            self._fleet.take_answer(done, now_s)
+
     def _take_configuration(self, configuration: Configuration) -> None:
         state = self._published.latest()
         if configuration.version <= state.configuration.version:
@@ -190,22 +198,21 @@
             self._published.publish(replace(state, phase=phase))
 
     def _running(self) -> int:
-        placed = sum(count for _, count in self._fleet.running())
-        waiting = sum(demand.waiting for demand in self._models.demands())
+        demands = tuple(self._models.demands())
+        placed = sum(demand.running for demand in demands)
+        waiting = sum(demand.waiting for demand in demands)
         return placed + waiting + self._services.running()
 
-    def _demand(self) -> ExchangeAsk:
+    def _demand(self, controller: NodeName, now_s: float) -> ExchangeAsk:
         state = self._published.latest()
         self._sequence += 1
+        self._last_asks[controller] = self._sequence
         sender = replace(
             self._own,
             sequence=self._sequence,
             version=state.configuration.version,
             phase=state.phase,
         )
-        uses = tuple(
-            ReplicaUse(replica, count)
-            for replica, count in self._fleet.running()
-        )
+        uses = tuple(self._fleet.uses(now_s))
         demands = tuple(self._models.demands())
         return ExchangeAsk(sender, demands, uses, self._fleet.suspects())
--- a/pomelogauge/tasks/exchange.py
+++ b/pomelogauge/tasks/exchange.py
@@ -110,10 +110,15 @@
                 answer.failure().message,
             )
         self._dispatcher.post(
-            ExchangeDone(self._controller, asked_at_s, answer.value_or(None))
+            ExchangeDone(
+                self._controller,
+                asked_at_s,
+                answer.value_or(None),
+                demand.sender.sequence,
+            )
         )
 
     def _demand(self) -> ExchangeAsk | None:
         reply: Mailbox[ExchangeAsk] = Mailbox()
-        self._dispatcher.post(DemandAsked(reply))
+        self._dispatcher.post(DemandAsked(reply, self._controller))
         return reply.take(self._cfg.demand_timeout_s)
--- a/pomelogauge/tasks/fleet.py
+++ b/pomelogauge/tasks/fleet.py
@@ -26,6 +26,7 @@
     ReplicaId,
     RequestId,
 )
+from ..model.peers import ReplicaUse
 from ..model.placement import ReplicaView
 from ..model.request import PlaceEnd
 from .messages import ExchangeDone
@@ -127,9 +128,19 @@
             replica for replica, known in self._known.items() if known.suspected
         )
 
-    def running(self) -> Iterator[tuple[ReplicaId, int]]:
-        """Yield replicas and the own requests on them."""
-        yield from self._sent.counts()
+    def uses(self, now_s: float) -> Iterator[ReplicaUse]:
+        """Yield what this router has of each replica, by its live grants."""
+        counts = dict(self._sent.counts())
+        for replica, known in self._known.items():
+            is_live = known.grant.expires_at_s > now_s
+            held = known.grant.slots if is_live else 0
+            # Its target may still run what was lost.
+            lingering = self._sent.lingering(replica, now_s)
+            running = counts.pop(replica, 0) + lingering
+            if held or running:
+                yield ReplicaUse(replica, running, held)
+        for replica, running in counts.items():
+            yield ReplicaUse(replica, running, 0)
 
     def next_release_at_s(self, now_s: float) -> float:
         """Return the own clock when a replica may take work again."""
--- a/pomelogauge/tasks/grant_desk.py
+++ b/pomelogauge/tasks/grant_desk.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from ..decide.grants import Account, issue, note_ask, slots_for
+from ..decide.grants import Account, is_late, issue, note_ask, slots_for
 from ..model.ids import Epoch, NodeName, ReplicaId, ShardName
 from ..model.peers import ExchangeAnswer, ExchangeAsk, NodeReport, PeerView
 from ..model.placement import Grant, ReplicaView
@@ -183,8 +183,11 @@
         replica = view.replica
         ledger = self._ledgers[replica.replica]
         router = ask.sender.node
+        former = ledger.account(router)
+        if is_late(former, ask):
+            return None
         account = note_ask(
-            ledger.account(router),
+            former,
             ask,
             replica.replica,
             replica.deployment,
--- a/pomelogauge/tasks/messages.py
+++ b/pomelogauge/tasks/messages.py
@@ -144,12 +144,15 @@
         Own clock before the ask was sent; grants count from here.
     answer
         ``None`` when the controller did not answer.
+    sequence
+        Sequence of the report in the ask.
 
     """
 
     controller: NodeName
     asked_at_s: float
     answer: ExchangeAnswer | None
+    sequence: int = 0
 
 
 @dataclass(frozen=True)
@@ -291,9 +294,19 @@
 
 @dataclass(frozen=True)
 class DemandAsked:
-    """The exchange task asks for what to tell a controller."""
+    """The exchange task asks for what to tell a controller.
+
+    Parameters
+    ----------
+    reply
+        Takes the ask.
+    controller
+        Who will be told.
+
+    """
 
     reply: Outbox[ExchangeAsk]
+    controller: NodeName = NodeName('')
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/wire/replica_codec.py
+++ b/pomelogauge/wire/replica_codec.py
@@ -120,7 +120,9 @@
 def encode_uses(uses: Iterable[ReplicaUse]) -> list[peer_pb2.ReplicaUse]:
     """Encode what a router has running on each replica."""
     return [
-        peer_pb2.ReplicaUse(replica=use.replica, running=use.running)
+        peer_pb2.ReplicaUse(
+            replica=use.replica, running=use.running, held=use.held
+        )
         for use in uses
     ]
 
@@ -130,7 +132,11 @@
 ) -> tuple[ReplicaUse, ...]:
     """Decode what a router has running on each replica."""
     return tuple(
-        ReplicaUse(ReplicaId(message.replica), message.running)
+        ReplicaUse(
+            ReplicaId(message.replica),
+            message.running,
+            message.held if message.HasField('held') else None,
+        )
         for message in messages
     )
 
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -18,7 +18,7 @@
     RequestId,
     ServiceName,
 )
-from pomelogauge.model.peers import ExchangeAnswer, NodePhase
+from pomelogauge.model.peers import ExchangeAnswer, NodePhase, ReplicaUse
 from pomelogauge.model.placement import Grant, ReplicaView
 from pomelogauge.model.request import (
     Execution,
@@ -184,6 +184,20 @@
         self.tell(ExchangeDone(NodeName('c-1'), now_s, answer))
         self.assertEqual(self.ask('r-1').depth(), 0)
 
+    def test_takes_no_answer_to_an_older_ask(self) -> None:
+        demand: Mailbox = Mailbox()
+        for _ in range(2):
+            self.tell(DemandAsked(demand, NodeName('c-1')))
+        reply = self.ask('r-1')
+        grant = Grant(REPLICA, 1, 3, Epoch(1))
+        answer = ExchangeAnswer(OWN, (view(),), (grant,))
+        for sequence, depth in ((1, 0), (2, 1)):
+            done = ExchangeDone(
+                NodeName('c-1'), self.clock.now_s(), answer, sequence
+            )
+            self.tell(done)
+            self.assertEqual(reply.depth(), depth)
+
     def test_the_first_that_waits_hastens_the_exchanges(self) -> None:
         self.grant(view(), slots=1)
         for hastened in (0, 1, 1):
@@ -191,6 +205,17 @@
             self.clock.at_s += 0.1
             self.assertEqual(self.hastened.depth(), hastened)
 
+    def test_tells_what_may_still_run(self) -> None:
+        self.grant(view(), life_s=1)
+        self.outcome(self.ask('r-1'))
+        self.free('r-1', PlaceEnd.LOST)
+        for held in (2, 0):
+            demand: Mailbox = Mailbox()
+            self.tell(DemandAsked(demand))
+            use = ReplicaUse(REPLICA, 1, held)
+            self.assertEqual(demand.take(0).uses, (use,))
+            self.clock.at_s += 1
+
     def test_a_new_incarnation_drops_to_the_cold_share(self) -> None:
         self.grant(view(), slots=3)
         self.outcome(self.ask('r-0'))
--- a/test/test_grants.py
+++ b/test/test_grants.py
@@ -1,6 +1,7 @@
 """Tests of the grants of capacity."""
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -80,12 +81,19 @@
             )
         )
 
-    def ask(self, router: str, waiting: int, running: int = 0) -> int:
+    def ask(
+        self,
+        router: str,
+        waiting: int,
+        running: int = 0,
+        sequence: int = 0,
+        held: int | None = None,
+    ) -> int:
         box: Box[ExchangeAnswer] = Box()
         ask = ExchangeAsk(
-            report(router),
+            replace(report(router), sequence=sequence),
             (Demand(QUOTES, waiting, running),),
-            (ReplicaUse(REPLICA.replica, running),),
+            (ReplicaUse(REPLICA.replica, running, held),),
         )
         self.desk.on_message(ExchangeAsked(ask, box))
         return sum(grant.slots for grant in box.posted[0].grants)
@@ -116,6 +124,17 @@
         self.assertEqual(bench.ask('r1', 0), 1)
         self.assertEqual(bench.ask('r2', 9), 7)
 
+    def test_what_a_router_may_have_started_counts(self) -> None:
+        bench = Bench(8)
+        bench.clock.now += 2
+        self.assertEqual(bench.ask('r1', 9, sequence=1, held=0), 8)
+        bench.clock.now += 2
+        self.assertEqual(bench.ask('r2', 9), 0)
+        # It holds half of it, and an ask that comes late says no more.
+        bench.ask('r1', 0, sequence=3, held=4)
+        bench.ask('r1', 0, sequence=2, held=0)
+        self.assertEqual(bench.ask('r2', 9), 4)
+
     def test_cold_target_gets_nothing_without_the_lease(self) -> None:
         for bearable, slots in ((2, 0), (8, 8)):
             bench = Bench(bearable, held=False)
--- a/test/test_peer_codec.py
+++ b/test/test_peer_codec.py
@@ -109,7 +109,7 @@
         ask = ExchangeAsk(
             REPORT,
             (Demand(DeploymentName('d1'), 3, 2),),
-            (ReplicaUse(ReplicaId('p1'), 2),),
+            (ReplicaUse(ReplicaId('p1'), 2, 0), ReplicaUse(ReplicaId('p2'), 1)),
             (ReplicaId('p2'),),
         )
         message = peer_codec.encode_exchange_ask(ask)
