Keep a grant that was taken back from being used again

Cause: a router that had been answered without a grant used its last one again as soon as its next exchange was lost, as if its controller were silent. Change: the last grant serves without renewal only when the controller's last answer renewed it.

--- a/pomelogauge/decide/known_replica.py
+++ b/pomelogauge/decide/known_replica.py
@@ -81,6 +81,8 @@
         Its controller no longer names it.
     unanswered
         Its controller did not answer last.
+    withdrawn
+        Its controller last answered without a grant.
 
     """
 
@@ -94,6 +96,7 @@
     suspected: bool = False
     orphaned: bool = False
     unanswered: bool = False
+    withdrawn: bool = False
 
 
 def is_believable(
@@ -141,7 +144,7 @@
     rules: WarmthRules,
     silent_s: float,
 ) -> KnownReplica:
-    """Return what is known after a view."""
+    """Return what is known after a view; a grant may follow it."""
     warmth = rules.reported(known.warmth, view)
     if view.waiting_s > silent_s:
         warmth = rules.fell_silent(warmth)
@@ -155,6 +158,7 @@
         suspected=known.suspected and not is_newer,
         orphaned=False,
         unanswered=False,
+        withdrawn=True,
     )
 
 
@@ -171,7 +175,7 @@
         asked_at_s + grant.life_s,
         grant.lease_epoch,
     )
-    return replace(known, grant=held)
+    return replace(known, grant=held, withdrawn=False)
 
 
 def offer_of(
@@ -222,9 +226,11 @@
     While its controller does not answer, what serves goes on, within the
     last grant. A controller that answers without a grant takes it back.
     """
+    if known.withdrawn or known.orphaned:
+        return False
     is_warm = known.warmth.state is WarmthState.WARM
     is_alive = now_s - known.proved_at_s < cfg.proof_life_s
-    return known.unanswered and is_warm and is_alive and not known.orphaned
+    return known.unanswered and is_warm and is_alive
 
 
 def lease_epochs(answer: ExchangeAnswer) -> dict[ShardName, Epoch]:
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -184,6 +184,16 @@
         self.tell(ExchangeDone(NodeName('c-1'), now_s, answer))
         self.assertEqual(self.ask('r-1').depth(), 0)
 
+    def test_a_grant_taken_back_is_not_used_again(self) -> None:
+        self.grant(view(), life_s=1)
+        self.complete_one()
+        answer = ExchangeAnswer(OWN, (view(),))
+        now_s = self.clock.now_s()
+        self.tell(ExchangeDone(NodeName('c-1'), now_s, answer))
+        self.clock.at_s += 1
+        self.silence()
+        self.assertEqual(self.ask('r-1').depth(), 0)
+
     def test_takes_no_answer_to_an_older_ask(self) -> None:
         demand: Mailbox = Mailbox()
         for _ in range(2):
