Believe a replica warm without the lease only on a fresh report

Cause: a holder that had been paused granted by what it had last seen. Its successor could by then grant the cold share of a replica that had turned cold. Ruled out: granting nothing without the lease; what serves must go on while the store is down. A test runs the real grant desks and eight dispatchers in fake time: exchanges lost or late, the holder killed or paused, a router cut off, the replica restarted or turned cold. What starts on a replica that is not warm never exceeds what it bears; a sudden chill counts once it was reported and the grants have ended. The test of the grant without a lease now shows the views again before it asks, as an owner does, and a second one shows that a late desk grants nothing. A store that holds up the owner for more than 2 s as the lease lapses also holds up new grants until the owner's next report.

--- a/pomelogauge/tasks/grant_desk.py
+++ b/pomelogauge/tasks/grant_desk.py
@@ -195,8 +195,7 @@
         )
         ledger = ledger.having(account)
         slots = 0
-        is_held = shard.held and now_s < shard.held_until_s
-        may_grant = view.serving and (is_held or _is_warm(view))
+        may_grant = view.serving and self._may_grant(shard, view, now_s)
         if may_grant and now_s >= ledger.opens_at_s:
             slots = slots_for(
                 view, router, ledger.accounts, now_s, self._silent_after_s
@@ -211,6 +210,20 @@
         life_s = self._times.grant_life_s
         return Grant(replica.replica, slots, life_s, shard.lease_epoch)
 
+    def _may_grant(
+        self,
+        shard: ShardViews,
+        view: ReplicaView,
+        now_s: float,
+    ) -> bool:
+        if shard.held and now_s < shard.held_until_s:
+            return True
+        # A process that was paused may have a successor, and what it knew
+        # to be warm may have turned cold.
+        reported_at_s = shard.reported_at_s or 0
+        is_fresh = now_s - reported_at_s < self._times.lease_term_s
+        return is_fresh and _is_warm(view)
+
     @property
     def _silent_after_s(self) -> float:
         return 2 * self._times.grant_life_s
--- a/test/test_grants.py
+++ b/test/test_grants.py
@@ -139,8 +139,16 @@
         for bearable, slots in ((2, 0), (8, 8)):
             bench = Bench(bearable, held=False)
             bench.clock.now += 2
+            bench.show(bearable, held=False)
             self.assertEqual(bench.ask('r1', 9), slots)
 
+    def test_desk_that_wakes_up_late_takes_nothing_for_warm(self) -> None:
+        bench = Bench(8)
+        bench.clock.now += 31
+        self.assertEqual(bench.ask('r1', 9), 0)
+        bench.show(8, held=False)
+        self.assertEqual(bench.ask('r1', 9), 8)
+
     def test_desk_that_wakes_up_late_grants_nothing_cold(self) -> None:
         bench = Bench(2)
         bench.clock.now += 2
