Refuse early what would wait past its deadline, and bound retries

Cause: under overload a request that could not be served learnt it only at its deadline; and nothing bounded the resumptions when targets fail one after another. Change: admission is a part of its own. A request that still waits after its admission is refused at once, as not run and with a retry hint, when the places that came free in the last 10 s let it wait longer than its deadline; below 20 such places nothing is estimated. A retry with a lost target draws on a budget that each first try raises by 0.2, up to 200. Ruled out: refusing only from 1.5 times the deadline on. The deadlines keep the queue below that, so that nothing was refused early. The budget: the dispatcher's test. When capacity grows quickly the estimate is up to 10 s late.

--- a/pomelogauge/tasks/model_desk.py
+++ b/pomelogauge/tasks/model_desk.py
@@ -6,17 +6,17 @@
 from returns.result import Failure
 
 from ..decide.access import deployments_for
-from ..decide.queue import QueueLimits, Shares, admission_refusal
+from ..decide.queue import QueueLimits, Shares
 from ..decide.routing import Offer, Policy, usable_offers
 from ..model.ids import OrganisationName, RequestId
 from ..model.peers import Demand
 from ..model.request import (
-    ModelRequest,
     Place,
     PlaceEnd,
     Refusal,
     RefusalCode,
 )
+from .admission import Admission
 from .fleet import Fleet
 from .messages import AskPlace
 from .placements import Placed, Placements
@@ -55,24 +55,28 @@
         self._published = published
         self._queue = RequestQueue()
         self._placements = Placements()
+        self._admission = Admission(limits, self._queue, self._placements)
         self._release_at_s = math.inf
 
     def admit(self, ask: AskPlace, now_s: float) -> None:
         """Let a request wait or refuse it at once."""
-        refusal = None if ask.admitted else self._admission(ask.request)
+        state = self._published.latest()
+        refusal = self._admission.refusal(ask, state)
         if refusal:
             ask.reply.post(refusal)
             return
         self._enqueue(ask)
         self.wake(now_s)
+        self._refuse_late(ask.request.request, now_s)
 
     def free(self, request: RequestId, end: PlaceEnd, now_s: float) -> None:
         """Take a place back if the request has one."""
         placed = self._placements.pop(request)
         if placed is None:
             return
-        replica = placed.place.view.replica.replica
-        self._fleet.note_ended(replica, request, end, now_s)
+        replica = placed.place.view.replica
+        self._admission.note_ended(replica.deployment, now_s)
+        self._fleet.note_ended(replica.replica, request, end, now_s)
         self.wake(now_s)
 
     def forget(self, request: RequestId, now_s: float) -> None:
@@ -135,21 +139,13 @@
         for name in sorted({*waiting, *running}):
             yield Demand(name, waiting[name], running[name])
 
-    def _admission(self, req: ModelRequest) -> Refusal | None:
-        state = self._published.latest()
-        closed = state.closed(req.request, self._limits.retry_after_s)
-        if closed:
-            return closed
-        placed = self._placements.by_organisation()
-        running = placed.get(req.organisation, 0)
-        organisation = state.organisations.get(req.organisation)
-        return admission_refusal(
-            req,
-            len(self._queue),
-            running + self._queue.count_of(req.organisation),
-            organisation.max_in_flight if organisation else 0,
-            self._limits,
-        )
+    def _refuse_late(self, request: RequestId, now_s: float) -> None:
+        """Refuse at once what still waits and would wait too long."""
+        queued = self._queue.get(request)
+        refusal = queued and self._admission.late_refusal(queued, now_s)
+        if queued and refusal:
+            self._queue.remove(request)
+            queued.ask.reply.post(refusal)
 
     def _enqueue(self, ask: AskPlace) -> None:
         configuration = self._published.latest().configuration
--- a/pomelogauge/tasks/request_queue.py
+++ b/pomelogauge/tasks/request_queue.py
@@ -133,6 +133,11 @@
         self.remove(ask.request.request)
         self._insert(Queued(ask, Needs(names, ask.avoid), waiting))
 
+    def get(self, request: RequestId) -> Queued | None:
+        """Return the entry of a request if it waits."""
+        number = self._numbers.get(request)
+        return None if number is None else self._queued[number]
+
     def remove(self, request: RequestId) -> None:
         """Drop a request if it waits."""
         number = self._numbers.pop(request, None)
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -100,10 +100,11 @@
         now_s = self.clock.now_s()
         self.tell(ExchangeDone(NodeName(controller), now_s, answer))
 
-    def ask(self, name: str, **more) -> Mailbox:
+    def ask(self, name: str, deadline_s: float = 30, **more) -> Mailbox:
         reply: Mailbox = Mailbox()
         now_s = self.clock.now_s()
-        self.tell(AskPlace(request(name), now_s, reply, **more))
+        req = replace(request(name), deadline_s=deadline_s)
+        self.tell(AskPlace(req, now_s, reply, **more))
         return reply
 
     def free(self, name: str, end: PlaceEnd = PlaceEnd.COMPLETED) -> None:
@@ -215,6 +216,37 @@
             self.clock.at_s += 0.1
             self.assertEqual(self.hastened.depth(), hastened)
 
+    def test_refuses_early_what_would_wait_too_long(self) -> None:
+        self.grant(view(), slots=1, life_s=60)
+        for _ in range(20):
+            self.complete_one()
+            self.clock.at_s += 0.4
+        self.ask('r-1')
+        waits = [self.ask(f'r-{number}', deadline_s=2) for number in (2, 3)]
+        self.assertEqual([one.depth() for one in waits], [0, 0])
+        # Two go before it, and about two places come free in a second.
+        refusal = self.outcome(self.ask('r-4', deadline_s=0.3))
+        self.assertEqual(refusal.code, RefusalCode.DEADLINE)
+        self.assertEqual(refusal.execution, Execution.NOT_RUN)
+        self.assertGreaterEqual(refusal.retry_after_s, 1)
+
+    def test_retries_are_a_share_of_first_tries(self) -> None:
+        lost = (REPLICA,)
+        for number in range(200):
+            name = f'l-{number}'
+            self.ask(name, avoid=lost, admitted=True)
+            self.tell(ForgetRequest(RequestId(name)))
+        refusal = self.outcome(self.ask('l', avoid=lost, admitted=True))
+        self.assertEqual(refusal.code, RefusalCode.TARGET_LOST)
+        for _ in range(6):
+            self.ask('r-1')
+            self.tell(ForgetRequest(RequestId('r-1')))
+        depths = [
+            self.ask(name, avoid=lost, admitted=True).depth()
+            for name in ('l-1', 'l-2')
+        ]
+        self.assertEqual(depths, [0, 1])
+
     def test_tells_what_may_still_run(self) -> None:
         self.grant(view(), life_s=1)
         self.outcome(self.ask('r-1'))
