--- a/pomelogauge/app/bench_ui.py
+++ b/pomelogauge/app/bench_ui.py
@@ -1,5 +1,7 @@
 """The commands that measure the system."""
 
+from pathlib import Path
+
 import click
 
 from .late_import import late_import
@@ -64,3 +66,15 @@
 def bench_capacity(json_path: str) -> None:
     """Measure what idle routers and controllers cost at several sizes."""
     late_import('lab.bench_capacity', 'bench_capacity')(json_path, click.echo)
+
+
+@bench.command('replicas')
+@click.option('--json', 'path', type=click.Path(), help='Write the report.')
+@click.option('--losses', default=4, show_default=True, help='Lost members.')
+def bench_replicas(path: str | None, losses: int) -> None:
+    """Measure downtime after losses and the load on the platform."""
+    report = late_import('lab.bench_replicas', 'measure_replicas')(losses)
+    if path:
+        write = late_import('lab.bench_replicas', 'write_report')
+        write(report, Path(path))
+    click.echo(str(report))
--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -27,7 +27,7 @@
 from ..tasks.exchange_set import ExchangeSet
 from ..tasks.mailbox import Mailbox
 from ..tasks.membership import MembershipMessage
-from ..tasks.messages import RunningCounted
+from ..tasks.messages import ExchangeHastened, RunningCounted
 from ..tasks.metrics import MetricsActor, MetricsMessage
 from ..tasks.published import Published
 from ..tasks.router_state import RouterState
@@ -45,6 +45,7 @@
 from ..wire.peer_ports import PeerPorts
 from .daemon import Daemon, Servers
 from .identity import Identity
+from .late_outbox import LateOutbox
 from .metrics_reader import MetricsReader
 from .once_parts import OnceParts, wire_once
 from .peer_parts import PeerParts, PeerSubscribers, PeerWiring
@@ -76,6 +77,8 @@
         Cancels the work of callers who left.
     watch
         Notices callers who leave.
+    hastened
+        Reaches the exchanges.
 
     """
 
@@ -84,6 +87,7 @@
     metrics: Task[MetricsMessage]
     canceller: Task[CancelRequest]
     watch: CallerWatch
+    hastened: LateOutbox[ExchangeHastened]
 
 
 @dataclass(frozen=True)
@@ -122,6 +126,7 @@
     wiring = PeerWiring(identity, tasks, cuts)
     core = _core(cfg, identity, tasks)
     exchanges = tasks.add('exchanges', _exchanges(cfg, wiring, core))
+    core.hastened.connect(exchanges)
     shared = wiring.wire(
         PeerSubscribers(
             peers=(exchanges,),
@@ -166,6 +171,7 @@
 ) -> RouterCore:
     metrics = tasks.add('metrics', MetricsActor())
     published = Published(RouterState())
+    hastened: LateOutbox[ExchangeHastened] = LateOutbox()
     actor = Dispatcher(
         DispatcherSettings(
             identity.report(),
@@ -176,6 +182,7 @@
         LeastLoaded(cfg.data_centre),
         load_chart('target_warmth', WARMTH_WORDS),
         published,
+        hastened,
     )
     dispatcher = tasks.add('dispatcher', actor)
     canceller = Canceller(HttpEngineStreams(StreamSettings(cfg.node)))
@@ -187,6 +194,7 @@
         metrics,
         tasks.add('canceller', canceller),
         watch,
+        hastened,
     )
 
 
--- a/pomelogauge/tasks/messages.py
+++ b/pomelogauge/tasks/messages.py
@@ -167,12 +167,20 @@
         Own clock before the ask was sent; grants count from here.
     answer
         ``None`` when the controller did not answer.
+    sequence
+        Sequence of the report in the ask.
 
     """
 
     controller: NodeName
     asked_at_s: float
     answer: ExchangeAnswer | None
+    sequence: int = 0
+
+
+@dataclass(frozen=True)
+class ExchangeHastened:
+    """Requests wait without room; the exchanges need not wait their period."""
 
 
 @dataclass(frozen=True)
@@ -319,9 +327,19 @@
 
 @dataclass(frozen=True)
 class DemandAsked:
-    """The exchange task asks for what to tell a controller."""
+    """The exchange task asks for what to tell a controller.
+
+    Parameters
+    ----------
+    reply
+        Takes the ask.
+    controller
+        Who will be told.
+
+    """
 
     reply: Outbox[ExchangeAsk]
+    controller: NodeName = NodeName('')
 
 
 @dataclass(frozen=True)
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -18,7 +18,7 @@
     RequestId,
     ServiceName,
 )
-from pomelogauge.model.peers import ExchangeAnswer, NodePhase
+from pomelogauge.model.peers import ExchangeAnswer, NodePhase, ReplicaUse
 from pomelogauge.model.placement import Grant, ReplicaView
 from pomelogauge.model.request import (
     Execution,
@@ -37,6 +37,7 @@
     ConfigurationInForce,
     DemandAsked,
     ExchangeDone,
+    ExchangeHastened,
     ForgetRequest,
     FreePlace,
     IncarnationSeen,
@@ -69,8 +70,14 @@
             FleetSettings(),
             QueueLimits(max_waiting=3),
         )
+        self.hastened: Mailbox[ExchangeHastened] = Mailbox()
         self.dispatcher = Dispatcher(
-            cfg, self.clock, LeastLoaded(NORTH), CHART, self.published
+            cfg,
+            self.clock,
+            LeastLoaded(NORTH),
+            CHART,
+            self.published,
+            self.hastened,
         )
         self.tell(ConfigurationInForce(configuration()))
         self.tell(PhaseChanged(NodePhase.READY))
@@ -104,10 +111,11 @@
         now_s = self.clock.now_s()
         self.tell(ExchangeDone(NodeName(controller), now_s, answer))
 
-    def ask(self, name: str, **more) -> Mailbox:
+    def ask(self, name: str, deadline_s: float = 30, **more) -> Mailbox:
         reply: Mailbox = Mailbox()
         now_s = self.clock.now_s()
-        self.tell(AskPlace(request(name), now_s, reply, **more))
+        req = replace(request(name), deadline_s=deadline_s)
+        self.tell(AskPlace(req, now_s, reply, **more))
         return reply
 
     def free(self, name: str, end: PlaceEnd = PlaceEnd.COMPLETED) -> None:
@@ -188,6 +196,79 @@
         self.tell(ExchangeDone(NodeName('c-1'), now_s, answer))
         self.assertEqual(self.ask('r-1').depth(), 0)
 
+    def test_a_grant_taken_back_is_not_used_again(self) -> None:
+        self.grant(view(), life_s=1)
+        self.complete_one()
+        answer = ExchangeAnswer(OWN, (view(),))
+        now_s = self.clock.now_s()
+        self.tell(ExchangeDone(NodeName('c-1'), now_s, answer))
+        self.clock.at_s += 1
+        self.silence()
+        self.assertEqual(self.ask('r-1').depth(), 0)
+
+    def test_takes_no_answer_to_an_older_ask(self) -> None:
+        demand: Mailbox = Mailbox()
+        for _ in range(2):
+            self.tell(DemandAsked(demand, NodeName('c-1')))
+        reply = self.ask('r-1')
+        grant = Grant(REPLICA, 1, 3, Epoch(1))
+        answer = ExchangeAnswer(OWN, (view(),), (grant,))
+        for sequence, depth in ((1, 0), (2, 1)):
+            done = ExchangeDone(
+                NodeName('c-1'), self.clock.now_s(), answer, sequence
+            )
+            self.tell(done)
+            self.assertEqual(reply.depth(), depth)
+
+    def test_the_first_that_waits_hastens_the_exchanges(self) -> None:
+        self.grant(view(), slots=1)
+        for hastened in (0, 1, 1):
+            self.ask(f'r-{self.clock.at_s}')
+            self.clock.at_s += 0.1
+            self.assertEqual(self.hastened.depth(), hastened)
+
+    def test_refuses_early_what_would_wait_too_long(self) -> None:
+        self.grant(view(), slots=1, life_s=60)
+        for _ in range(20):
+            self.complete_one()
+            self.clock.at_s += 0.4
+        self.ask('r-1')
+        waits = [self.ask(f'r-{number}', deadline_s=2) for number in (2, 3)]
+        self.assertEqual([one.depth() for one in waits], [0, 0])
+        # Two go before it, and about two places come free in a second.
+        refusal = self.outcome(self.ask('r-4', deadline_s=0.3))
+        self.assertEqual(refusal.code, RefusalCode.DEADLINE)
+        self.assertEqual(refusal.execution, Execution.NOT_RUN)
+        self.assertGreaterEqual(refusal.retry_after_s, 1)
+
+    def test_retries_are_a_share_of_first_tries(self) -> None:
+        lost = (REPLICA,)
+        for number in range(200):
+            name = f'l-{number}'
+            self.ask(name, avoid=lost, admitted=True)
+            self.tell(ForgetRequest(RequestId(name)))
+        refusal = self.outcome(self.ask('l', avoid=lost, admitted=True))
+        self.assertEqual(refusal.code, RefusalCode.TARGET_LOST)
+        for _ in range(6):
+            self.ask('r-1')
+            self.tell(ForgetRequest(RequestId('r-1')))
+        depths = [
+            self.ask(name, avoid=lost, admitted=True).depth()
+            for name in ('l-1', 'l-2')
+        ]
+        self.assertEqual(depths, [0, 1])
+
+    def test_tells_what_may_still_run(self) -> None:
+        self.grant(view(), life_s=1)
+        self.outcome(self.ask('r-1'))
+        self.free('r-1', PlaceEnd.LOST)
+        for held in (2, 0):
+            demand: Mailbox = Mailbox()
+            self.tell(DemandAsked(demand))
+            use = ReplicaUse(REPLICA, 1, held)
+            self.assertEqual(demand.take(0).uses, (use,))
+            self.clock.at_s += 1
+
     def test_a_new_incarnation_drops_to_the_cold_share(self) -> None:
         self.grant(view(), slots=3)
         self.outcome(self.ask('r-0'))
