--- /dev/null
+++ b/test/scenarios/configuration/store-down-cold.feature
@@ -0,0 +1,16 @@
+Feature: What is not warm yet goes on while the store is down
+
+  Background:
+    Given an installation:
+      | engines      | 2                         |
+      | services     | 0                         |
+      | engine_flags | --cold-slots 2 --slots 16 |
+    And a manifest with 1 replica of 2 instances is published
+    And 1 replica serves within 15 s
+
+  Scenario: The store is down beyond the leases before a replica is warm
+    When the store is down
+    And 1 caller streams 400 tokens
+    Then every stream has ended whole within 20 s
+    When 4 callers stream 5 tokens
+    Then every stream has ended whole within 8 s
