--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -1,5 +1,6 @@
 """Wires a router."""
 
+import math
 from dataclasses import dataclass
 
 from ..charts.reader import load_chart
@@ -13,8 +14,9 @@
 from ..model.ids import Address, NodeName
 from ..model.topology import InstanceRole
 from ..services.http_calls import CallSettings, HttpServiceCalls
-from ..services.ledger import PassThroughLedger
 from ..tasks.caller_task import CallerParts, CallerSettings
+from ..tasks.caller_watch import CallerWatch
+from ..tasks.canceller import Canceller, CancelRequest
 from ..tasks.clock import MonotonicClock
 from ..tasks.dispatcher import (
     Dispatcher,
@@ -26,7 +28,7 @@
 from ..tasks.mailbox import Mailbox
 from ..tasks.membership import MembershipMessage
 from ..tasks.messages import RunningCounted
-from ..tasks.metrics import MetricsActor
+from ..tasks.metrics import MetricsActor, MetricsMessage
 from ..tasks.published import Published
 from ..tasks.router_state import RouterState
 from ..tasks.service_call_task import CallParts
@@ -44,12 +46,16 @@
 from .daemon import Daemon, Servers
 from .identity import Identity
 from .metrics_reader import MetricsReader
+from .once_parts import OnceParts, wire_once
 from .peer_parts import PeerParts, PeerSubscribers, PeerWiring
 from .settings import RouterSettings
 from .task_set import TaskSet
 
 #: Seconds for the last bytes of answers, once nothing runs at targets.
 LAST_BYTES_S = 2
+#: Bodies up to this many times the bound are read and refused in JSON;
+#: the connection of a longer one is closed.
+BODY_READ_FACTOR = 4
 
 
 @dataclass(frozen=True)
@@ -63,13 +69,19 @@
     published
         State that callers' tasks read.
     metrics
-        Reads the metrics.
+        Counts what requests report.
+    canceller
+        Cancels the work of callers who left.
+    watch
+        Notices callers who leave.
 
     """
 
     dispatcher: Task[DispatcherMessage]
     published: Published[RouterState]
-    metrics: MetricsReader
+    metrics: Task[MetricsMessage]
+    canceller: Task[CancelRequest]
+    watch: CallerWatch
 
 
 @dataclass(frozen=True)
@@ -119,7 +131,8 @@
     )
     ended: Mailbox[bool] = Mailbox()
     shutdown = _shutdown(cfg, tasks, core, shared, ended)
-    app = CallersApp(_app_parts(cfg, core, shared.membership))
+    once = wire_once(identity, tasks, wiring)
+    app = CallersApp(_app_parts(cfg, core, once, shared.membership))
     ports = PeerPorts(shared.membership, shared.keeper, shared.membership)
     return Daemon(
         identity,
@@ -135,7 +148,9 @@
     return CallersServer(
         ServerSettings(
             threads=cfg.worker_threads,
-            idle_timeout_s=int(cfg.header_timeout_s),
+            idle_timeout_s=math.ceil(cfg.header_timeout_s),
+            header_limit_s=cfg.header_timeout_s,
+            max_body_bytes=BODY_READ_FACTOR * cfg.max_body_bytes,
             stop_timeout_s=LAST_BYTES_S,
         ),
     )
@@ -160,7 +175,16 @@
         published,
     )
     dispatcher = tasks.add('dispatcher', actor)
-    return RouterCore(dispatcher, published, MetricsReader(metrics))
+    canceller = Canceller(HttpEngineStreams(StreamSettings(cfg.node)))
+    watch = CallerWatch()
+    tasks.include(watch)
+    return RouterCore(
+        dispatcher,
+        published,
+        metrics,
+        tasks.add('canceller', canceller),
+        watch,
+    )
 
 
 def _exchanges(
@@ -176,6 +200,7 @@
 def _app_parts(
     cfg: RouterSettings,
     core: RouterCore,
+    once: OnceParts,
     membership: Task[MembershipMessage],
 ) -> AppParts:
     clock = MonotonicClock()
@@ -185,12 +210,16 @@
         core.dispatcher,
         HttpEngineStreams(StreamSettings(cfg.node)),
         load_chart('caller_request', REQUEST_WORDS),
+        core.canceller,
+        core.metrics,
     )
     services = CallParts(
         clock,
         core.dispatcher,
         HttpServiceCalls(CallSettings(cfg.node)),
-        PassThroughLedger(),
+        once.ledger,
+        once.minted,
+        core.metrics,
     )
     return AppParts(
         AppSettings(max_body_bytes=cfg.max_body_bytes),
@@ -198,7 +227,8 @@
         models,
         services,
         membership,
-        core.metrics,
+        MetricsReader(core.metrics),
+        core.watch,
     )
 
 
--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -12,6 +12,7 @@
 from ..model.ids import Address, DataCentreName
 from ..model.manifest import Configuration
 from .connections import Connections
+from .lab_commands import lab
 from .late_import import late_import
 from .manifest_file import read_manifest
 from .operator_settings import DrainSettings, PublishSettings, StatusSettings
@@ -160,6 +161,14 @@
     late_import('lab.bench_config', 'bench_config')(spec, json_path)
 
 
+@bench.command('relay')
+@click.option('--json', 'json_path', default='', help='File for all figures.')
+@click.option('--seed', default=1, help='Seed of the load.')
+def bench_relay(json_path: str, seed: int) -> None:
+    """Measure what a router adds to the streams that it relays."""
+    click.echo(late_import('lab.bench_relay', 'run_bench')(seed, json_path))
+
+
 @cli.command('hash-key')
 def hash_key() -> None:
     """Print the hash of a caller's key read from standard input."""
@@ -175,6 +184,7 @@
     click.echo(render_settings_page(), nl=False)
 
 
+cli.add_command(lab)
 cli.add_command(
     StandinGroup(
         'standin',
--- a/pomelogauge/client.py
+++ b/pomelogauge/client.py
@@ -3,15 +3,20 @@
 import json
 import time
 import uuid
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
 from itertools import cycle
 from typing import Any
 
 import urllib3
 from returns.result import Failure, Result
 
-from .wire.caller_answers import CallError, ChatAnswer, read_answer
+from .wire.caller_answers import (
+    CallError,
+    ChatAnswer,
+    ignore_tokens,
+    read_answer,
+)
 
 #: Seconds that a call to ask for addresses may take.
 ENTRY_TIMEOUT_S = 2.0
@@ -19,6 +24,8 @@
 SILENCE_LIMIT_S = 60.0
 #: Tries of a request that was not run, the first one included.
 TRIES = 4
+#: Code of a refusal because the table service is down.
+STORE_DOWN = 'store_unavailable'
 _OK = 200
 
 
@@ -30,6 +37,23 @@
     expires_at_s: float = 0
 
 
+@dataclass(frozen=True)
+class CallKey:
+    """An idempotency key, and whether this library has drawn it."""
+
+    key: str
+    is_drawn: bool = False
+
+
+@dataclass(frozen=True)
+class CallBody:
+    """What is sent; a chat has no key."""
+
+    path: str
+    body: str
+    key: CallKey | None = None
+
+
 class Client:
     """Calls models and plain services; belongs to one thread.
 
@@ -74,10 +98,23 @@
         model: str,
         prompt: str,
         max_tokens: int = 32,
+        on_token: Callable[[int], None] = ignore_tokens,
     ) -> Result[ChatAnswer, CallError]:
         """Ask a model and read the whole streamed answer.
 
         A request that was not run is sent again, to another router.
+
+        Parameters
+        ----------
+        model
+            Name of the model.
+        prompt
+            Content of the only message.
+        max_tokens
+            Bound of the answer.
+        on_token
+            Called after each token with the number of tokens so far.
+
         """
         body = {
             'model': model,
@@ -85,7 +122,8 @@
             'max_tokens': max_tokens,
             'messages': [{'role': 'user', 'content': prompt}],
         }
-        return self._try_all('/v1/chat/completions', json.dumps(body), '')
+        call = CallBody('/v1/chat/completions', json.dumps(body))
+        return self._try_all(call, on_token)
 
     def call(
         self,
@@ -103,26 +141,30 @@
         body
             Sent as JSON.
         idempotency_key
-            Names the booking or payment; drawn when empty. A repeat after an
-            error that is not ``not_run`` must use the same key.
+            Names the booking or payment. A repeat after an error that is not
+            ``not_run`` must use the same key. A key is drawn when this is
+            empty; while the table service is down, the router mints one.
 
         """
-        key = idempotency_key or uuid.uuid4().hex
+        key = CallKey(
+            idempotency_key or uuid.uuid4().hex,
+            is_drawn=not idempotency_key,
+        )
         path = f'/v1/services/{service}/{call}'
-        return self._try_all(path, json.dumps(body), key)
+        return self._try_all(CallBody(path, json.dumps(body), key))
 
     def _ask_entries(self) -> None:
         for address in (*self._kept.addresses, *self._seeds):
             asked_at_s = time.monotonic()
-            answer = self._get_entries(address)
+            answer = self._get(address, '/v1/entry')
             if answer:
                 expires_at_s = asked_at_s + float(answer['ttl_s'])
                 named = tuple(answer['addresses'])
                 self._kept = KeptEntries(named, expires_at_s)
                 return
 
-    def _get_entries(self, address: str) -> Any:
-        url = f'{self._scheme}://{address}/v1/entry'
+    def _get(self, address: str, path: str) -> Any:
+        url = f'{self._scheme}://{address}{path}'
         try:
             answer = self._pool.request(
                 'GET',
@@ -134,8 +176,15 @@
         except (urllib3.exceptions.HTTPError, ValueError):
             return None
 
+    def _mint_key(self, address: str) -> CallKey:
+        """Return a key that only the router at this address may run."""
+        answer = self._get(address, '/v1/idempotency-key')
+        return CallKey(str(answer['key']) if answer else '')
+
     def _try_all(
-        self, path: str, body: str, key: str
+        self,
+        call: CallBody,
+        on_token: Callable[[int], None] = ignore_tokens,
     ) -> Result[Any, CallError]:
         error = CallError('unreachable', 'no router is known', 'not_run')
         turns: Iterator[str] = cycle(self.entries())
@@ -143,7 +192,7 @@
             address = next(turns, '')
             if not address:
                 break
-            outcome = self._send(address, path, body, key)
+            outcome = self._send_or_mint(address, call, on_token)
             if not isinstance(outcome, Failure):
                 return outcome
             error = outcome.failure()
@@ -167,23 +216,38 @@
             time.sleep(min(error.retry_after_s, ENTRY_TIMEOUT_S))
         return turns
 
+    def _send_or_mint(
+        self,
+        address: str,
+        call: CallBody,
+        on_token: Callable[[int], None],
+    ) -> Result[Any, CallError]:
+        outcome = self._send(address, call, on_token)
+        drawn = call.key is not None and call.key.is_drawn
+        if not drawn or not _is_store_down(outcome):
+            return outcome
+        # The call was not sent, so that another key may name it.
+        minted = self._mint_key(address)
+        if not minted.key:
+            return outcome
+        return self._send(address, replace(call, key=minted), on_token)
+
     def _send(
         self,
         address: str,
-        path: str,
-        body: str,
-        key: str,
+        call: CallBody,
+        on_token: Callable[[int], None],
     ) -> Result[Any, CallError]:
         headers = {**self._headers, 'Content-Type': 'application/json'}
-        if key:
-            headers['Idempotency-Key'] = key
+        if call.key:
+            headers['Idempotency-Key'] = call.key.key
         begun_s = time.monotonic()
         timeout = urllib3.Timeout(connect=ENTRY_TIMEOUT_S, read=SILENCE_LIMIT_S)
         try:
             answer = self._pool.request(
                 'POST',
-                f'{self._scheme}://{address}{path}',
-                body=body,
+                f'{self._scheme}://{address}{call.path}',
+                body=call.body,
                 headers=headers,
                 timeout=timeout,
                 preload_content=False,
@@ -195,4 +259,11 @@
             return Failure(CallError('unreachable', str(exc), 'not_run'))
         except urllib3.exceptions.HTTPError as exc:
             return Failure(CallError('cut', str(exc), 'may_have_run'))
-        return read_answer(answer, begun_s)
+        return read_answer(answer, begun_s, on_token)
+
+
+def _is_store_down(outcome: Result[Any, CallError]) -> bool:
+    if not isinstance(outcome, Failure):
+        return False
+    error: CallError = outcome.failure()
+    return error.repeatable and error.code == STORE_DOWN
