Compare ways to choose a replica in fake time

Cause: the choice by least load was not compared with anything. Change: prefix affinity with a load bound, and random and two choices as baselines; `bench policy` replays the same arrivals over the real grant, queue and routing decisions. Routers go on with the least loaded.

--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -137,6 +137,14 @@
     click.echo(late_import('lab.bench_relay', 'run_bench')(seed, json_path))
 
 
+@bench.command('policy')
+@click.option('--json', 'json_path', default='', help='File for all figures.')
+@click.option('--seed', default=1, help='Seed of the arrivals.')
+def bench_policy(json_path: str, seed: int) -> None:
+    """Compare ways to choose a replica, in fake time."""
+    click.echo(late_import('lab.bench_policy', 'run_bench')(seed, json_path))
+
+
 @cli.command('hash-key')
 def hash_key() -> None:
     """Print the hash of a caller's key read from standard input."""
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -1,8 +1,14 @@
 """Tests of the choice of a replica."""
 
 import unittest
+from dataclasses import replace
 
 from pomelogauge.decide.access import deployments_for
+from pomelogauge.decide.policies import (
+    PrefixAffinity,
+    RandomChoice,
+    TwoChoices,
+)
 from pomelogauge.decide.routing import LeastLoaded, Offer, usable_offers
 from pomelogauge.model.ids import OrganisationName, ReplicaId
 from pomelogauge.model.request import RefusalCode
@@ -34,6 +40,34 @@
         self.assertEqual(policy.choose(request(), (far, near)), near)
         self.assertIsNone(policy.choose(request(), ()))
 
+    def test_a_prefix_keeps_its_replica_within_the_bound(self) -> None:
+        policy = PrefixAffinity(LeastLoaded(NORTH))
+        req = replace(request(), prefix='p')
+        offers = [Offer(view(name), slots=9) for name in ('a', 'b', 'c')]
+        first = policy.choose(req, tuple(offers))
+        self.assertEqual(policy.choose(req, tuple(offers[::-1])), first)
+        busy = replace(first, sent=4)
+        rest = [offer for offer in offers if offer != first]
+        self.assertIn(policy.choose(req, (busy, *rest)), rest)
+        self.assertIsNone(policy.choose(req, ()))
+
+    def test_baselines_take_what_is_drawn(self) -> None:
+        busy, idle = Offer(view('a'), 9, sent=5), Offer(view('b'), 9)
+        offers = (busy, idle)
+        pick = [0, 0, 1, 0, 0].pop
+        self.assertEqual(
+            RandomChoice(lambda below: pick(0)).choose(request(), offers), busy
+        )
+        self.assertEqual(
+            TwoChoices(lambda below: pick(0)).choose(request(), offers), idle
+        )
+        self.assertEqual(
+            TwoChoices(lambda below: pick(0)).choose(request(), offers), busy
+        )
+        self.assertIsNone(
+            TwoChoices(lambda below: pick(0)).choose(request(), ())
+        )
+
     def test_says_why_nothing_may_answer(self) -> None:
         cfg = configuration()
         adapted = deployments_for(cfg, request(model='m:a'))
