--- a/pomelogauge/app/bench_ui.py
+++ b/pomelogauge/app/bench_ui.py
@@ -78,3 +78,11 @@
         write = late_import('lab.bench_replicas', 'write_report')
         write(report, Path(path))
     click.echo(str(report))
+
+
+@bench.command('policy')
+@click.option('--json', 'json_path', default='', help='File for all figures.')
+@click.option('--seed', default=1, help='Seed of the arrivals.')
+def bench_policy(json_path: str, seed: int) -> None:
+    """Compare ways to choose a replica, in fake time."""
+    click.echo(late_import('lab.bench_policy', 'run_bench')(seed, json_path))
--- a/test/test_fuzz.py
+++ b/test/test_fuzz.py
@@ -164,7 +164,7 @@
             platform_json.decode_transaction,
             platform_json.decode_committed,
             platform_json.decode_instances,
-            chat_events.parse_event,
+            lambda found: chat_events.parse_event(found, RequestId('r')),
             lambda found: platform_json.decode_row('t', found),
             lambda found: platform_json.decode_rows('t', found),
         )
