Send callers of a router without a configuration to others

Cause: a router that started while the store was down judged keys without a configuration and refused valid callers with unknown_key; it named only itself as entry, and the callers' library kept that answer. Ruled out: reading the configuration from peers first, since a new process finds its peers through the platform's list. Now it refuses with entry_cut_off, not run, names nobody, and the library goes on with its other addresses.

--- a/pomelogauge/client.py
+++ b/pomelogauge/client.py
@@ -171,7 +171,7 @@
         for address in (*self._kept.addresses, *self._seeds):
             asked_at_s = time.monotonic()
             answer = self._get(address, '/v1/entry')
-            if answer:
+            if answer and answer['addresses']:
                 expires_at_s = asked_at_s + float(answer['ttl_s'])
                 named = tuple(answer['addresses'])
                 self._kept = KeptEntries(named, expires_at_s)
@@ -214,7 +214,7 @@
             error = outcome.failure()
             if not error.repeatable:
                 break
-            turns = self._next_turns(error, turns)
+            turns = self._next_turns(address, error, turns)
         return Failure(error)
 
     def _send_or_mint(
@@ -238,14 +238,16 @@
 
     def _next_turns(
         self,
+        address: str,
         error: CallError,
         turns: Iterator[str],
     ) -> Iterator[str]:
         """Return the addresses to try after a refusal."""
-        if error.entries:
+        others = tuple(entry for entry in error.entries if entry != address)
+        if others:
             # The router takes no new work and names who does.
             self._kept = KeptEntries()
-            return cycle(error.entries)
+            return cycle(others)
         if error.retry_after_s:
             # The router knows when capacity comes back.
             time.sleep(min(error.retry_after_s, ENTRY_TIMEOUT_S))
--- a/pomelogauge/decide/resolve.py
+++ b/pomelogauge/decide/resolve.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
-from ..model.ids import Address, DataCentreName, NodeName
+from ..model.ids import NO_VERSION, Address, DataCentreName, NodeName
 from ..model.peers import NodePhase, NodeReport, PeerView
 from ..model.topology import Instance, InstanceRole
 
@@ -57,14 +57,15 @@
     Those behind the own version come second: they may not know yet what was
     taken out, but either learn it or are cut off. Where nobody known takes
     work, a partition may hide some: the listed ones that are silent here are
-    named, else this one, if it stays.
+    named, else this one, if it stays and has a configuration.
     """
     reports = (facts.own, *(view.report for view in facts.peers))
     open_now = [report for report in reports if _takes_work(report, facts)]
     newest = [at for at in open_now if at.version >= facts.own.version]
     fit: Sequence[NodeReport | Instance] = newest or open_now
     fit = fit or tuple(_silent(facts))
-    if not fit and _stays(facts.own, facts):
+    has_version = facts.own.version != NO_VERSION
+    if not fit and has_version and _stays(facts.own, facts):
         fit = (facts.own,)
     own_centre = facts.own.data_centre
     return EntryChoice(
--- a/pomelogauge/lab/steps.py
+++ b/pomelogauge/lab/steps.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass
 from typing import Any, TypeAlias
 
-from cucumber_expressions.expression import (  # type: ignore[import-untyped]
+from cucumber_expressions.expression import (
     CucumberExpression,
 )
-from cucumber_expressions.parameter_type import (  # type: ignore[import-untyped]
+from cucumber_expressions.parameter_type import (
     ParameterType,
 )
-from cucumber_expressions.parameter_type_registry import (  # type: ignore[import-untyped]
+from cucumber_expressions.parameter_type_registry import (
     ParameterTypeRegistry,
 )
 
--- a/pomelogauge/tasks/router_state.py
+++ b/pomelogauge/tasks/router_state.py
@@ -50,6 +50,10 @@
         """Return why the router takes no new work; ``None`` if it does."""
         if self.is_ready:
             return None
+        return self.refuse(request, retry_after_s)
+
+    def refuse(self, request: RequestId, retry_after_s: float) -> Refusal:
+        """Return the refusal of a router that takes no new work."""
         code = RefusalCode.CUT_OFF
         reason = 'this entry can not confirm its configuration'
         if self.phase is NodePhase.LEAVING:
--- a/pomelogauge/wire/callers_http.py
+++ b/pomelogauge/wire/callers_http.py
@@ -8,7 +8,7 @@
 from opentelemetry.trace import SpanKind
 from returns.result import Failure, Result, Success
 
-from ..model.ids import RequestId
+from ..model.ids import NO_VERSION, RequestId
 from ..model.log_parts import Part
 from ..model.manifest import Organisation
 from ..model.request import Execution, Refusal, RefusalCode
@@ -46,6 +46,9 @@
 from .socket_link import SocketLink
 from .wsgi_types import StartResponse
 
+#: Hint to callers of a router that has no configuration yet.
+RETRY_AFTER_S = 1.0
+
 _log = part_logger(Part.CALLERS)
 
 
@@ -169,13 +172,20 @@
                 return Success(text_answer(self._parts.metrics.text()))
             case ('GET', '/v1/entry'):
                 return self._entry(req)
-        organisation = self._parts.published.latest().access.organisation_of(
-            req.key
+        return self._organisation(req).bind(
+            lambda organisation: self._route_known(req, organisation)
         )
+
+    def _organisation(self, req: HttpRequest) -> Result[Organisation, Refusal]:
+        state = self._parts.published.latest()
+        if state.configuration.version == NO_VERSION:
+            # Without a configuration no key can be judged.
+            return Failure(state.refuse(req.request, RETRY_AFTER_S))
+        organisation = state.access.organisation_of(req.key)
         if organisation is None:
             message = 'the key is of no organisation'
             return Failure(req.refuse(RefusalCode.UNKNOWN_KEY, message))
-        return self._route_known(req, organisation)
+        return Success(organisation)
 
     def _route_known(
         self,
--- a/test/test_fuzz.py
+++ b/test/test_fuzz.py
@@ -15,7 +15,7 @@
 from pomelogauge.decide.manifest_check import check_manifest
 from pomelogauge.lab.record import decode_event
 from pomelogauge.model.errors import FindingsError
-from pomelogauge.model.ids import RowVersion
+from pomelogauge.model.ids import RequestId, RowVersion
 from pomelogauge.platform.protocols import Row, RowKey
 from pomelogauge.wire import (
     chat_bodies,
--- a/test/test_resolve.py
+++ b/test/test_resolve.py
@@ -8,7 +8,12 @@
     choose_entries,
     order_entries,
 )
-from pomelogauge.model.ids import DataCentreName, NodeName
+from pomelogauge.model.ids import (
+    NO_VERSION,
+    ConfigVersion,
+    DataCentreName,
+    NodeName,
+)
 from pomelogauge.model.peers import NodePhase
 from pomelogauge.model.topology import InstanceRole
 
@@ -71,10 +76,14 @@
         self.assertEqual(order_entries(choice, 0, 8), ('behind:80',))
 
     def test_names_itself_alone_unless_leaving(self) -> None:
-        cut_off = report('a', phase=NodePhase.CUT_OFF)
+        cut_off = replace(
+            report('a', phase=NodePhase.CUT_OFF), version=ConfigVersion(1)
+        )
         self.assertEqual(
             choose_entries(EntryFacts(cut_off, ())).near, ('a:80',)
         )
         leaving = report('a', phase=NodePhase.LEAVING)
-        choice = choose_entries(EntryFacts(leaving, ()))
-        self.assertEqual(order_entries(choice, 0, 8), ())
+        starting = replace(cut_off, version=NO_VERSION)
+        for own in (leaving, starting):
+            choice = choose_entries(EntryFacts(own, ()))
+            self.assertEqual(order_entries(choice, 0, 8), ())
