--- a/pomelogauge/lab/checkers_control.py
+++ b/pomelogauge/lab/checkers_control.py
@@ -1,7 +1,7 @@
 """Checks of a recorded history of leases, rows, orders and served groups."""
 
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ..model.ids import Epoch, InstanceName, NodeName, ShardName
 from ..model.placement import EngineState, EngineStatus, Membership, Replica
@@ -112,11 +112,8 @@
     message: str
 
 
-@dataclass
-class _Beliefs:
-    """Until when each epoch of one shard is counted on."""
-
-    until_s: dict[Epoch, float] = field(default_factory=dict)
+#: Until when each epoch of one shard is counted on.
+_Beliefs = dict[Epoch, float]
 
 
 def check_control(history: Sequence[Event]) -> tuple[Violation, ...]:
@@ -176,19 +173,19 @@
     for event in history:
         match event:
             case LeaseBelieved():
-                beliefs = shards.setdefault(event.shard, _Beliefs())
+                beliefs = shards.setdefault(event.shard, {})
                 yield from _contradicted(event, beliefs)
-                beliefs.until_s[event.epoch] = event.until_s
+                beliefs[event.epoch] = event.until_s
             case LeaseDropped():
-                beliefs = shards.setdefault(event.shard, _Beliefs())
-                beliefs.until_s.pop(event.epoch, None)
+                beliefs = shards.setdefault(event.shard, {})
+                beliefs.pop(event.epoch, None)
 
 
 def _contradicted(
     event: LeaseBelieved,
     beliefs: _Beliefs,
 ) -> Iterator[Violation]:
-    for epoch, until_s in beliefs.until_s.items():
+    for epoch, until_s in beliefs.items():
         if epoch != event.epoch and until_s > event.at_s:
             yield Violation(
                 event.at_s,
--- a/pomelogauge/lab/record.py
+++ b/pomelogauge/lab/record.py
@@ -1,16 +1,12 @@
-"""The record of a run: frozen events, their JSON lines, and their checkers."""
+"""The record of a run: frozen events and their checkers."""
 
-import json
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import asdict, dataclass, fields
-from pathlib import Path
-from typing import Any, Protocol, TypeVar
+from dataclasses import dataclass
+from typing import Protocol, TypeVar
 
 # Times are seconds since the start of the run by the clock of the tool, which
 # sends, receives and reads everything that is recorded.
 
-_TYPE = 'event'
-
 
 @dataclass(frozen=True)
 class RunBegun:
@@ -429,10 +425,6 @@
     | DataCentreOf
 )
 
-_TYPES: dict[str, type[Any]] = {
-    event.__name__: event for event in Event.__args__
-}
-
 EventT = TypeVar('EventT')
 
 
@@ -479,39 +471,6 @@
             yield event
 
 
-def encode_event(event: Event) -> str:
-    """Return the JSON line of an event, without the line's end."""
-    return json.dumps({_TYPE: type(event).__name__, **asdict(event)})
-
-
-def decode_event(line: str) -> Event:
-    """Return the event of a JSON line.
-
-    Raises
-    ------
-    ValueError
-        The line is no event.
-
-    """
-    try:
-        return _decode(json.loads(line))
-    except (KeyError, TypeError, AttributeError) as exc:
-        raise ValueError(f'no event: {exc!r}') from exc
-
-
-def write_record(path: Path, events: Iterable[Event]) -> None:
-    """Write events as JSON lines."""
-    path.parent.mkdir(parents=True, exist_ok=True)
-    lines = ''.join(f'{encode_event(event)}\n' for event in events)
-    path.write_text(lines, encoding='utf-8')
-
-
-def read_record(path: Path) -> tuple[Event, ...]:
-    """Read a record from its JSON lines."""
-    lines = path.read_text(encoding='utf-8').splitlines()
-    return tuple(decode_event(line) for line in lines)
-
-
 def check_record(
     checkers: Iterable[Checker],
     events: Sequence[Event],
@@ -522,19 +481,3 @@
         breach for checker in checkers for breach in checker.check(ordered)
     ]
     return tuple(sorted(found, key=lambda breach: breach.at_s))
-
-
-def _decode(document: dict[str, Any]) -> Event:
-    kind = _TYPES[document.pop(_TYPE)]
-    known = {field.name for field in fields(kind)}
-    unknown = document.keys() - known
-    if unknown:
-        raise KeyError(*sorted(unknown))
-    event: Event = kind(
-        **{name: _frozen(found) for name, found in document.items()}
-    )
-    return event
-
-
-def _frozen(found: Any) -> Any:
-    return tuple(found) if isinstance(found, list) else found
--- a/pomelogauge/lab/scenario.py
+++ b/pomelogauge/lab/scenario.py
@@ -14,7 +14,8 @@
 from .checkers import CHECKERS
 from .collect import collect
 from .features import PlannedStep, ScenarioPlan, read_plans
-from .record import Breach, Event, RunBegun, check_record, write_record
+from .record import Breach, Event, RunBegun, check_record
+from .record_file import write_record
 from .steps import VOCABULARY, StepError
 from .world import World
 
--- a/test/test_fuzz.py
+++ b/test/test_fuzz.py
@@ -13,7 +13,7 @@
 
 from pomelogauge.charts.reader import chart_text, parse_chart
 from pomelogauge.decide.manifest_check import check_manifest
-from pomelogauge.lab.record import decode_event
+from pomelogauge.lab.record_file import decode_event
 from pomelogauge.model.errors import FindingsError
 from pomelogauge.model.ids import RequestId, RowVersion
 from pomelogauge.platform.protocols import Row, RowKey
--- a/test/test_record.py
+++ b/test/test_record.py
@@ -12,8 +12,10 @@
     Event,
     Failed,
     check_record,
-    decode_event,
     events_of,
+)
+from pomelogauge.lab.record_file import (
+    decode_event,
     read_record,
     write_record,
 )
--- a/test/test_scenario.py
+++ b/test/test_scenario.py
@@ -9,8 +9,8 @@
     RunBegun,
     VersionPublished,
     events_of,
-    read_record,
 )
+from pomelogauge.lab.record_file import read_record
 from pomelogauge.lab.scenario import RECORD_NAME, RunOptions, run_files
 from pomelogauge.lab.steps import VOCABULARY, StepError, Vocabulary
 from pomelogauge.lab.waiting import stays, wait_until
