--- a/pomelogauge/lab/bench_capacity.py
+++ b/pomelogauge/lab/bench_capacity.py
@@ -11,7 +11,8 @@
 from .cluster import Cluster, ClusterSpec, Started
 from .demo import publish
 from .manifests import manifest_for, manifest_text
-from .usage import Traffic, Usage, read_traffic, read_usage
+from .process_traffic import Traffic, read_traffic
+from .process_usage import Usage, usage_of
 
 #: Seconds for which a size runs before it is measured.
 SETTLE_S = 8.0
@@ -153,7 +154,7 @@
 
 def _sample(started: Started) -> _Sample:
     pid = started.process.pid
-    return _Sample(started, read_usage(pid), read_traffic(pid))
+    return _Sample(started, usage_of(pid), read_traffic(pid))
 
 
 def _cost(
@@ -171,13 +172,13 @@
     came = sum(
         new.traffic.received - old.traffic.received for old, new in pairs
     )
-    resident = sum(new.usage.resident_kib for _, new in pairs)
+    resident = sum(new.usage.resident_mib for _, new in pairs)
     threads = sum(new.usage.threads for _, new in pairs)
     count = len(pairs)
     return Cost(
         str(role),
         round(cpu_s / count / WINDOW_S * 100, 2),
-        round(resident / count / 1024, 1),
+        round(resident / count, 1),
         round(threads / count, 1),
         round(sent / count / WINDOW_S, 1),
         round(came / count / WINDOW_S, 1),
--- a/pomelogauge/lab/process_usage.py
+++ b/pomelogauge/lab/process_usage.py
@@ -10,6 +10,7 @@
 # Positions in the status line of a process, after its name.
 _USER_TICKS = 11
 _SYSTEM_TICKS = 12
+_THREADS = 17
 
 
 @dataclass(frozen=True)
@@ -22,11 +23,14 @@
         Processor seconds since its start.
     resident_mib
         Resident memory.
+    threads
+        Threads at the moment.
 
     """
 
     cpu_s: float
     resident_mib: float
+    threads: int
 
 
 def usage_of(pid: int) -> Usage:
@@ -36,4 +40,8 @@
     fields = status.rpartition(')')[2].split()
     ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
     pages = int((folder / 'statm').read_text(encoding='ascii').split()[1])
-    return Usage(ticks / _TICKS_PER_S, pages * _PAGE_BYTES / _MIB)
+    return Usage(
+        ticks / _TICKS_PER_S,
+        pages * _PAGE_BYTES / _MIB,
+        int(fields[_THREADS]),
+    )
