--- a/test/__main__.py
+++ b/test/__main__.py
@@ -17,9 +17,8 @@
     bad = unexpected(failed, known)
     _print_known(known, failed)
     red = len(failed) - len(bad)
-    print(
-        f'{good} passed, {len(bad)} failed, {red} known red, {skipped} skipped'
-    )
+    print(f'{red} known red, listed in KNOWN-RED.txt')
+    print(f'{good} passed, {len(bad)} failed, {skipped} skipped')
     return int(bool(bad) or outcome.testsRun == 0)
 
 
