--- /dev/null
+++ b/pomelogauge/app/entry_root.py
@@ -0,0 +1,272 @@
+"""The composition root of the entry daemon on the users' platform."""
+
+import os
+import signal
+import socket
+import threading
+from dataclasses import dataclass
+from random import Random
+
+from ..charts.reader import load_chart
+from ..decide.serving_rules import AdmissionBounds
+from ..decide.shutdown_chart import SHUTDOWN_WORDS
+from ..entry.caller_task import CallerTask
+from ..entry.courier import CourierPool
+from ..entry.dispatcher import Dispatcher, DispatchSettings
+from ..entry.knowledge import Knowledge
+from ..entry.listener import ConnectionTasks, Listener
+from ..entry.messages import DispatchMessage, EntryLeaves
+from ..entry.owner import Owner, OwnerPorts, OwnerSettings
+from ..entry.pages import (
+    DirectoryPage,
+    MetricsPage,
+    PageMaker,
+    PageTask,
+    ReadyPage,
+)
+from ..entry.register import Register
+from ..entry.request_ports import RequestPorts, load_request_chart
+from ..entry.store import Table
+from ..entry.table_reader import ReaderSettings, TableReader
+from ..entry.tenure_keeper import TenureKeeper
+from ..model.fleet import EntryInstance, Fleet
+from ..model.ids import Address
+from ..model.log_parts import Part
+from ..platform.orders import OrderClient
+from ..platform.pages import PageTranslator
+from ..platform.settings import EntrySettings, read_settings
+from ..platform.store import StoreClient
+from ..platform.translator import RequestTranslator, RowTranslator
+from ..tasks.clock import BootClock, Clock
+from ..tasks.log import part_logger
+from ..tasks.mailbox import Mailbox, Outbox
+from ..tasks.messages import PhaseChanged
+from ..tasks.metrics import MetricsActor, MetricsMessage
+from ..tasks.published import Published
+from ..tasks.shutdown import (
+    ShutdownActor,
+    ShutdownAsked,
+    ShutdownPorts,
+    ShutdownTimes,
+)
+from .entry_settings import EntryOptions
+from .identity import draw_incarnation
+from .logs import set_up_entry_logs
+from .task_set import TaskSet
+
+#: Seconds that the store may take to answer, beyond the wait of a feed. It
+#: answers in a few milliseconds, sixty times later when it is slow.
+STORE_ANSWER_S = 0.9
+#: Seconds that the store holds a feed without changes. An answer confirms
+#: the configuration.
+FEED_WAIT_S = 1.5
+#: Time between the reading of a request and its arrival at a target, for
+#: which a key must still be known, in seconds.
+KEY_MARGIN_S = 0.7
+#: Address space of a thread's stack; the tasks are shallow.
+_STACK_BYTES = 512 * 1024
+
+_log = part_logger(Part.ENTRY)
+
+
+@dataclass(frozen=True)
+class _Shared:
+    """What most parts use."""
+
+    cfg: EntrySettings
+    options: EntryOptions
+    own: EntryInstance
+    life: str
+    board: Published[Fleet]
+    leaving: Published[bool]
+    rows: RowTranslator
+    clock: Clock
+    tasks: TaskSet
+
+    def store(self) -> StoreClient:
+        """Return a connection to the store of its own."""
+        return StoreClient(self.cfg.store, STORE_ANSWER_S)
+
+
+class _Leaving:
+    """Tells all parts that this instance ends."""
+
+    def __init__(
+        self,
+        leaving: Published[bool],
+        register: Outbox[EntryLeaves],
+    ) -> None:
+        self._leaving = leaving
+        self._register = register
+
+    def post(self, message: PhaseChanged) -> None:
+        """Name this instance to nobody from now on."""
+        _log.info('stop: callers are sent elsewhere')
+        self._leaving.publish(True)
+        self._register.post(EntryLeaves())
+
+
+def run_entry(options: EntryOptions) -> None:
+    """Run an entry instance until it is asked to end.
+
+    Raises
+    ------
+    UserError
+        It could not start.
+
+    """
+    threading.stack_size(_STACK_BYTES)
+    cfg = read_settings(options.settings)
+    writer = set_up_entry_logs(cfg.node, options.log_level)
+    shared = _Shared(
+        cfg=cfg,
+        options=options,
+        own=EntryInstance(cfg.node, cfg.callers, cfg.data_centre),
+        life=f'{cfg.node} {draw_incarnation()}',
+        board=Published(Fleet()),
+        leaving=Published(False),
+        rows=RowTranslator(),
+        clock=BootClock(),
+        tasks=TaskSet(),
+    )
+    ended: Mailbox[bool] = Mailbox()
+    _wire(shared, ended)
+    _log.info('start', extra={'life': shared.life, 'first': cfg.is_first_start})
+    shared.tasks.start()
+    ended.take()
+    _log.info('end')
+    writer.close()
+    # Tasks of connections end with the process.
+    os._exit(0)
+
+
+def _wire(shared: _Shared, ended: Mailbox[bool]) -> None:
+    tasks = shared.tasks
+    metrics = tasks.add('metrics', MetricsActor())
+    owner = _owner(shared)
+    owner_task = tasks.add('owner', owner)
+    owner.mailbox = owner_task
+    knowledge = tasks.add(
+        'knowledge',
+        Knowledge(shared.rows, shared.board, (owner_task,), shared.clock),
+    )
+    dispatcher = Dispatcher(
+        _dispatch_settings(shared.cfg), shared.board, shared.clock, Random()
+    )
+    dispatch_task = tasks.add('dispatcher', dispatcher)
+    for table in (Table.OPERATOR, Table.TARGETS):
+        reader = TableReader(
+            ReaderSettings(table, FEED_WAIT_S),
+            shared.store(),
+            knowledge,
+            shared.clock,
+        )
+        tasks.add(f'{table} reader', reader)
+    register = tasks.add(
+        'register',
+        Register(
+            shared.own,
+            shared.store(),
+            shared.rows,
+            (knowledge, owner_task),
+            shared.clock,
+        ),
+    )
+    shutdown = ShutdownActor(
+        load_chart('router_shutdown', SHUTDOWN_WORDS),
+        ShutdownTimes(
+            shared.options.answer_life_s,
+            shared.cfg.bounds.grace_s - shared.options.shutdown_margin_s,
+        ),
+        ShutdownPorts(
+            _Leaving(shared.leaving, register),
+            dispatch_task,
+            dispatch_task,
+            lambda: ended.post(True),
+        ),
+        shared.clock,
+    )
+    shutdown_task = tasks.add('shutdown', shutdown)
+    shutdown.listen_on(shutdown_task)
+    ports = _request_ports(shared, dispatch_task, metrics)
+    _listen(shared, ports, metrics)
+    signal.signal(
+        signal.SIGTERM,
+        lambda number, frame: shutdown_task.post(ShutdownAsked('signal')),
+    )
+
+
+def _owner(shared: _Shared) -> Owner:
+    store = shared.store()
+    keeper = TenureKeeper(shared.life, store, shared.rows, shared.clock)
+    cfg = shared.cfg
+    return Owner(
+        OwnerSettings(cfg.node, cfg.bounds.stall_s, cfg.is_first_start),
+        OwnerPorts(
+            shared.board,
+            store,
+            shared.rows,
+            CourierPool(OrderClient()),
+            shared.clock,
+        ),
+        keeper,
+    )
+
+
+def _request_ports(
+    shared: _Shared,
+    dispatcher: Outbox[DispatchMessage],
+    metrics: Outbox[MetricsMessage],
+) -> RequestPorts:
+    key_age_s = shared.cfg.bounds.revoke_s - KEY_MARGIN_S
+    return RequestPorts(
+        chart=load_request_chart(),
+        codec=RequestTranslator(),
+        board=shared.board,
+        leaving=shared.leaving,
+        dispatcher=dispatcher,
+        metrics=metrics,
+        bounds=AdmissionBounds(key_age_s),
+        clock=shared.clock,
+    )
+
+
+def _dispatch_settings(cfg: EntrySettings) -> DispatchSettings:
+    return DispatchSettings(
+        retry_share=cfg.bounds.retry_share,
+        retry_slack=cfg.bounds.retry_slack,
+        retry_window_s=cfg.bounds.retry_window_s,
+        cold_factor=cfg.bounds.cold_factor,
+        cold_slack=cfg.bounds.cold_slack,
+    )
+
+
+def _listen(
+    shared: _Shared,
+    ports: RequestPorts,
+    metrics: Outbox[MetricsMessage],
+) -> None:
+    cfg = shared.cfg
+    ready = ReadyPage(
+        shared.board, shared.leaving, ports.bounds.key_age_s, shared.clock
+    )
+    directory = DirectoryPage(
+        shared.own, shared.board, shared.leaving, PageTranslator()
+    )
+    host = cfg.readiness.rpartition(':')[0]
+    metrics_address = Address(f'{host}:{shared.options.metrics_port}')
+    listeners = (
+        Listener(cfg.readiness, _pages(ready)),
+        Listener(cfg.directory, _pages(directory)),
+        Listener(metrics_address, _pages(MetricsPage(metrics))),
+        Listener(cfg.callers, lambda sock: CallerTask(sock, ports)),
+    )
+    for listener in listeners:
+        shared.tasks.include(listener)
+
+
+def _pages(maker: PageMaker) -> ConnectionTasks:
+    def task(sock: socket.socket) -> PageTask:  # noqa: WPS430
+        return PageTask(sock, maker)
+
+    return task
--- a/pomelogauge/app/logs.py
+++ b/pomelogauge/app/logs.py
@@ -10,6 +10,7 @@
 from ..model.ids import NodeName
 from ..model.log_parts import Part
 from ..tasks.log import PART_FIELD, ROOT_LOGGER
+from .log_writer import LogWriter
 from .settings import LogLevel
 
 _FIELDS = ('asctime', 'levelname', 'message')
@@ -44,6 +45,25 @@
     logging.getLogger(ROOT_LOGGER).setLevel(level.upper())
 
 
+def set_up_entry_logs(node: NodeName, level: LogLevel) -> LogWriter:
+    """Write log records to standard output without holding up any task.
+
+    Parameters
+    ----------
+    node
+        Name of the process in every line.
+    level
+        Least severe records that are written.
+
+    """
+    writer = LogWriter(json_formatter(node))
+    root = logging.getLogger()
+    root.handlers = [writer]
+    root.setLevel(logging.WARNING)
+    logging.getLogger(ROOT_LOGGER).setLevel(level.upper())
+    return writer
+
+
 def json_formatter(node: NodeName) -> logging.Formatter:
     """Return a formatter that writes one JSON object."""
     formatter = JsonFormatter(
--- a/pomelogauge/app/ui.py
+++ b/pomelogauge/app/ui.py
@@ -13,6 +13,7 @@
 from ..model.manifest import Configuration
 from .bench_ui import bench
 from .connections import Connections
+from .entry_settings import EntryOptions
 from .lab_commands import lab
 from .late_import import late_import
 from .manifest_file import read_manifest
@@ -133,6 +134,14 @@
     late_import('app.root', 'run_controller')(settings)
 
 
+@cli.command()
+@setting_options(EntryOptions)
+def entry(**flags: Any) -> None:
+    """Run an entry instance on the users' platform."""
+    options = settings_from(EntryOptions, flags)
+    late_import('app.entry_root', 'run_entry')(options)
+
+
 @cli.command()
 def demo() -> None:
     """Run the whole path on embedded stand-ins."""
--- /dev/null
+++ b/pomelogauge/decide/group_plan.py
@@ -0,0 +1,228 @@
+"""Decides which groups to form and which hosts to stage models on."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from ..model.fleet import Fleet, Target, TargetState
+from ..model.ids import DomainName, ModelName, ServiceName, TargetName
+from ..model.serving import EngineSpec, ModelSpec, ServiceSpec
+
+#: Part of a domain's targets kept as spares beyond one group of each model.
+#: It covers the loss of one member of each group.
+SPARE_SHARE = 0.25
+
+
+@dataclass(frozen=True)
+class Standing:
+    """A group that stands or is being formed."""
+
+    service: ServiceName
+    model: ModelName
+    domain: DomainName
+
+
+@dataclass(frozen=True)
+class Stock:
+    """What the planner may use.
+
+    Parameters
+    ----------
+    fleet
+        What is known.
+    standing
+        Groups that count.
+    taken
+        Targets that belong to a group that is not released.
+    suspects
+        Targets that did not do what they were ordered to.
+    staging
+        Targets whose host is being given a model.
+    loads_left
+        Loads from the weight store that may start now.
+
+    """
+
+    fleet: Fleet
+    standing: tuple[Standing, ...]
+    taken: frozenset[TargetName]
+    suspects: frozenset[TargetName]
+    staging: frozenset[TargetName]
+    loads_left: float
+
+
+@dataclass(frozen=True)
+class GroupWanted:
+    """A group to form now, the head first."""
+
+    service: ServiceName
+    model: ModelName
+    members: tuple[Target, ...]
+
+
+@dataclass(frozen=True)
+class StageWanted:
+    """A model to put on the host of a spare target."""
+
+    target: Target
+    model: ModelName
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What to do next."""
+
+    groups: tuple[GroupWanted, ...] = ()
+    stages: tuple[StageWanted, ...] = ()
+
+
+def plan_groups(service: ServiceSpec, stock: Stock) -> Plan:
+    """Plan the groups of one service in all domains."""
+    engine = service.engine
+    if engine is None:
+        return Plan()
+    planner = _Planner(service.name, engine, stock)
+    return planner.plan()
+
+
+class _Planner:
+    """One pass over the domains; holds what it has given out."""
+
+    def __init__(
+        self,
+        service: ServiceName,
+        engine: EngineSpec,
+        stock: Stock,
+    ) -> None:
+        self._service = service
+        self._engine = engine
+        self._stock = stock
+        self._loads_left = stock.loads_left
+        self._counts: defaultdict[ModelName, int] = defaultdict(int)
+        for one in stock.standing:
+            self._counts[one.model] += 1
+        self._groups: list[GroupWanted] = []
+        self._stages: list[StageWanted] = []
+
+    def plan(self) -> Plan:
+        """Return what to do next."""
+        for domain, targets in sorted(self._domains().items()):
+            self._plan_domain(domain, targets)
+        return Plan(tuple(self._groups), tuple(self._stages))
+
+    def _domains(self) -> dict[DomainName, list[Target]]:
+        domains: dict[DomainName, list[Target]] = {}
+        for target in self._stock.fleet.targets.values():
+            if target.service == self._service and self._is_usable(target):
+                domains.setdefault(target.domain, []).append(target)
+        return domains
+
+    def _is_usable(self, target: Target) -> bool:
+        return (
+            target.state is TargetState.READY
+            and target.data_centre not in self._stock.fleet.drained
+            and target.name not in self._stock.suspects
+        )
+
+    def _plan_domain(
+        self,
+        domain: DomainName,
+        targets: Sequence[Target],
+    ) -> None:
+        here = [
+            one.model for one in self._stock.standing if one.domain == domain
+        ]
+        free = [
+            one for one in targets if one.name not in self._stock.taken
+        ]
+        reserve = round(SPARE_SHARE * len(targets))
+        while True:
+            wanted = self._next_model(here, len(free), reserve)
+            if wanted is None:
+                break
+            members = _pick_members(free, wanted)
+            if not self._may_load(members, wanted):
+                break
+            self._groups.append(
+                GroupWanted(self._service, wanted.name, members)
+            )
+            self._counts[wanted.name] += 1
+            here.append(wanted.name)
+            free = [one for one in free if one not in members]
+        self._plan_spares(here, free)
+
+    def _next_model(
+        self,
+        here: Sequence[ModelName],
+        free: int,
+        reserve: int,
+    ) -> ModelSpec | None:
+        """Return the model to form next in a domain.
+
+        Each domain first gets one group of each model, the one with the most
+        work for a group first; more groups leave the reserve.
+        """
+        by_need = sorted(self._engine.models, key=self._need, reverse=True)
+        for spec in by_need:
+            if spec.name not in here and spec.size <= free:
+                return spec
+        for spec in by_need:
+            if spec.size <= free - reserve:
+                return spec
+        return None
+
+    def _need(self, spec: ModelSpec) -> float:
+        return spec.share * spec.pace / (self._counts[spec.name] + 1)
+
+    def _may_load(
+        self,
+        members: Iterable[Target],
+        spec: ModelSpec,
+    ) -> bool:
+        loads = sum(spec.name not in member.staged for member in members)
+        if loads > self._loads_left:
+            return False
+        self._loads_left -= loads
+        return True
+
+    def _plan_spares(
+        self,
+        here: Sequence[ModelName],
+        free: Sequence[Target],
+    ) -> None:
+        """Stage on spares the models whose groups they may repair."""
+        models = sorted(
+            (one for one in self._engine.models if one.name in here),
+            key=lambda spec: spec.load_s * spec.size,
+            reverse=True,
+        )
+        missing = list(models)
+        idle = []
+        for target in free:
+            staged = [one for one in missing if one.name in target.staged]
+            if staged:
+                missing.remove(staged[0])
+            elif target.name not in self._stock.staging:
+                idle.append(target)
+        for target, spec in zip(idle, missing, strict=False):
+            if self._loads_left < 1:
+                return
+            self._loads_left -= 1
+            self._stages.append(StageWanted(target, spec.name))
+
+
+def _pick_members(
+    free: Sequence[Target],
+    spec: ModelSpec,
+) -> tuple[Target, ...]:
+    """Pick the targets that join soonest."""
+    ranked = sorted(free, key=lambda target: _join_rank(target, spec))
+    return tuple(ranked[: spec.size])
+
+
+def _join_rank(target: Target, spec: ModelSpec) -> tuple[int, int, str]:
+    loaded = spec.name not in target.models
+    staged = spec.name not in target.staged
+    return (int(loaded), int(staged), target.name)
+
+
--- /dev/null
+++ b/pomelogauge/decide/group_sight.py
@@ -0,0 +1,142 @@
+"""What the targets' own reports say of a group."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..model.fleet import (
+    Fleet,
+    GroupRecord,
+    Member,
+    Seat,
+    SeatState,
+    Target,
+    TargetState,
+)
+from ..model.ids import TargetName
+
+_JOINED = frozenset((SeatState.READY, SeatState.OPEN, SeatState.CLOSING))
+
+
+@dataclass(frozen=True)
+class GroupSight:
+    """One look at a group.
+
+    Parameters
+    ----------
+    joined
+        All members report the group and are ready or further.
+    is_open
+        The head takes requests.
+    is_closed
+        The head is ready and takes none.
+    lost
+        Members that are gone, started again, or report another group after
+        they had joined this one.
+    leaving
+        Members that drain.
+    head_is_listed
+        The head's life that was recorded is still listed.
+    head_holds_seat
+        The head reports this group.
+
+    """
+
+    joined: bool
+    is_open: bool
+    is_closed: bool
+    lost: tuple[TargetName, ...]
+    leaving: tuple[TargetName, ...]
+    head_is_listed: bool
+    head_holds_seat: bool
+
+
+def look(
+    record: GroupRecord,
+    fleet: Fleet,
+    seen: frozenset[TargetName],
+) -> GroupSight:
+    """Compare a record with the targets' reports.
+
+    Parameters
+    ----------
+    record
+        The group.
+    fleet
+        What is known.
+    seen
+        Members that have reported this group before.
+
+    """
+    alive = {
+        member.target: target
+        for member in record.members
+        if (target := living(member, fleet.targets)) is not None
+    }
+    seats = {
+        name: seat
+        for name, target in alive.items()
+        if (seat := seat_in(record, target)) is not None
+    }
+    head = seats.get(record.head.target)
+    return GroupSight(
+        joined=len(seats) == len(record.members)
+        and all(seat.state in _JOINED for seat in seats.values()),
+        is_open=head is not None and head.state is SeatState.OPEN,
+        is_closed=head is not None and head.state is SeatState.READY,
+        lost=_lost(record, alive, seats, seen),
+        leaving=tuple(
+            name
+            for name, target in alive.items()
+            if target.state is TargetState.DRAINING
+        ),
+        head_is_listed=record.head.target in alive,
+        head_holds_seat=head is not None,
+    )
+
+
+def living(
+    member: Member,
+    targets: Mapping[TargetName, Target],
+) -> Target | None:
+    """Return the listed target if it is the member's recorded life."""
+    target = targets.get(member.target)
+    if target is None or target.born_ms != member.born_ms:
+        return None
+    return target
+
+
+def seat_in(record: GroupRecord, target: Target) -> Seat | None:
+    """Return the target's seat if it is one of this group and epoch."""
+    seat = target.seat
+    if seat is None or seat.group != record.group:
+        return None
+    return seat if seat.epoch == record.epoch else None
+
+
+def joined_members(record: GroupRecord, fleet: Fleet) -> frozenset[TargetName]:
+    """Return the members that report this group and epoch."""
+    return frozenset(
+        member.target
+        for member in record.members
+        if (target := living(member, fleet.targets)) is not None
+        and seat_in(record, target) is not None
+    )
+
+
+def _lost(
+    record: GroupRecord,
+    alive: Mapping[TargetName, Target],
+    seats: Mapping[TargetName, Seat],
+    seen: frozenset[TargetName],
+) -> tuple[TargetName, ...]:
+    return tuple(
+        member.target
+        for member in record.members
+        if member.target not in alive
+        or (member.target in seen and member.target not in seats)
+        or _is_broken(seats.get(member.target))
+    )
+
+
+def _is_broken(seat: Seat | None) -> bool:
+    return seat is not None and seat.state is SeatState.BROKEN
--- /dev/null
+++ b/pomelogauge/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of an entry instance: callers, groups, and what both know."""
--- /dev/null
+++ b/pomelogauge/entry/caller_task.py
@@ -0,0 +1,177 @@
+"""The task of one caller's connection: reads requests one after the other."""
+
+import socket
+import threading
+from random import random
+
+from returns.result import Failure
+
+from ..decide.serving_rules import Denial, admit
+from ..model.entry_request import AdmittedRequest, CallerRequest
+from ..model.log_parts import Part
+from ..model.metrics import Counter, Timing
+from ..model.serving import CallerLimits
+from ..tasks.log import part_logger
+from ..tasks.metrics import Counted, Measured, Timed
+from ..wire.caller_connection import (
+    CallerConnection,
+    CallerLeftError,
+    ReadEnded,
+    ReadLimits,
+    ReadRefused,
+    RequestRead,
+)
+from .request_ports import RequestPorts
+from .request_run import RequestEnd, RequestRun
+
+_BAD_REQUEST = 400
+_UNAUTHORIZED = 401
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+#: Status of each denial; all others say that the request has not run and may
+#: be sent again.
+_STATUSES = {Denial.NO_ROUTE: _NOT_FOUND, Denial.NO_KEY: _UNAUTHORIZED}
+#: Seconds after which callers may come back to an instance that knows too
+#: little.
+_RETRY_AFTER_S = 1.0
+
+_log = part_logger(Part.REQUEST)
+
+
+class CallerTask:
+    """Owns one caller's connection and, while it serves, one target's.
+
+    Parameters
+    ----------
+    sock
+        Accepted socket.
+    ports
+        Whom to talk to.
+
+    """
+
+    def __init__(self, sock: socket.socket, ports: RequestPorts) -> None:
+        """Take the socket."""
+        self._ports = ports
+        self._limits = _read_limits(self._caller_limits())
+        self._conn = CallerConnection(sock, self._limits.head_bytes)
+
+    def start(self) -> None:
+        """Serve in a thread of its own."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        try:
+            while self._serve_one():
+                self._limits = _read_limits(self._caller_limits())
+        except CallerLeftError as exc:
+            _log.info('caller left: %s', exc)
+        except Exception:
+            _log.exception('connection failed')
+        finally:
+            self._conn.close()
+
+    def _serve_one(self) -> bool:
+        """Serve one request; false where the connection ends."""
+        outcome = self._conn.read_request(self._limits)
+        if isinstance(outcome, ReadEnded):
+            return False
+        if isinstance(outcome, ReadRefused):
+            self._answer(outcome.status, outcome.message, 0, is_last=True)
+            return False
+        self._serve(outcome)
+        return self._conn.next_cycle()
+
+    def _serve(self, read: RequestRead) -> None:
+        now_s = self._ports.clock.now_s()
+        decoded = self._ports.codec.decode_request(read, now_s)
+        if isinstance(decoded, Failure):
+            message = str(decoded.failure())
+            _log.warning('request is refused: %s', message)
+            self._answer(_BAD_REQUEST, message, 0)
+            return
+        req = decoded.unwrap()
+        verdict = admit(
+            req, self._ports.board.latest(), self._ports.bounds, random()
+        )
+        if isinstance(verdict, Denial):
+            self._deny(req, verdict)
+            return
+        end = RequestRun(self._conn, verdict, self._ports).run()
+        self._note(verdict, end)
+
+    def _deny(self, req: CallerRequest, denial: Denial) -> None:
+        status = _STATUSES.get(denial, _UNAVAILABLE)
+        fleet = self._ports.board.latest()
+        version = fleet.config.version if fleet.config else None
+        _log.info(
+            'request %s is denied: %s',
+            req.attempt,
+            denial,
+            extra={
+                'request': req.attempt,
+                'status': status,
+                'config': version,
+                'config_age_s': round(req.read_s - fleet.confirmed_s, 2),
+            },
+        )
+        self._ports.metrics.post(Counted(Counter.REQUESTS_REFUSED, denial))
+        retry_after_s = _RETRY_AFTER_S if status == _UNAVAILABLE else 0
+        self._answer(status, denial, retry_after_s)
+
+    def _answer(
+        self,
+        status: int,
+        message: str,
+        retry_after_s: float,
+        *,
+        is_last: bool = False,
+    ) -> None:
+        codec = self._ports.codec
+        self._conn.answer(
+            status,
+            codec.refusal_headers(retry_after_s),
+            codec.refusal_body(message),
+            is_last or self._ports.leaving.latest(),
+        )
+
+    def _note(self, admitted: AdmittedRequest, end: RequestEnd) -> None:
+        req = admitted.req
+        fleet = self._ports.board.latest()
+        _log.info(
+            'request %s: %s',
+            req.attempt,
+            end.state,
+            extra={
+                'request': req.attempt,
+                'route': admitted.route.name,
+                'status': end.status,
+                'targets': end.targets,
+                'reason': end.reason,
+                'first_s': round(end.first_s, 3),
+                'whole_s': round(end.whole_s, 3),
+                'config': fleet.config.version if fleet.config else None,
+            },
+        )
+        self._ports.metrics.post(
+            Measured(
+                (Counted(Counter.ENTRY_REQUESTS, end.state),),
+                (
+                    Timed(Timing.FIRST_TOKEN, end.first_s),
+                    Timed(Timing.WHOLE_ANSWER, end.whole_s),
+                ),
+            )
+        )
+
+    def _caller_limits(self) -> CallerLimits:
+        config = self._ports.board.latest().config
+        return CallerLimits() if config is None else config.limits
+
+
+def _read_limits(limits: CallerLimits) -> ReadLimits:
+    return ReadLimits(
+        head_bytes=limits.header_bytes,
+        body_bytes=limits.body_bytes,
+        head_s=limits.header_timeout_s,
+        idle_s=limits.idle_timeout_s,
+    )
--- /dev/null
+++ b/pomelogauge/entry/dispatcher.py
@@ -0,0 +1,247 @@
+"""The task that gives each request a target."""
+
+from dataclasses import dataclass, replace
+from random import Random
+
+from ..decide.cold_rate import ColdRate
+from ..decide.offers import NO_MODEL, Offer, Offers, list_offers
+from ..decide.repeat_budget import RepeatBudget
+from ..decide.serving_rules import Denial
+from ..decide.target_choice import NO_VIEW, StatedLoad, TargetView, choose
+from ..model.entry_request import Spot, TargetLoad
+from ..model.fleet import Fleet
+from ..model.ids import ServiceName, TargetName
+from ..model.log_parts import Part
+from ..tasks.clock import Clock
+from ..tasks.log import part_logger
+from ..tasks.messages import PhaseChanged, RunningAsked, RunningCounted
+from ..tasks.published import Published
+from .messages import (
+    DispatchMessage,
+    LoadHeard,
+    Outcome,
+    PlaceAsked,
+    PlaceDenied,
+    PlaceEnded,
+    PlaceGiven,
+)
+
+#: Seconds for which a target that lost a request is avoided.
+SUSPECT_S = 1.5
+#: Seconds after which callers are told to come back: when nothing serves
+#: their model, and when all that does is full. A group is formed again in
+#: one to two seconds; a slot becomes free in a part of one.
+RETRY_AFTER_NONE_S = 1.2
+RETRY_AFTER_FULL_S = 0.5
+#: Part of the time that is drawn at random, so that callers do not come back
+#: together.
+RETRY_SPREAD = 0.5
+#: Entry instances among which the slack of the budget is shared out.
+_MOST_ENTRIES = 10
+
+_BAD = frozenset((Outcome.LOST, Outcome.SILENT, Outcome.UNREACHED))
+_log = part_logger(Part.CHOICE)
+
+
+@dataclass(frozen=True)
+class DispatchSettings:
+    """Bounds of the dispatcher.
+
+    Parameters
+    ----------
+    retry_share, retry_slack, retry_window_s
+        Budget of repeats of one service over all entry instances.
+    cold_factor, cold_slack
+        Bound of a cold target over all entry instances.
+
+    """
+
+    retry_share: float
+    retry_slack: float
+    retry_window_s: float
+    cold_factor: float
+    cold_slack: float
+
+
+class Dispatcher:
+    """Owns what this instance knows of the targets' load.
+
+    Parameters
+    ----------
+    settings
+        Bounds.
+    board
+        Picture of the fleet.
+    clock
+        Own clock.
+    rng
+        Settles ties and spreads callers that come back.
+
+    """
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        board: Published[Fleet],
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        """Start without loads."""
+        self._settings = settings
+        self._board = board
+        self._clock = clock
+        self._rng = rng
+        self._views: dict[TargetName, TargetView] = {}
+        self._budgets: dict[ServiceName, RepeatBudget] = {}
+        self._cold = ColdRate()
+        self._fleet = board.latest()
+        self._offers = Offers()
+
+    def on_start(self) -> None:
+        """Own nothing that must be opened."""
+
+    def on_message(self, message: DispatchMessage) -> None:
+        """Give a place, or learn how a target did."""
+        match message:
+            case PlaceAsked():
+                message.reply.post(self._place(message))
+            case LoadHeard():
+                self._hear(message.target, message.load)
+            case PlaceEnded():
+                self._end(message)
+            case RunningAsked():
+                running = sum(view.own for view in self._views.values())
+                message.reply.post(RunningCounted(running))
+            case PhaseChanged():
+                _log.info('no new callers: %s', message.phase)
+
+    def on_timer(self) -> float | None:
+        """Wait for messages only."""
+        return None
+
+    def on_stop(self) -> None:
+        """Own nothing that must be closed."""
+
+    def _place(self, asked: PlaceAsked) -> PlaceGiven | PlaceDenied:
+        now_s = self._clock.now_s()
+        self._look()
+        service = asked.admitted.service.name
+        budget = self._budget(service)
+        if not asked.is_repeat:
+            budget.count_request(now_s)
+        offers = self._find(asked)
+        if not offers:
+            return self._deny(asked, Denial.NO_TARGET, RETRY_AFTER_NONE_S)
+        may_take = [one for one in offers if self._may_take(one, now_s)]
+        chosen = choose(may_take, self._views, now_s, self._rng.random)
+        if chosen is None:
+            return self._deny(asked, Denial.NO_TARGET, RETRY_AFTER_FULL_S)
+        if asked.is_repeat and not budget.take(now_s):
+            return self._deny(asked, Denial.NO_REPEAT, RETRY_AFTER_FULL_S)
+        return self._give(asked, chosen.offer, chosen.load, now_s)
+
+    def _give(
+        self,
+        asked: PlaceAsked,
+        offer: Offer,
+        load: float,
+        now_s: float,
+    ) -> PlaceGiven:
+        target = offer.target
+        view = self._views.get(target.name, NO_VIEW)
+        self._views[target.name] = replace(view, own=view.own + 1)
+        if target.cold_until_s > now_s:
+            self._cold.count(target.name, now_s)
+        _log.info(
+            'request %s goes to %s',
+            asked.admitted.req.attempt,
+            target.name,
+            extra={
+                'request': asked.admitted.req.attempt,
+                'target': target.name,
+                'load': round(load, 1),
+                'own': view.own,
+                'row_version': target.version,
+                'repeat': asked.is_repeat,
+            },
+        )
+        return PlaceGiven(Spot(target.name, target.address))
+
+    def _look(self) -> None:
+        fleet = self._board.latest()
+        if fleet is self._fleet:
+            return
+        self._fleet = fleet
+        self._offers = list_offers(fleet)
+        self._views = {
+            name: view
+            for name, view in self._views.items()
+            if view.own or name in fleet.targets
+        }
+
+    def _find(self, asked: PlaceAsked) -> tuple[Offer, ...]:
+        admitted = asked.admitted
+        is_plain = admitted.service.engine is None
+        model = NO_MODEL if is_plain else admitted.req.model
+        offers = self._offers.find(admitted.service.name, model)
+        return tuple(
+            one for one in offers if one.target.name not in asked.tried
+        )
+
+    def _may_take(self, offer: Offer, now_s: float) -> bool:
+        target = offer.target
+        if target.cold_until_s <= now_s or self._fleet.config is None:
+            return True
+        service = self._fleet.config.services[target.service]
+        if not service.cold_per_s:
+            return True
+        # All entry instances together must stay below the bound.
+        part = service.cold_per_s / max(1, len(self._fleet.entries))
+        return self._cold.may_send(target.name, now_s, part)
+
+    def _deny(
+        self,
+        asked: PlaceAsked,
+        denial: Denial,
+        retry_after_s: float,
+    ) -> PlaceDenied:
+        spread = 1 + RETRY_SPREAD * self._rng.random()
+        denied = PlaceDenied(denial, retry_after_s * spread)
+        _log.info(
+            'request %s has no place: %s',
+            asked.admitted.req.attempt,
+            denial,
+            extra={
+                'request': asked.admitted.req.attempt,
+                'model': asked.admitted.req.model,
+                'repeat': asked.is_repeat,
+                'retry_after_s': round(denied.retry_after_s, 2),
+            },
+        )
+        return denied
+
+    def _hear(self, name: TargetName, load: TargetLoad) -> None:
+        view = self._views.get(name, NO_VIEW)
+        stated = StatedLoad(load, view.own, self._clock.now_s())
+        self._views[name] = replace(view, stated=stated)
+
+    def _end(self, ended: PlaceEnded) -> None:
+        now_s = self._clock.now_s()
+        view = self._views.get(ended.target, NO_VIEW)
+        view = replace(view, own=max(0, view.own - 1))
+        if ended.outcome in _BAD:
+            view = replace(view, suspect_until_s=now_s + SUSPECT_S)
+            _log.info(
+                'target %s is avoided: %s', ended.target, ended.outcome
+            )
+        self._views[ended.target] = view
+
+    def _budget(self, service: ServiceName) -> RepeatBudget:
+        if service not in self._budgets:
+            part = self._settings.retry_slack / _MOST_ENTRIES
+            self._budgets[service] = RepeatBudget(
+                self._settings.retry_share,
+                part,
+                self._settings.retry_window_s,
+            )
+        return self._budgets[service]
--- /dev/null
+++ b/pomelogauge/entry/held_group.py
@@ -0,0 +1,160 @@
+"""A group in the hands of its owner: its record, state and deadline."""
+
+from dataclasses import dataclass, replace
+
+from ..charts.reader import load_chart
+from ..decide.group_chart import (
+    GROUP_WORDS,
+    GroupAction,
+    GroupEvent,
+    GroupFacts,
+    GroupState,
+)
+from ..decide.group_sight import GroupSight, joined_members, look
+from ..model.chart import Chart
+from ..model.fleet import Fleet, GroupRecord
+from ..model.ids import TargetName
+from ..model.log_parts import Part
+from ..tasks.log import part_logger
+
+GroupChart = Chart[GroupState, GroupEvent, GroupAction, GroupFacts]
+
+_FACTS = GroupFacts()
+_log = part_logger(Part.GROUPS)
+
+
+def load_group_chart() -> GroupChart:
+    """Read the chart of a group."""
+    return load_chart('group', GROUP_WORDS)
+
+
+@dataclass(frozen=True)
+class GroupTimes:
+    """Longest seconds in each state; none is endless but serving.
+
+    Parameters
+    ----------
+    joining
+        Load or warm-up of the slowest member, and the time of its report.
+    opening
+        From the order to open until it is sent again.
+    closing
+        What runs may end.
+    leaving
+        From the order to leave until it is sent again.
+    stalling
+        Until a head without members has broken by itself.
+
+    """
+
+    joining: float
+    opening: float
+    closing: float
+    leaving: float
+    stalling: float
+
+    def of(self, state: GroupState) -> float:
+        """Return the longest seconds in a state."""
+        limits = {
+            GroupState.JOINING: self.joining,
+            GroupState.OPENING: self.opening,
+            GroupState.CLOSING: self.closing,
+            GroupState.LEAVING: self.leaving,
+            GroupState.STALLING: self.stalling,
+        }
+        return limits.get(state, float('inf'))
+
+
+@dataclass(frozen=True)
+class Step:
+    """The outcome of one event: the group after it, and what to do."""
+
+    group: 'HeldGroup'
+    action: GroupAction | None
+
+
+@dataclass(frozen=True)
+class HeldGroup:
+    """One group at one moment.
+
+    Parameters
+    ----------
+    record
+        What was recorded.
+    times
+        Longest times in its states.
+    state
+        State of its chart.
+    since_s
+        When it entered the state, by the owner's clock.
+    formed_s
+        When its forming began.
+    seen
+        Members that have reported the group.
+    lost
+        Members that an order has shown to be lost.
+
+    """
+
+    record: GroupRecord
+    times: GroupTimes
+    state: GroupState
+    since_s: float
+    formed_s: float
+    seen: frozenset[TargetName] = frozenset()
+    lost: frozenset[TargetName] = frozenset()
+
+    def watch(self, fleet: Fleet) -> 'HeldGroup':
+        """Note which members have reported the group."""
+        seen = self.seen | joined_members(self.record, fleet)
+        return self if seen == self.seen else replace(self, seen=seen)
+
+    def events(
+        self,
+        fleet: Fleet,
+        is_wanted: bool,
+        now_s: float,
+    ) -> tuple[GroupEvent, ...]:
+        """Return what the picture of the fleet says of the group."""
+        sight = look(self.record, fleet, self.seen)
+        found = list(self._sight_events(sight))
+        if sight.leaving or not is_wanted:
+            found.append(GroupEvent.UNWANTED)
+        if now_s - self.since_s > self.times.of(self.state):
+            found.append(GroupEvent.EXPIRED)
+        return tuple(found)
+
+    def take(self, chart: GroupChart, event: GroupEvent, now_s: float) -> Step:
+        """Apply an event."""
+        move = chart.step(self.state, event, _FACTS)
+        if move.state is self.state and move.action is None:
+            return Step(self, None)
+        _log.info(
+            'group %s: %s after %s',
+            self.record.group,
+            move.state,
+            event,
+            extra={
+                'group': self.record.group,
+                'epoch': self.record.epoch,
+                'model': self.record.model,
+                'members': [one.target for one in self.record.members],
+                'seen': sorted(self.seen),
+                'age_s': round(now_s - self.formed_s, 2),
+                'state_s': round(now_s - self.since_s, 2),
+            },
+        )
+        after = replace(self, state=move.state, since_s=now_s)
+        return Step(after, move.action)
+
+    def _sight_events(self, sight: GroupSight) -> list[GroupEvent]:
+        if sight.lost or self.lost:
+            return [GroupEvent.MEMBER_LOST]
+        if sight.is_open:
+            return [GroupEvent.OPENED]
+        if sight.joined and sight.is_closed:
+            if self.state is GroupState.JOINING:
+                return [GroupEvent.ALL_JOINED]
+            if self.state is not GroupState.OPENING:
+                return [GroupEvent.CLOSED]
+        return []
--- /dev/null
+++ b/pomelogauge/entry/knowledge.py
@@ -0,0 +1,225 @@
+"""The task that joins all that was read into one picture of the fleet."""
+
+from collections import deque
+from dataclasses import dataclass, replace
+
+from returns.result import Failure
+
+from ..model.errors import FindingsError
+from ..model.fleet import Fleet, Target
+from ..model.ids import DataCentreName, TargetName
+from ..model.log_parts import Part
+from ..tasks.clock import Clock
+from ..tasks.log import part_logger
+from ..tasks.mailbox import Outbox
+from ..tasks.published import Published
+from .codecs import TargetRows
+from .messages import (
+    EntriesSeen,
+    FleetChanged,
+    KnowledgeMessage,
+    TableRead,
+    TableUnread,
+)
+from .store import StoredRow, Table
+
+#: Seconds for which an entry that lapsed while the store was away may come
+#: back: the platform says about two.
+LAPSE_GRACE_S = 2.2
+
+_log = part_logger(Part.STORE)
+
+
+@dataclass(frozen=True)
+class _Lapse:
+    """A target that is gone unless it is listed again in time."""
+
+    name: TargetName
+    until_s: float
+
+
+class Knowledge:
+    """Owns the picture; publishes a new one with every change.
+
+    Parameters
+    ----------
+    rows
+        Decodes rows.
+    board
+        Where the picture is published.
+    listeners
+        Who is told of changes.
+    clock
+        Own clock, suspensions included.
+
+    """
+
+    def __init__(
+        self,
+        rows: TargetRows,
+        board: Published[Fleet],
+        listeners: tuple[Outbox[FleetChanged], ...],
+        clock: Clock,
+    ) -> None:
+        """Start with an empty picture."""
+        self._rows = rows
+        self._board = board
+        self._listeners = listeners
+        self._clock = clock
+        self._targets: dict[TargetName, Target] = {}
+        self._drained: dict[str, DataCentreName] = {}
+        self._lapses: deque[_Lapse] = deque()
+        self._grace_until_s = float('-inf')
+
+    def on_start(self) -> None:
+        """Own nothing that must be opened."""
+
+    def on_message(self, message: KnowledgeMessage) -> None:
+        """Take in what was read."""
+        match message:
+            case TableRead(table=Table.OPERATOR):
+                self._take_operator(message)
+            case TableRead(table=Table.TARGETS):
+                self._take_targets(message)
+            case EntriesSeen():
+                fleet = self._board.latest()
+                self._publish(replace(fleet, entries=message.entries))
+            case TableUnread() | TableRead():
+                return
+
+    def on_timer(self) -> float | None:
+        """Drop targets that have not come back.
+
+        Returns
+        -------
+        float or None
+            Seconds until the next one is due.
+
+        """
+        now_s = self._clock.now_s()
+        dropped = False
+        while self._lapses and self._lapses[0].until_s <= now_s:
+            lapse = self._lapses.popleft()
+            self._targets.pop(lapse.name, None)
+            dropped = True
+            _log.info('target %s has not come back', lapse.name)
+        if dropped:
+            self._publish_targets()
+        if self._lapses:
+            return max(0, self._lapses[0].until_s - now_s)
+        return None
+
+    def on_stop(self) -> None:
+        """Own nothing that must be closed."""
+
+    def _take_operator(self, read: TableRead) -> None:
+        fleet = replace(self._board.latest(), confirmed_s=read.began_s)
+        if read.is_whole:
+            self._drained = {}
+        for row in read.rows.rows:
+            if self._rows.is_configuration(row.key):
+                fleet = self._with_configuration(fleet, row)
+            else:
+                self._take_drain(row)
+        drained = frozenset(self._drained.values())
+        if drained != fleet.drained:
+            _log.info('data centres out of service: %s', sorted(drained))
+        fleet = replace(fleet, drained=drained)
+        if read.rows.rows:
+            self._publish(fleet)
+        else:
+            self._board.publish(fleet)
+
+    def _with_configuration(self, fleet: Fleet, row: StoredRow) -> Fleet:
+        if row.body is None:
+            return fleet
+        decoded = self._rows.configuration(row.body)
+        if isinstance(decoded, Failure):
+            _log.error(
+                'configuration of row version %s is not used: %s',
+                row.version,
+                decoded.failure(),
+            )
+            return fleet
+        config = decoded.unwrap()
+        if fleet.config is not None and config.version < fleet.config.version:
+            _log.warning('configuration %s is old', config.version)
+            return fleet
+        _log.info('configuration %s is in force', config.version)
+        return replace(fleet, config=config)
+
+    def _take_drain(self, row: StoredRow) -> None:
+        name = self._rows.drained_data_centre(row.key)
+        if name is None:
+            return
+        if row.body is None:
+            self._drained.pop(row.key, None)
+        else:
+            self._drained[row.key] = name
+
+    def _take_targets(self, read: TableRead) -> None:
+        now_s = self._clock.now_s()
+        if read.was_away:
+            self._grace_until_s = now_s + LAPSE_GRACE_S
+        named = set()
+        for row in read.rows.rows:
+            named.add(TargetName(row.key))
+            self._take_target(row, now_s)
+        if read.is_whole:
+            for name in tuple(self._targets.keys() - named):
+                self._lapse(name, now_s)
+        self._publish_targets()
+
+    def _take_target(self, row: StoredRow, now_s: float) -> None:
+        name = TargetName(row.key)
+        if row.body is None:
+            self._lapse(name, now_s)
+            return
+        known = self._targets.get(name)
+        if known is not None and row.version < known.version:
+            return
+        self._keep(name)
+        decoded = self._rows.target(row.key, row.body, row.version, now_s)
+        if isinstance(decoded, Failure):
+            self._refuse(name, row, decoded.failure())
+            return
+        self._targets[name] = decoded.unwrap()
+
+    def _refuse(
+        self,
+        name: TargetName,
+        row: StoredRow,
+        error: FindingsError,
+    ) -> None:
+        """Leave out a target whose entry can't be read."""
+        _log.warning(
+            'target %s, row version %s, is not used: %s',
+            name,
+            row.version,
+            error,
+        )
+        self._targets.pop(name, None)
+
+    def _lapse(self, name: TargetName, now_s: float) -> None:
+        if now_s < self._grace_until_s:
+            self._lapses.append(_Lapse(name, self._grace_until_s))
+            return
+        if self._targets.pop(name, None) is not None:
+            _log.info('target %s is gone', name)
+
+    def _keep(self, name: TargetName) -> None:
+        if self._lapses:
+            self._lapses = deque(
+                lapse for lapse in self._lapses if lapse.name != name
+            )
+
+    def _publish_targets(self) -> None:
+        fleet = self._board.latest()
+        self._publish(
+            replace(fleet, targets=dict(self._targets), can_serve=True)
+        )
+
+    def _publish(self, fleet: Fleet) -> None:
+        self._board.publish(fleet)
+        for listener in self._listeners:
+            listener.post(FleetChanged())
--- /dev/null
+++ b/pomelogauge/entry/messages.py
@@ -0,0 +1,213 @@
+"""Messages between the tasks of an entry instance."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..decide.serving_rules import Denial
+from ..model.entry_request import AdmittedRequest, Spot, TargetLoad
+from ..model.fleet import EntryInstance
+from ..model.ids import Epoch, GroupName, ModelName, ServiceName, TargetName
+from ..tasks.mailbox import Outbox
+from ..tasks.messages import PhaseChanged, RunningAsked
+from .store import Rows, StoreError, Table
+
+
+@dataclass(frozen=True)
+class TableRead:
+    """What one read of a table gave.
+
+    Parameters
+    ----------
+    table
+        Which table.
+    rows
+        All its rows, or those that changed.
+    is_whole
+        All rows; a row that is missing is gone.
+    began_s
+        When the read began, by the own clock.
+    was_away
+        The store had not answered for a while before.
+
+    """
+
+    table: Table
+    rows: Rows
+    is_whole: bool
+    began_s: float
+    was_away: bool
+
+
+@dataclass(frozen=True)
+class TableUnread:
+    """A read of a table failed."""
+
+    table: Table
+    error: StoreError
+
+
+@dataclass(frozen=True)
+class EntriesSeen:
+    """The entry instances that live, this one among them."""
+
+    entries: tuple[EntryInstance, ...]
+
+
+@dataclass(frozen=True)
+class EntryLeaves:
+    """This instance ends."""
+
+
+KnowledgeMessage = TableRead | TableUnread | EntriesSeen
+
+
+@dataclass(frozen=True)
+class PlaceGiven:
+    """A request may be sent to this target."""
+
+    spot: Spot
+
+
+@dataclass(frozen=True)
+class PlaceDenied:
+    """No target may be sent the request now.
+
+    Parameters
+    ----------
+    denial
+        Why.
+    retry_after_s
+        When there may be room.
+
+    """
+
+    denial: Denial
+    retry_after_s: float
+
+
+PlaceAnswer = PlaceGiven | PlaceDenied
+
+
+@dataclass(frozen=True)
+class PlaceAsked:
+    """A request wants a target.
+
+    Parameters
+    ----------
+    admitted
+        The request.
+    tried
+        Targets that it has been sent to.
+    is_repeat
+        It has been sent to a target before.
+    reply
+        Where the answer goes.
+
+    """
+
+    admitted: AdmittedRequest
+    tried: frozenset[TargetName]
+    is_repeat: bool
+    reply: Outbox[PlaceAnswer]
+
+
+class Outcome(StrEnum):
+    """How a target did with a request."""
+
+    ANSWERED = 'answered'
+    TURNED_AWAY = 'turned_away'
+    UNREACHED = 'unreached'
+    LOST = 'lost'
+    SILENT = 'silent'
+    LEFT = 'left'
+
+
+@dataclass(frozen=True)
+class LoadHeard:
+    """A target stated its load."""
+
+    target: TargetName
+    load: TargetLoad
+
+
+@dataclass(frozen=True)
+class PlaceEnded:
+    """A request has left a target."""
+
+    target: TargetName
+    outcome: Outcome
+
+
+DispatchMessage = (
+    PlaceAsked | LoadHeard | PlaceEnded | RunningAsked | PhaseChanged
+)
+
+
+class OrderKind(StrEnum):
+    """Orders to a target."""
+
+    JOIN = 'join'
+    OPEN = 'open'
+    CLOSE = 'close'
+    LEAVE = 'leave'
+    STAGE = 'stage'
+
+
+@dataclass(frozen=True)
+class Order:
+    """One order to one target.
+
+    Parameters
+    ----------
+    kind
+        What to do.
+    service
+        Service of the target.
+    target
+        Who is to do it.
+    group, epoch
+        The group that it concerns; empty and zero to stage.
+    model
+        Model to join or to stage.
+    members
+        Member list of a join, the head first.
+
+    """
+
+    kind: OrderKind
+    service: ServiceName
+    target: TargetName
+    group: GroupName = GroupName('')
+    epoch: Epoch = Epoch(0)
+    model: ModelName = ModelName('')
+    members: tuple[TargetName, ...] = ()
+
+
+class OrderOutcome(StrEnum):
+    """What became of an order.
+
+    ``REFUSED``: the target's state does not fit. ``DEAD``: nothing listens
+    there, or another target does. ``SILENT``: no answer; it may be carried
+    out later.
+    """
+
+    TAKEN = 'taken'
+    REFUSED = 'refused'
+    DEAD = 'dead'
+    SILENT = 'silent'
+
+
+@dataclass(frozen=True)
+class OrderSettled:
+    """An order has ended."""
+
+    order: Order
+    outcome: OrderOutcome
+
+
+@dataclass(frozen=True)
+class FleetChanged:
+    """What is known of the fleet has changed."""
+
+
+OwnerMessage = FleetChanged | OrderSettled | EntriesSeen
--- /dev/null
+++ b/pomelogauge/entry/store.py
@@ -0,0 +1,124 @@
+"""What the entry instance needs of the platform's store, as protocols."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from returns.result import Result
+
+from ..model.ids import RowVersion
+
+
+class Table(StrEnum):
+    """Tables of the store."""
+
+    OPERATOR = 'operator'
+    TARGETS = 'targets'
+    GROUPS = 'groups'
+    OWNER = 'owner'
+    ENTRIES = 'entries'
+
+
+class StoreFault(StrEnum):
+    """How a call to the store can fail.
+
+    ``AWAY``: nothing was done. ``UNSETTLED``: a write may have been or may
+    still be done. ``CONFLICT``: a condition did not hold. ``FORGOTTEN``: the
+    history that a feed asked for is gone. ``MALFORMED``: the answer can't be
+    read.
+    """
+
+    AWAY = 'away'
+    UNSETTLED = 'unsettled'
+    CONFLICT = 'conflict'
+    FORGOTTEN = 'forgotten'
+    MALFORMED = 'malformed'
+
+
+@dataclass(frozen=True)
+class StoreError:
+    """A failed call."""
+
+    fault: StoreFault
+    message: str
+
+
+@dataclass(frozen=True)
+class StoredRow:
+    """A row of a table.
+
+    Parameters
+    ----------
+    key
+        Name inside the table.
+    version
+        Rises with every write of the store.
+    body
+        Value; ``None`` for a row that was removed.
+
+    """
+
+    key: str
+    version: RowVersion
+    body: bytes | None
+
+
+@dataclass(frozen=True)
+class Rows:
+    """Rows as of one version of the store.
+
+    Parameters
+    ----------
+    rows
+        All rows of a table, or those that changed.
+    version
+        Newest version of the store; a feed goes on from here.
+
+    """
+
+    rows: tuple[StoredRow, ...]
+    version: RowVersion
+
+
+@dataclass(frozen=True)
+class RowExpected:
+    """The row must have this version; zero means that it must be absent."""
+
+    table: Table
+    key: str
+    version: RowVersion
+
+
+@dataclass(frozen=True)
+class RowWritten:
+    """New value of a row; ``None`` removes it."""
+
+    table: Table
+    key: str
+    body: bytes | None
+
+
+class StoreReads(Protocol):
+    """Reads of the store over one connection."""
+
+    def read_all(self, table: Table) -> Result[Rows, StoreError]:
+        """Return all rows of a table."""
+
+    def changes(
+        self,
+        table: Table,
+        after: RowVersion,
+        wait_s: float,
+    ) -> Result[Rows, StoreError]:
+        """Wait for rows that changed after a version."""
+
+
+class StoreWrites(StoreReads, Protocol):
+    """Reads and transactions over one connection."""
+
+    def commit(
+        self,
+        expected: tuple[RowExpected, ...],
+        written: tuple[RowWritten, ...],
+    ) -> Result[RowVersion, StoreError]:
+        """Write all rows if all conditions hold; else none."""
--- /dev/null
+++ b/pomelogauge/entry/table_reader.py
@@ -0,0 +1,141 @@
+"""The task that reads one table of the store and follows its changes."""
+
+from dataclasses import dataclass
+
+from returns.result import Failure
+
+from ..model.ids import RowVersion
+from ..model.log_parts import Part
+from ..tasks.clock import Clock
+from ..tasks.log import part_logger
+from ..tasks.mailbox import Outbox
+from .messages import KnowledgeMessage, TableRead, TableUnread
+from .store import Rows, StoreError, StoreFault, StoreReads, Table
+
+#: Seconds between two calls after one that brought changes; changes of one
+#: event come together.
+CHANGES_GAP_S = 0.08
+#: Seconds before a failed call is made again.
+RETRY_S = 0.15
+#: Seconds without an answer after which targets may have lapsed unseen; three
+#: reports of a target.
+AWAY_S = 2.5
+
+_log = part_logger(Part.STORE)
+
+
+@dataclass(frozen=True)
+class ReaderSettings:
+    """How a table is read.
+
+    Parameters
+    ----------
+    table
+        Which table.
+    wait_s
+        Seconds that the store may hold a call without changes.
+
+    """
+
+    table: Table
+    wait_s: float
+
+
+class TableReader:
+    """Owns a connection to the store and the place in the feed.
+
+    Parameters
+    ----------
+    settings
+        Which table, and how.
+    store
+        Connection of this task.
+    knowledge
+        Who learns of what was read.
+    clock
+        Own clock, suspensions included.
+
+    """
+
+    def __init__(
+        self,
+        settings: ReaderSettings,
+        store: StoreReads,
+        knowledge: Outbox[KnowledgeMessage],
+        clock: Clock,
+    ) -> None:
+        """Start without a place in the feed."""
+        self._settings = settings
+        self._store = store
+        self._knowledge = knowledge
+        self._clock = clock
+        self._version: RowVersion | None = None
+        self._answered_s = clock.now_s()
+        self._is_away = False
+
+    def on_start(self) -> None:
+        """Connect with the first read."""
+
+    def on_message(self, message: object) -> None:
+        """Take no messages."""
+
+    def on_timer(self) -> float | None:
+        """Read once.
+
+        Returns
+        -------
+        float
+            Seconds until the next read.
+
+        """
+        began_s = self._clock.now_s()
+        if self._version is None:
+            answer = self._store.read_all(self._settings.table)
+        else:
+            answer = self._store.changes(
+                self._settings.table, self._version, self._settings.wait_s
+            )
+        if isinstance(answer, Failure):
+            return self._on_failure(answer.failure())
+        return self._on_rows(answer.unwrap(), began_s)
+
+    def on_stop(self) -> None:
+        """Leave the connection to the process's end."""
+
+    def _on_rows(self, rows: Rows, began_s: float) -> float:
+        now_s = self._clock.now_s()
+        was_away = now_s - self._answered_s > AWAY_S + self._settings.wait_s
+        self._answered_s = now_s
+        if self._is_away:
+            self._is_away = False
+            _log.info('%s is read again', self._settings.table)
+        self._knowledge.post(
+            TableRead(
+                self._settings.table,
+                rows,
+                self._version is None,
+                began_s,
+                was_away,
+            )
+        )
+        self._version = rows.version
+        return CHANGES_GAP_S if rows.rows else 0
+
+    def _on_failure(self, error: StoreError) -> float:
+        if error.fault is StoreFault.FORGOTTEN:
+            _log.info(
+                '%s: history is gone after version %s, it is read anew',
+                self._settings.table,
+                self._version,
+            )
+            self._version = None
+            return 0
+        if not self._is_away:
+            self._is_away = True
+            _log.warning(
+                '%s can not be read: %s',
+                self._settings.table,
+                error.message,
+            )
+        self._knowledge.post(TableUnread(self._settings.table, error))
+        return RETRY_S
--- a/pomelogauge/model/ids.py
+++ b/pomelogauge/model/ids.py
@@ -15,6 +15,9 @@
 ReplicaId = NewType('ReplicaId', str)
 RequestId = NewType('RequestId', str)
 Address = NewType('Address', str)
+TargetName = NewType('TargetName', str)
+GroupName = NewType('GroupName', str)
+RouteName = NewType('RouteName', str)
 
 #: Fencing number of an order; it only rises on one instance.
 Epoch = NewType('Epoch', int)
--- a/pomelogauge/model/metrics.py
+++ b/pomelogauge/model/metrics.py
@@ -11,6 +11,7 @@
     REQUESTS_REFUSED = 'pomelogauge_requests_refused_total'
     REQUESTS_RESUMED = 'pomelogauge_requests_resumed_total'
     REQUESTS_CANCELLED = 'pomelogauge_requests_cancelled_total'
+    ENTRY_REQUESTS = 'pomelogauge_entry_requests_total'
     TOKENS = 'pomelogauge_tokens_total'
     REPLICAS_FORMED = 'pomelogauge_replicas_formed_total'
     REPLICAS_BROKEN = 'pomelogauge_replicas_broken_total'
--- /dev/null
+++ b/pomelogauge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter of the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/pomelogauge/platform/targets.py
@@ -0,0 +1,117 @@
+"""Decodes targets' entries in the platform's list."""
+
+from ..model.fleet import Seat, SeatState, Target, TargetState
+from ..model.ids import (
+    Address,
+    DataCentreName,
+    DomainName,
+    Epoch,
+    GroupName,
+    ModelName,
+    RowVersion,
+    ServiceName,
+    TargetName,
+)
+from .fields import Fields, read_fields
+
+_MS_IN_S = 1000
+_STATES = frozenset(state.value for state in TargetState)
+_SEAT_STATES = frozenset(state.value for state in SeatState)
+
+
+def decode_target(
+    name: str,
+    text: bytes,
+    version: RowVersion,
+    now_s: float,
+) -> Target:
+    """Decode one entry.
+
+    Parameters
+    ----------
+    name
+        Key of the row, which is the target's name.
+    text
+        Value of the row.
+    version
+        Version of the row.
+    now_s
+        Time of the own clock, from which the cold time counts.
+
+    Raises
+    ------
+    FindingsError
+        The entry names no usable target; all findings together.
+
+    """
+    fields = read_fields(f'servers/{name}', text)
+    cold_s = fields.number('cold_remaining_ms', 0) / _MS_IN_S
+    target = Target(
+        name=TargetName(name),
+        service=ServiceName(_some(fields, 'service')),
+        address=_address(fields),
+        data_centre=DataCentreName(_some(fields, 'zone')),
+        domain=DomainName(_domain(fields)),
+        state=_state(fields),
+        slots=fields.whole('slots'),
+        cold_until_s=now_s + cold_s if cold_s else 0,
+        born_ms=fields.whole('born', 0),
+        staged=tuple(ModelName(one) for one in fields.texts('staged')),
+        models=tuple(
+            ModelName(model.text('name')) for model in fields.each('models')
+        ),
+        seat=_seat(fields),
+        version=version,
+    )
+    fields.check()
+    return target
+
+
+def _some(fields: Fields, name: str) -> str:
+    text = fields.text(name)
+    if not text:
+        fields.refuse(name, 'is empty')
+    return text
+
+
+def _domain(fields: Fields) -> str:
+    # The domain comes as a text or as a number.
+    if fields.is_number('domain'):
+        return str(fields.whole('domain'))
+    return fields.text('domain', '')
+
+
+def _address(fields: Fields) -> Address:
+    address = fields.text('address')
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdecimal():
+        fields.refuse('address', 'is not host:port')
+    return Address(address)
+
+
+def _state(fields: Fields) -> TargetState:
+    state = fields.text('state')
+    if state in _STATES:
+        return TargetState(state)
+    fields.refuse('state', f'{state!r} is no state')
+    return TargetState.DRAINING
+
+
+def _seat(fields: Fields) -> Seat | None:
+    if not fields.has('group'):
+        return None
+    inner = fields.inner('group')
+    if not inner.has('name'):
+        return None
+    state = inner.text('state')
+    if state not in _SEAT_STATES:
+        inner.refuse('state', f'{state!r} is no state')
+        state = SeatState.BROKEN
+    return Seat(
+        GroupName(inner.text('name')),
+        Epoch(inner.whole('epoch')),
+        inner.whole('rank'),
+        SeatState(state),
+    )
+
+
--- a/pomelogauge/tasks/clock.py
+++ b/pomelogauge/tasks/clock.py
@@ -25,3 +25,11 @@
     def now_s(self) -> float:
         """Return the time of this machine's wall clock."""
         return time.time()
+
+
+class BootClock:
+    """Seconds since the machine started, suspensions included."""
+
+    def now_s(self) -> float:
+        """Return the present time in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/pomelogauge/wire/target_link.py
@@ -0,0 +1,160 @@
+"""One connection to a target, owned by one task."""
+
+import socket
+from dataclasses import dataclass
+
+import h11
+from returns.result import Failure, Result, Success
+
+from ..model.entry_request import Headers
+from ..model.ids import Address
+
+#: Bytes that one read takes.
+_READ_BYTES = 65536
+#: Largest head of an answer.
+_HEAD_BYTES = 32768
+
+
+@dataclass(frozen=True)
+class LinkError:
+    """A connection that failed.
+
+    Parameters
+    ----------
+    message
+        What was seen.
+    is_refused
+        Nothing listens at the address.
+
+    """
+
+    message: str
+    is_refused: bool = False
+
+
+@dataclass(frozen=True)
+class HeadRead:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: Headers
+
+
+@dataclass(frozen=True)
+class BodyRead:
+    """A piece of the body."""
+
+    piece: bytes
+
+
+@dataclass(frozen=True)
+class AnswerEnded:
+    """The answer is complete."""
+
+
+LinkEvent = HeadRead | BodyRead | AnswerEnded | LinkError
+
+
+@dataclass(frozen=True)
+class RequestHead:
+    """Method, request target and headers."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+
+class TargetLink:
+    """One request over a connection of its own.
+
+    Parameters
+    ----------
+    sock
+        A connected socket; the link owns it.
+
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Take the socket."""
+        self._sock = sock
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES
+        )
+
+    @classmethod
+    def connect(
+        cls,
+        address: Address,
+        timeout_s: float,
+    ) -> Result['TargetLink', LinkError]:
+        """Open a connection."""
+        host, _, port = address.rpartition(':')
+        try:
+            sock = socket.create_connection((host, int(port)), timeout_s)
+        except ConnectionRefusedError as exc:
+            return Failure(LinkError(str(exc), is_refused=True))
+        except OSError as exc:
+            return Failure(LinkError(str(exc) or type(exc).__name__))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return Success(cls(sock))
+
+    def fileno(self) -> int:
+        """Return the descriptor to wait on."""
+        return self._sock.fileno()
+
+    def send(
+        self,
+        head: RequestHead,
+        body: bytes,
+        timeout_s: float,
+    ) -> LinkError | None:
+        """Send a whole request."""
+        message = h11.Request(
+            method=head.method,
+            target=head.target,
+            headers=list(head.headers),
+        )
+        sent = self._http.send(message) or b''
+        if body:
+            sent += self._http.send(h11.Data(data=body)) or b''
+        sent += self._http.send(h11.EndOfMessage()) or b''
+        try:
+            self._sock.settimeout(timeout_s)
+            self._sock.sendall(sent)
+        except OSError as exc:
+            return LinkError(f'send: {exc}')
+        return None
+
+    def receive(self, timeout_s: float | None = None) -> tuple[LinkEvent, ...]:
+        """Read once and return what it completes."""
+        try:
+            self._sock.settimeout(timeout_s)
+            self._http.receive_data(self._sock.recv(_READ_BYTES))
+        except OSError as exc:
+            return (LinkError(f'read: {exc or type(exc).__name__}'),)
+        except (RuntimeError, h11.ProtocolError) as exc:
+            return (LinkError(f'read: {exc}'),)
+        return tuple(self._events())
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+    def _events(self) -> list[LinkEvent]:
+        found: list[LinkEvent] = []
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.ProtocolError as exc:
+                return [*found, LinkError(f'no answer: {exc}')]
+            if isinstance(event, h11.Response):
+                headers = tuple(event.headers.raw_items())
+                found.append(HeadRead(event.status_code, headers))
+            elif isinstance(event, h11.Data):
+                found.append(BodyRead(bytes(event.data)))
+            elif isinstance(event, h11.EndOfMessage):
+                return [*found, AnswerEnded()]
+            elif isinstance(event, h11.ConnectionClosed):
+                return [*found, LinkError('closed without an answer')]
+            elif event is h11.NEED_DATA or event is h11.PAUSED:
+                return found
