--- a/pomelogauge/decide/group_plan.py
+++ b/pomelogauge/decide/group_plan.py
@@ -132,9 +132,7 @@
         here = [
             one.model for one in self._stock.standing if one.domain == domain
         ]
-        free = [
-            one for one in targets if one.name not in self._stock.taken
-        ]
+        free = [one for one in targets if one.name not in self._stock.taken]
         reserve = round(SPARE_SHARE * len(targets))
         while True:
             wanted = self._next_model(here, len(free), reserve)
@@ -224,5 +222,3 @@
     loaded = spec.name not in target.models
     staged = spec.name not in target.staged
     return (int(loaded), int(staged), target.name)
-
-
--- a/pomelogauge/decide/offers.py
+++ b/pomelogauge/decide/offers.py
@@ -47,8 +47,8 @@
 class Offers:
     """All offers, by service and model."""
 
-    by_model: Mapping[tuple[ServiceName, ModelName], tuple[Offer, ...]] = (
-        field(default_factory=dict)
+    by_model: Mapping[tuple[ServiceName, ModelName], tuple[Offer, ...]] = field(
+        default_factory=dict
     )
     names: frozenset[TargetName] = frozenset()
 
--- a/pomelogauge/entry/courier.py
+++ b/pomelogauge/entry/courier.py
@@ -7,7 +7,7 @@
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
 from ..tasks.task import Task
-from .messages import Order, OrderSettled, OwnerMessage, OrderOutcome
+from .messages import Order, OrderOutcome, OrderSettled, OwnerMessage
 
 _log = part_logger(Part.GROUPS)
 
--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -231,9 +231,7 @@
         view = replace(view, own=max(0, view.own - 1))
         if ended.outcome in _BAD:
             view = replace(view, suspect_until_s=now_s + SUSPECT_S)
-            _log.info(
-                'target %s is avoided: %s', ended.target, ended.outcome
-            )
+            _log.info('target %s is avoided: %s', ended.target, ended.outcome)
         self._views[ended.target] = view
 
     def _budget(self, service: ServiceName) -> RepeatBudget:
--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -68,9 +68,7 @@
 #: Key of the line of successors.
 _LINE = 'owner'
 
-_LIVE = frozenset(
-    (GroupState.JOINING, GroupState.OPENING, GroupState.SERVING)
-)
+_LIVE = frozenset((GroupState.JOINING, GroupState.OPENING, GroupState.SERVING))
 _log = part_logger(Part.GROUPS)
 
 
@@ -377,9 +375,7 @@
         names = tuple(self._released)
         if not names:
             return
-        written = tuple(
-            RowWritten(Table.GROUPS, name, None) for name in names
-        )
+        written = tuple(RowWritten(Table.GROUPS, name, None) for name in names)
         if self._commit(written):
             self._released.clear()
             for name in names:
@@ -417,8 +413,7 @@
         self._staging = {
             name: model
             for name, model in self._staging.items()
-            if name in fleet.targets
-            and model not in fleet.targets[name].staged
+            if name in fleet.targets and model not in fleet.targets[name].staged
         }
         taken = frozenset(
             member.target
@@ -460,9 +455,7 @@
                 if member.target in fleet.targets
             }
             for domain in domains or {DomainName('')}:
-                yield Standing(
-                    held.record.service, held.record.model, domain
-                )
+                yield Standing(held.record.service, held.record.model, domain)
 
     def _form(self, plan: Plan) -> bool:
         """Record groups and order their members to join."""
--- a/pomelogauge/entry/request_run.py
+++ b/pomelogauge/entry/request_run.py
@@ -260,7 +260,7 @@
             return self._lost('answer to another request')
         if answer.is_success():
             if not answer.is_stamped or answer.is_encoded:
-                return self._lost('answer is not the target\'s own')
+                return self._lost("answer is not the target's own")
             return RequestEvent.HEAD
         if self._started or self._may_try_again(answer):
             return self._lost(f'target answered {answer.status}')
--- a/pomelogauge/platform/fields.py
+++ b/pomelogauge/platform/fields.py
@@ -7,7 +7,6 @@
 from ..model.errors import Finding, FindingsError, Place
 
 
-
 class Fields:
     """One JSON object whose faults are collected.
 
--- a/pomelogauge/platform/requests.py
+++ b/pomelogauge/platform/requests.py
@@ -53,9 +53,7 @@
     )
 )
 #: Headers of requests that this system alone sets.
-_OWN = frozenset(
-    (_BUDGET, _EXPECTED, _ORGANISATION, _RANK, _KEY, _LAST_EVENT)
-)
+_OWN = frozenset((_BUDGET, _EXPECTED, _ORGANISATION, _RANK, _KEY, _LAST_EVENT))
 #: Headers that may come once only.
 _SINGLE = frozenset(
     (_ATTEMPT, _BUDGET, _KEY, _SIZE, _MODEL, _LAST_EVENT, 'host')
--- a/pomelogauge/platform/targets.py
+++ b/pomelogauge/platform/targets.py
@@ -113,5 +113,3 @@
         inner.whole('rank'),
         SeatState(state),
     )
-
-
--- a/pomelogauge/wire/caller_connection.py
+++ b/pomelogauge/wire/caller_connection.py
@@ -203,9 +203,7 @@
         given = list(headers) if status in _NO_BODY else [*headers, length]
         if ends_connection:
             given.append((b'Connection', b'close'))
-        sent = self._http.send(
-            h11.Response(status_code=status, headers=given)
-        )
+        sent = self._http.send(h11.Response(status_code=status, headers=given))
         if body:
             sent = (sent or b'') + (self._http.send(h11.Data(body)) or b'')
         ended = self._http.send(h11.EndOfMessage())
--- a/test/control_simulation.py
+++ b/test/control_simulation.py
@@ -44,6 +44,7 @@
 from pomelogauge.model.placement import EngineState, EngineStatus, Lease
 from pomelogauge.model.times import ControlTimes
 from pomelogauge.model.topology import Instance, InstanceRole
+from pomelogauge.standins.memory_platform import MemoryPlatform
 from pomelogauge.tables.protocols import (
     Committed,
     PlatformError,
@@ -52,7 +53,6 @@
     RowKey,
     Transaction,
 )
-from pomelogauge.standins.memory_platform import MemoryPlatform
 from pomelogauge.tasks.control_messages import (
     LeaseHeld,
     LeasePaused,
--- a/test/test_configuration_store.py
+++ b/test/test_configuration_store.py
@@ -7,6 +7,7 @@
 
 from pomelogauge.model.ids import ConfigVersion, DataCentreName
 from pomelogauge.model.manifest import Configuration, DataCentre, Manifest
+from pomelogauge.standins.memory_platform import MemoryPlatform
 from pomelogauge.tables.configuration_store import (
     CURRENT_KEY,
     ConfigurationStore,
@@ -18,7 +19,6 @@
     PlatformFault,
     Transaction,
 )
-from pomelogauge.standins.memory_platform import MemoryPlatform
 
 DC = DataCentreName('dc1')
 MANIFEST = Manifest((DataCentre(DC, 'is-sudur'),))
--- a/test/test_http_platform.py
+++ b/test/test_http_platform.py
@@ -8,6 +8,10 @@
 from returns.result import Result
 
 from pomelogauge.model.ids import ABSENT_ROW, Address, RowVersion
+from pomelogauge.standins.platform import (
+    PlatformStandin,
+    PlatformStandinSettings,
+)
 from pomelogauge.tables.http_platform import HttpPlatform
 from pomelogauge.tables.protocols import (
     Condition,
@@ -17,10 +21,6 @@
     Transaction,
     Write,
 )
-from pomelogauge.standins.platform import (
-    PlatformStandin,
-    PlatformStandinSettings,
-)
 
 KEY = RowKey('leases', 'klang/a 1')
 
--- a/test/test_lease_keeper.py
+++ b/test/test_lease_keeper.py
@@ -7,6 +7,7 @@
 from pomelogauge.model.ids import Incarnation, NodeName, RowVersion
 from pomelogauge.model.placement import Lease
 from pomelogauge.model.times import ControlTimes
+from pomelogauge.standins.memory_platform import MemoryPlatform
 from pomelogauge.tables.protocols import (
     Condition,
     PlatformError,
@@ -14,7 +15,6 @@
     RowKey,
     Transaction,
 )
-from pomelogauge.standins.memory_platform import MemoryPlatform
 from pomelogauge.tasks.control_messages import (
     LeaseHeld,
     LeasePaused,
--- a/test/test_shard_owner.py
+++ b/test/test_shard_owner.py
@@ -27,6 +27,7 @@
 )
 from pomelogauge.model.times import ControlTimes
 from pomelogauge.model.topology import Instance
+from pomelogauge.standins.memory_platform import MemoryPlatform
 from pomelogauge.tables.protocols import (
     PlatformError,
     PlatformFault,
@@ -34,7 +35,6 @@
     Transaction,
     Write,
 )
-from pomelogauge.standins.memory_platform import MemoryPlatform
 from pomelogauge.tasks.control_messages import (
     EngineSeen,
     LeaseHeld,
--- a/test/test_standin_platform.py
+++ b/test/test_standin_platform.py
@@ -5,11 +5,11 @@
 
 import urllib3
 
-from pomelogauge.tables.http_platform import HttpPlatform
 from pomelogauge.standins.platform import (
     PlatformStandin,
     PlatformStandinSettings,
 )
+from pomelogauge.tables.http_platform import HttpPlatform
 
 from .test_http_platform import KEY, control, insert
 
--- a/test/test_table_ledger.py
+++ b/test/test_table_ledger.py
@@ -17,7 +17,6 @@
     ServiceName,
 )
 from pomelogauge.model.request import Execution, RefusalCode, ServiceRequest
-from pomelogauge.tables.protocols import PlatformError, PlatformFault
 from pomelogauge.services.ledger import Permit
 from pomelogauge.services.protocols import ServiceAnswer, ServiceError
 from pomelogauge.services.table_ledger import (
@@ -26,6 +25,7 @@
     TableLedger,
 )
 from pomelogauge.standins.memory_platform import MemoryPlatform
+from pomelogauge.tables.protocols import PlatformError, PlatformFault
 from pomelogauge.tasks.intent_sweeper import IntentSweeper, SweepSettings
 from pomelogauge.tasks.mailbox import Mailbox
 from pomelogauge.tasks.minted_keys import MintedKeys
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -22,9 +22,9 @@
 from pomelogauge.model.manifest import Configuration
 from pomelogauge.model.peers import NodeReport
 from pomelogauge.model.topology import InstanceRole
+from pomelogauge.standins.memory_platform import MemoryPlatform
 from pomelogauge.tables.configuration_store import ConfigurationStore
 from pomelogauge.tables.protocols import PlatformError, PlatformFault
-from pomelogauge.standins.memory_platform import MemoryPlatform
 from pomelogauge.tasks.links import LinkError
 from pomelogauge.tasks.messages import NodeStatus
 
