--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -8,15 +8,18 @@
 from random import Random
 
 from ..charts.reader import load_chart
+from ..decide.prelude import Prelude
 from ..decide.serving_rules import AdmissionBounds
 from ..decide.shutdown_chart import SHUTDOWN_WORDS
 from ..entry.caller_task import CallerTask
 from ..entry.courier import CourierPool
 from ..entry.dispatcher import Dispatcher, DispatchSettings
+from ..entry.group_ledger import GroupLedger
+from ..entry.group_orders import GroupOrders
 from ..entry.knowledge import Knowledge
 from ..entry.listener import ConnectionTasks, Listener
 from ..entry.messages import DispatchMessage, EntryLeaves
-from ..entry.owner import Owner, OwnerPorts, OwnerSettings
+from ..entry.owner import Owner, OwnerParts, OwnerSettings
 from ..entry.pages import (
     DirectoryPage,
     MetricsPage,
@@ -24,6 +27,7 @@
     PageTask,
     ReadyPage,
 )
+from ..entry.planning import Planning
 from ..entry.register import Register
 from ..entry.request_ports import RequestPorts, load_request_chart
 from ..entry.store import Table
@@ -145,7 +149,7 @@
     metrics = tasks.add('metrics', MetricsActor())
     owner = _owner(shared)
     owner_task = tasks.add('owner', owner)
-    owner.mailbox = owner_task
+    owner.listen_on(owner_task)
     knowledge = tasks.add(
         'knowledge',
         Knowledge(shared.rows, shared.board, (owner_task,), shared.clock),
@@ -200,16 +204,18 @@
     store = shared.store()
     keeper = TenureKeeper(shared.life, store, shared.rows, shared.clock)
     cfg = shared.cfg
+    orders = GroupOrders(CourierPool(OrderClient()))
+    prelude = Prelude(cfg.is_first_start, shared.clock.now_s())
     return Owner(
-        OwnerSettings(cfg.node, cfg.bounds.stall_s, cfg.is_first_start),
-        OwnerPorts(
+        OwnerSettings(cfg.bounds.stall_s),
+        OwnerParts(
             shared.board,
-            store,
-            shared.rows,
-            CourierPool(OrderClient()),
+            keeper,
+            GroupLedger(store, shared.rows, keeper),
+            orders,
+            Planning(orders, prelude),
             shared.clock,
         ),
-        keeper,
     )
 
 
--- a/pomelogauge/app/log_writer.py
+++ b/pomelogauge/app/log_writer.py
@@ -68,7 +68,8 @@
                 self._stream.flush()
 
     def _write(self, record: logging.LogRecord) -> None:
-        dropped, self._dropped = self._dropped, 0
+        dropped = self._dropped
+        self._dropped = 0
         if dropped:
             record.dropped = dropped
         try:
--- a/pomelogauge/decide/load_budget.py
+++ b/pomelogauge/decide/load_budget.py
@@ -33,4 +33,4 @@
 
     def count(self, loads: int, now_s: float) -> None:
         """Count loads that were ordered."""
-        self._starts.extend([now_s] * loads)
+        self._starts.extend(now_s for _ in range(loads))
--- /dev/null
+++ b/pomelogauge/entry/caller_answer.py
@@ -0,0 +1,150 @@
+"""The answer that one caller gets."""
+
+from ..model.entry_request import TargetAnswer
+from ..tasks.clock import Clock
+from ..tasks.published import Published
+from ..wire.caller_connection import CallerConnection
+from ..wire.event_stream import EventCutter
+from .codecs import RequestCodec
+
+_UNAVAILABLE = 503
+
+
+class CallerAnswer:
+    """Passes on one target's answer after another, or an own one.
+
+    Events of a stream are passed on as they come, whole ones only; all other
+    bodies once they are complete.
+
+    Parameters
+    ----------
+    conn
+        The caller's connection.
+    codec
+        Encodes own answers.
+    leaving
+        Whether the instance ends; then the connection ends with the answer.
+    read_s
+        When the request had been read, by the own clock.
+    clock
+        Own clock.
+
+    """
+
+    def __init__(
+        self,
+        conn: CallerConnection,
+        codec: RequestCodec,
+        leaving: Published[bool],
+        read_s: float,
+        clock: Clock,
+    ) -> None:
+        """Start without an answer."""
+        self._conn = conn
+        self._codec = codec
+        self._leaving = leaving
+        self._read_s = read_s
+        self._clock = clock
+        self._cutter = EventCutter()
+        self._head: TargetAnswer | None = None
+        self._body = bytearray()
+        self.has_started = False
+        self.status = 0
+        self.first_s = 0.0
+
+    @property
+    def last_event(self) -> str:
+        """Last event that was passed on; empty for none."""
+        return self._cutter.last_id
+
+    def begin(self, head: TargetAnswer) -> None:
+        """Take the head of a target's answer.
+
+        A caller whose stream goes on keeps the head of the first one.
+        """
+        self._cutter.restart()
+        self._body = bytearray()
+        if not self.has_started:
+            self._head = head
+
+    def take(self, piece: bytes) -> None:
+        """Take a piece of the body.
+
+        Raises
+        ------
+        CallerLeftError
+            The caller has closed its connection.
+
+        """
+        if not self._is_stream():
+            self._body += piece
+            return
+        whole = self._cutter.whole(piece)
+        if whole:
+            self._start()
+            self._conn.send_piece(whole)
+
+    def is_torn(self) -> bool:
+        """Return whether the stream ended inside an event."""
+        return self._is_stream() and self._cutter.is_torn
+
+    def finish(self) -> None:
+        """Give the caller the rest of the target's answer.
+
+        Raises
+        ------
+        CallerLeftError
+            The caller has closed its connection.
+
+        """
+        if self.has_started:
+            self._conn.end_answer()
+        elif self._head is not None:
+            self._note(self._head.status)
+            self._conn.answer(
+                self._head.status,
+                self._head.headers,
+                bytes(self._body),
+                self._leaving.latest(),
+            )
+
+    def refuse(self, status: int, reason: str, retry_after_s: float) -> None:
+        """Give the caller an own answer.
+
+        Raises
+        ------
+        CallerLeftError
+            The caller has closed its connection.
+
+        """
+        self._note(status)
+        self._conn.answer(
+            status,
+            self._codec.refusal_headers(
+                retry_after_s if status == _UNAVAILABLE else 0
+            ),
+            self._codec.refusal_body(reason),
+            self._leaving.latest(),
+        )
+
+    def cut(self) -> None:
+        """End the answer so that it does not look complete."""
+        self._conn.abort()
+
+    def _is_stream(self) -> bool:
+        head = self._head
+        return head is not None and head.is_stream and head.is_success()
+
+    def _start(self) -> None:
+        head = self._head
+        if self.has_started or head is None:
+            return
+        self.has_started = True
+        self._note(head.status)
+        self._conn.start_answer(
+            head.status, head.headers, self._leaving.latest()
+        )
+
+    def _note(self, status: int) -> None:
+        self.status = status
+        self.first_s = self._clock.now_s() - self._read_s
--- a/pomelogauge/entry/held_group.py
+++ b/pomelogauge/entry/held_group.py
@@ -15,10 +15,18 @@
 from ..model.fleet import Fleet, GroupRecord
 from ..model.ids import TargetName
 from ..model.log_parts import Part
+from ..model.serving import EngineSpec
 from ..tasks.log import part_logger
 
 GroupChart = Chart[GroupState, GroupEvent, GroupAction, GroupFacts]
 
+#: Seconds for a member's report to come, beyond what its join takes.
+REPORT_S = 3.0
+#: Seconds for which what runs may end before a group is taken apart.
+CLOSING_S = 3.0
+#: Seconds after which an order to leave is sent again.
+LEAVING_S = 1.5
+
 _FACTS = GroupFacts()
 _log = part_logger(Part.GROUPS)
 
@@ -65,6 +73,46 @@
         return limits.get(state, float('inf'))
 
 
+def group_times(
+    record: GroupRecord,
+    engine: EngineSpec | None,
+    stall_s: float,
+) -> GroupTimes:
+    """Return the longest times of a group.
+
+    Parameters
+    ----------
+    record
+        The group.
+    engine
+        Figures of its service; ``None`` where it is no longer configured.
+    stall_s
+        Seconds after which a group without one of its members breaks.
+
+    """
+    join_s = 0.0
+    form_s = 0.0
+    if engine is not None:
+        form_s = engine.form_s
+        spec = engine.model(record.model)
+        join_s = spec.load_s if spec else 0
+    return GroupTimes(
+        joining=join_s + REPORT_S,
+        opening=form_s + REPORT_S,
+        closing=CLOSING_S,
+        leaving=LEAVING_S,
+        stalling=stall_s + 1,
+    )
+
+
+def engine_of(record: GroupRecord, fleet: Fleet) -> EngineSpec | None:
+    """Return the configured engine of a group's service."""
+    if fleet.config is None:
+        return None
+    service = fleet.config.services.get(record.service)
+    return service.engine if service else None
+
+
 @dataclass(frozen=True)
 class Step:
     """The outcome of one event: the group after it, and what to do."""
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -55,7 +55,7 @@
 
 @dataclass(frozen=True)
 class EntryLeaves:
-    """This instance ends."""
+    """Tells that the own instance ends."""
 
 
 KnowledgeMessage = TableRead | TableUnread | EntriesSeen
--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -1,120 +1,81 @@
 """The task that owns all groups while this instance holds the tenure."""
 
-from collections import deque
-from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from returns.result import Failure
-
 from ..decide.group_chart import GroupAction, GroupEvent, GroupState
-from ..decide.group_plan import (
-    GroupWanted,
-    Plan,
-    StageWanted,
-    Standing,
-    Stock,
-    plan_groups,
-)
-from ..decide.load_budget import LoadBudget
-from ..decide.ownership_chart import OwnershipAction
-from ..decide.rendezvous import ranked
-from ..model.fleet import Fleet, GroupRecord, Member
-from ..model.ids import (
-    DomainName,
-    Epoch,
-    GroupName,
-    ModelName,
-    NodeName,
-    TargetName,
-)
+from ..model.fleet import Fleet, GroupRecord
+from ..model.ids import GroupName
 from ..model.log_parts import Part
-from ..model.serving import EngineSpec, ServiceSpec
+from ..model.serving import ServiceSpec
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
 from ..tasks.published import Published
-from .codecs import OwnRows
-from .courier import CourierPool
-from .held_group import GroupTimes, HeldGroup, load_group_chart
+from .group_ledger import GroupLedger
+from .group_orders import GroupOrders
+from .held_group import (
+    HeldGroup,
+    engine_of,
+    group_times,
+    load_group_chart,
+)
 from .messages import (
     EntriesSeen,
     FleetChanged,
-    Order,
     OrderKind,
     OrderOutcome,
     OrderSettled,
     OwnerMessage,
 )
-from .store import RowWritten, StoreFault, StoreWrites, Table
+from .planning import Planning
 from .tenure_keeper import TenureKeeper
 
 #: Seconds between two looks at the groups without news.
 TICK_S = 0.25
-#: Seconds for which a target is left out that did not take an order. A lost
-#: order may be carried out up to twelve seconds later.
-SUSPECT_S = 4.0
-#: Seconds for a member's report to come, beyond what its join takes.
-REPORT_S = 3.0
-CLOSING_S = 3.0
-LEAVING_S = 1.5
-#: Seconds after the first start in which loads count for nothing: traffic
-#: comes later than this.
-PRELUDE_S = 9.0
-#: Seconds without a new target after which all that start with the system
-#: are taken to be listed.
-SETTLING_S = 0.7
-#: Epochs of one term; a later term has higher epochs than all before it.
-EPOCHS_A_TERM = 100_000
-#: Key of the line of successors.
-_LINE = 'owner'
-
-_LIVE = frozenset((GroupState.JOINING, GroupState.OPENING, GroupState.SERVING))
+
 _log = part_logger(Part.GROUPS)
 
 
 @dataclass(frozen=True)
 class OwnerSettings:
-    """Times of the owner.
+    """How long the owner waits.
 
     Parameters
     ----------
-    node
-        Name of this instance.
     stall_s
         Seconds after which a group without one of its members breaks.
-    is_first_start
-        The whole system starts for the first time.
 
     """
 
-    node: NodeName
     stall_s: float
-    is_first_start: bool
 
 
 @dataclass(frozen=True)
-class OwnerPorts:
-    """Whom the owner talks to.
+class OwnerParts:
+    """What the owner's task owns and reads.
 
     Parameters
     ----------
     board
         Picture of the fleet.
-    store
-        Connection of this task to the store.
-    rows
-        Encodes rows.
-    couriers
-        Carry orders.
+    keeper
+        View of the tenure.
+    ledger
+        Records of groups.
+    orders
+        Orders to targets.
+    planning
+        Plans groups.
     clock
         Own clock, suspensions included.
 
     """
 
     board: Published[Fleet]
-    store: StoreWrites
-    rows: OwnRows
-    couriers: CourierPool
+    keeper: TenureKeeper
+    ledger: GroupLedger
+    orders: GroupOrders
+    planning: Planning
     clock: Clock
 
 
@@ -125,35 +86,22 @@
     ----------
     settings
         Times.
-    ports
-        Whom to talk to.
-    keeper
-        View of the tenure; owned by this task.
+    parts
+        What it owns and reads.
 
     """
 
-    def __init__(
-        self,
-        settings: OwnerSettings,
-        ports: OwnerPorts,
-        keeper: TenureKeeper,
-    ) -> None:
+    def __init__(self, settings: OwnerSettings, parts: OwnerParts) -> None:
         """Start without groups."""
         self._settings = settings
-        self._ports = ports
-        self._keeper = keeper
+        self._parts = parts
         self._chart = load_group_chart()
         self._groups: dict[GroupName, HeldGroup] = {}
-        self._released: deque[GroupName] = deque()
-        self._suspects: dict[TargetName, float] = {}
-        self._staging: dict[TargetName, ModelName] = {}
-        self._loads = LoadBudget()
-        self._formed = 0
-        self._listed = 0
-        self._listed_s = 0.0
         self._is_adopted = False
-        self._started_s = ports.clock.now_s()
-        self.mailbox: Outbox[OwnerMessage] | None = None
+
+    def listen_on(self, own: Outbox[OwnerMessage]) -> None:
+        """Set where outcomes of orders are left; before the start."""
+        self._parts.orders.listen_on(own)
 
     def on_start(self) -> None:
         """Connect with the first look."""
@@ -164,7 +112,7 @@
             case OrderSettled():
                 self._settle(message)
             case EntriesSeen():
-                self._rank(message)
+                self._parts.keeper.line_up(message.entries)
             case FleetChanged():
                 return
 
@@ -177,348 +125,131 @@
             Seconds until the next look.
 
         """
-        action = self._keeper.tick()
-        if action is OwnershipAction.DROP:
+        keeper = self._parts.keeper
+        if keeper.tick() is not None or self._parts.ledger.is_unsettled:
             self._drop()
-        if action is OwnershipAction.ADOPT:
-            self._is_adopted = False
-        if not self._keeper.is_held:
-            return self._keeper.due_s()
+        if not keeper.is_held:
+            return keeper.due_s()
         if not self._is_adopted:
             self._adopt()
         if self._is_adopted:
             self._look_after()
-        return min(TICK_S, self._keeper.due_s())
+        return min(TICK_S, keeper.due_s())
 
     def on_stop(self) -> None:
         """Leave the groups to the next owner."""
 
-    def _rank(self, seen: EntriesSeen) -> None:
-        """Find the place of this instance in the line of successors."""
-        holder = self._keeper.tenure.holder.partition(' ')[0]
-        nodes = [
-            entry.node
-            for entry in seen.entries
-            if not entry.is_leaving and entry.node != holder
-        ]
-        line = ranked(_LINE, nodes)
-        if self._settings.node in line:
-            self._keeper.set_rank(line.index(self._settings.node))
-
     def _drop(self) -> None:
+        """Forget the groups; they are read again before the next act."""
         self._groups = {}
-        self._released = deque()
-        self._staging = {}
+        self._parts.orders.drop()
         self._is_adopted = False
 
     def _adopt(self) -> None:
         """Take over the groups that are recorded."""
-        fleet = self._ports.board.latest()
+        fleet = self._parts.board.latest()
         if fleet.config is None or not fleet.can_serve:
             return
-        answer = self._ports.store.read_all(Table.GROUPS)
-        if isinstance(answer, Failure):
-            _log.warning('groups can not be read: %s', answer.failure())
+        records = self._parts.ledger.read()
+        if records is None:
             return
-        self._groups = {}
-        for row in answer.unwrap().rows:
-            if row.body is None:
-                continue
-            decoded = self._ports.rows.group(row.key, row.body, row.version)
-            if isinstance(decoded, Failure):
-                _log.error('group is malformed: %s', decoded.failure())
-                continue
-            self._hold(decoded.unwrap())
+        for record in records:
+            self._hold(record)
         self._is_adopted = True
-        self._formed = 0
         _log.info(
             'groups are adopted',
             extra={
-                'term': self._keeper.tenure.term,
+                'term': self._parts.keeper.tenure.term,
                 'groups': sorted(self._groups),
             },
         )
 
     def _hold(self, record: GroupRecord) -> None:
-        now_s = self._ports.clock.now_s()
-        held = HeldGroup(
-            record, self._times(record), GroupState.JOINING, now_s, now_s
-        )
-        self._groups[record.group] = held
-
-    def _times(self, record: GroupRecord) -> GroupTimes:
-        join_s = 0.0
-        form_s = 0.0
-        engine = self._engine(record)
-        if engine is not None:
-            form_s = engine.form_s
-            spec = engine.model(record.model)
-            join_s = spec.load_s if spec is not None else 0
-        return GroupTimes(
-            joining=join_s + REPORT_S,
-            opening=form_s + REPORT_S,
-            closing=CLOSING_S,
-            leaving=LEAVING_S,
-            stalling=self._settings.stall_s + 1,
+        now_s = self._parts.clock.now_s()
+        engine = engine_of(record, self._parts.board.latest())
+        times = group_times(record, engine, self._settings.stall_s)
+        self._groups[record.group] = HeldGroup(
+            record, times, GroupState.JOINING, now_s, now_s
         )
 
-    def _engine(self, record: GroupRecord) -> EngineSpec | None:
-        config = self._ports.board.latest().config
-        service = config.services.get(record.service) if config else None
-        return service.engine if service else None
-
     def _look_after(self) -> None:
-        fleet = self._ports.board.latest()
+        fleet = self._parts.board.latest()
         for name in tuple(self._groups):
             self._watch(name, fleet)
-        self._forget_released()
-        if fleet.config is None or not self._keeper.is_held:
+        self._remove_released()
+        self._parts.orders.keep(fleet)
+        if fleet.config is None or not self._parts.keeper.is_held:
             return
         for service in fleet.config.services.values():
-            if service.engine is not None:
-                self._extend(service, service.engine, fleet)
+            self._extend(service, fleet)
 
     def _watch(self, name: GroupName, fleet: Fleet) -> None:
         held = self._groups[name].watch(fleet)
         self._groups[name] = held
-        engine = self._engine(held.record)
+        engine = engine_of(held.record, fleet)
         wanted = bool(engine and engine.model(held.record.model))
-        now_s = self._ports.clock.now_s()
-        for event in held.events(fleet, wanted, now_s):
+        for event in held.events(fleet, wanted, self._parts.clock.now_s()):
             self._step(name, event)
 
     def _step(self, name: GroupName, event: GroupEvent) -> None:
-        now_s = self._ports.clock.now_s()
+        now_s = self._parts.clock.now_s()
         step = self._groups[name].take(self._chart, event, now_s)
         self._groups[name] = step.group
-        if step.action is not None and self._keeper.is_held:
-            self._act(step.group, step.action)
+        if step.action is not None and self._parts.keeper.is_held:
+            self._act(step.group.record, step.action)
 
-    def _act(self, held: HeldGroup, action: GroupAction) -> None:
-        head = held.record.head
+    def _act(self, record: GroupRecord, action: GroupAction) -> None:
+        orders = self._parts.orders
         match action:
             case GroupAction.OPEN:
-                self._order(held.record, head, OrderKind.OPEN)
+                orders.send(OrderKind.OPEN, record, record.head)
             case GroupAction.CLOSE:
-                self._order(held.record, head, OrderKind.CLOSE)
+                orders.send(OrderKind.CLOSE, record, record.head)
             case GroupAction.LEAVE_HEAD:
-                self._order(held.record, head, OrderKind.LEAVE)
+                orders.send(OrderKind.LEAVE, record, record.head)
             case GroupAction.LEAVE_MEMBERS:
-                for member in held.record.members:
-                    self._order(held.record, member, OrderKind.LEAVE)
-            case GroupAction.RELEASE:
-                self._released.append(held.record.group)
-
-    def _order(
-        self,
-        record: GroupRecord,
-        member: Member,
-        kind: OrderKind,
-    ) -> None:
-        order = Order(
-            kind,
-            record.service,
-            member.target,
-            record.group,
-            record.epoch,
-            record.model,
-            tuple(one.target for one in record.members),
-        )
-        self._send(member, order)
-
-    def _send(self, member: Member, order: Order) -> None:
-        if self.mailbox is not None:
-            self._ports.couriers.send(member.address, order, self.mailbox)
+                orders.leave(record)
 
     def _settle(self, settled: OrderSettled) -> None:
+        self._parts.orders.note(settled, self._parts.clock.now_s())
         order = settled.order
-        if settled.outcome is OrderOutcome.TAKEN:
-            self._on_taken(order)
-            return
-        if order.kind is OrderKind.STAGE:
-            self._staging.pop(order.target, None)
-            self._suspect(order.target)
         held = self._groups.get(order.group)
-        if held is None or held.record.epoch != order.epoch:
+        if held is None:
             return
-        if order.kind is OrderKind.JOIN:
-            self._suspect(order.target)
+        is_taken = settled.outcome is OrderOutcome.TAKEN
+        if order.kind is OrderKind.JOIN and not is_taken:
             lost = held.lost | {order.target}
             self._groups[order.group] = replace(held, lost=lost)
-        elif order.kind is OrderKind.LEAVE:
-            self._on_leave_failed(held, settled)
+        is_head = order.target == held.record.head.target
+        if order.kind is OrderKind.LEAVE and is_head:
+            is_silent = settled.outcome is OrderOutcome.SILENT
+            self._step(
+                order.group,
+                GroupEvent.HEAD_SILENT if is_silent else GroupEvent.HEAD_LEFT,
+            )
 
-    def _on_taken(self, order: Order) -> None:
-        held = self._groups.get(order.group)
-        if held is None or order.kind is not OrderKind.LEAVE:
-            return
-        if order.target == held.record.head.target:
-            self._step(order.group, GroupEvent.HEAD_LEFT)
-
-    def _on_leave_failed(
-        self,
-        held: HeldGroup,
-        settled: OrderSettled,
-    ) -> None:
-        if settled.order.target != held.record.head.target:
-            return
-        if settled.outcome is OrderOutcome.SILENT:
-            self._step(held.record.group, GroupEvent.HEAD_SILENT)
-        else:
-            self._step(held.record.group, GroupEvent.HEAD_LEFT)
-
-    def _suspect(self, name: TargetName) -> None:
-        self._suspects[name] = self._ports.clock.now_s() + SUSPECT_S
-
-    def _forget_released(self) -> None:
-        """Remove the records of released groups."""
-        names = tuple(self._released)
-        if not names:
-            return
-        written = tuple(RowWritten(Table.GROUPS, name, None) for name in names)
-        if self._commit(written):
-            self._released.clear()
+    def _remove_released(self) -> None:
+        names = tuple(
+            name
+            for name, held in self._groups.items()
+            if held.state is GroupState.RELEASED
+        )
+        if names and self._parts.ledger.remove(names):
             for name in names:
-                self._groups.pop(name, None)
-
-    def _extend(
-        self,
-        service: ServiceSpec,
-        engine: EngineSpec,
-        fleet: Fleet,
-    ) -> None:
+                self._groups.pop(name)
+
+    def _extend(self, service: ServiceSpec, fleet: Fleet) -> None:
         """Form the groups and stage the models that are missing."""
-        now_s = self._ports.clock.now_s()
-        if self._is_prelude(now_s) and not self._has_settled(fleet, now_s):
-            return
-        plan = plan_groups(service, self._stock(engine, fleet, now_s))
-        if plan.groups and not self._form(plan):
-            return
+        now_s = self._parts.clock.now_s()
+        groups = tuple(self._groups.values())
+        plan = self._parts.planning.plan(service, fleet, groups, now_s)
+        if plan.groups:
+            records = self._parts.ledger.form(plan.groups)
+            if not records:
+                return
+            for record in records:
+                self._hold(record)
+                self._parts.orders.join(record)
         for stage in plan.stages:
-            self._stage(stage, service)
-        if plan.groups or plan.stages:
-            self._loads.count(_loads_of(plan), now_s)
-
-    def _stock(
-        self,
-        engine: EngineSpec,
-        fleet: Fleet,
-        now_s: float,
-    ) -> Stock:
-        self._suspects = {
-            name: until_s
-            for name, until_s in self._suspects.items()
-            if until_s > now_s
-        }
-        self._staging = {
-            name: model
-            for name, model in self._staging.items()
-            if name in fleet.targets and model not in fleet.targets[name].staged
-        }
-        taken = frozenset(
-            member.target
-            for held in self._groups.values()
-            for member in held.record.members
-        )
-        return Stock(
-            fleet=fleet,
-            standing=tuple(self._standing(fleet)),
-            taken=taken,
-            suspects=frozenset(self._suspects),
-            staging=frozenset(self._staging),
-            loads_left=self._loads_left(engine, now_s),
-        )
-
-    def _loads_left(self, engine: EngineSpec, now_s: float) -> float:
-        if self._is_prelude(now_s):
-            return float('inf')
-        return self._loads.left(engine.loads_per_s, now_s)
-
-    def _is_prelude(self, now_s: float) -> bool:
-        passed_s = now_s - self._started_s
-        return self._settings.is_first_start and passed_s < PRELUDE_S
-
-    def _has_settled(self, fleet: Fleet, now_s: float) -> bool:
-        """Return whether the first targets have all been listed."""
-        if len(fleet.targets) != self._listed:
-            self._listed = len(fleet.targets)
-            self._listed_s = now_s
-        return now_s - self._listed_s > SETTLING_S
-
-    def _standing(self, fleet: Fleet) -> Iterable[Standing]:
-        for held in self._groups.values():
-            if held.state not in _LIVE:
-                continue
-            domains = {
-                fleet.targets[member.target].domain
-                for member in held.record.members
-                if member.target in fleet.targets
-            }
-            for domain in domains or {DomainName('')}:
-                yield Standing(held.record.service, held.record.model, domain)
-
-    def _form(self, plan: Plan) -> bool:
-        """Record groups and order their members to join."""
-        records = [self._record(wanted) for wanted in plan.groups]
-        written = tuple(
-            RowWritten(
-                Table.GROUPS,
-                record.group,
-                self._ports.rows.encode_group(record),
-            )
-            for record in records
-        )
-        if not self._commit(written):
-            return False
-        for record in records:
-            self._hold(record)
-            for member in record.members:
-                self._staging.pop(member.target, None)
-                self._order(record, member, OrderKind.JOIN)
-        return True
-
-    def _record(self, wanted: GroupWanted) -> GroupRecord:
-        self._formed += 1
-        epoch = self._keeper.tenure.term * EPOCHS_A_TERM + self._formed
-        return GroupRecord(
-            GroupName(f'g{epoch}'),
-            Epoch(epoch),
-            wanted.service,
-            wanted.model,
-            tuple(
-                Member(target.name, target.address, target.born_ms)
-                for target in wanted.members
-            ),
-        )
-
-    def _stage(self, stage: StageWanted, service: ServiceSpec) -> None:
-        target = stage.target
-        self._staging[target.name] = stage.model
-        order = Order(
-            OrderKind.STAGE, service.name, target.name, model=stage.model
-        )
-        member = Member(target.name, target.address, target.born_ms)
-        self._send(member, order)
-
-    def _commit(self, written: tuple[RowWritten, ...]) -> bool:
-        answer = self._ports.store.commit((self._keeper.condition(),), written)
-        if not isinstance(answer, Failure):
-            return True
-        error = answer.failure()
-        _log.warning('groups are not recorded: %s', error.message)
-        if error.fault is StoreFault.CONFLICT:
-            self._keeper.lose()
-            self._drop()
-        elif error.fault is StoreFault.UNSETTLED:
-            # What was written shows when the records are read again.
-            self._is_adopted = False
-        return False
-
-
-def _loads_of(plan: Plan) -> int:
-    joins = sum(
-        wanted.model not in member.staged
-        for wanted in plan.groups
-        for member in wanted.members
-    )
-    return joins + len(plan.stages)
+            self._parts.orders.stage(stage, service.name)
+        self._parts.planning.count(plan, now_s)
--- a/pomelogauge/entry/pages.py
+++ b/pomelogauge/entry/pages.py
@@ -196,8 +196,7 @@
 
     def _run(self) -> None:
         try:
-            while self._serve_one():
-                continue
+            self._serve()
         except CallerLeftError as exc:
             _log.debug('connection ended: %s', exc)
         except Exception:
@@ -205,12 +204,15 @@
         finally:
             self._conn.close()
 
-    def _serve_one(self) -> bool:
-        outcome = self._conn.read_request(_LIMITS)
-        if not isinstance(outcome, RequestRead):
-            return False
-        page = self._maker.page(outcome)
-        self._conn.answer(
-            page.status, page.headers, page.body, ends_connection=False
-        )
-        return self._conn.next_cycle()
+    def _serve(self) -> None:
+        """Serve requests until the connection ends."""
+        is_open = True
+        while is_open:
+            outcome = self._conn.read_request(_LIMITS)
+            if not isinstance(outcome, RequestRead):
+                return
+            page = self._maker.page(outcome)
+            self._conn.answer(
+                page.status, page.headers, page.body, ends_connection=False
+            )
+            is_open = self._conn.next_cycle()
--- a/pomelogauge/entry/tenure_keeper.py
+++ b/pomelogauge/entry/tenure_keeper.py
@@ -1,5 +1,7 @@
 """Takes, renews and watches the ownership of all groups in the store."""
 
+from collections.abc import Sequence
+
 from returns.result import Failure, Success
 
 from ..charts.reader import load_chart
@@ -10,7 +12,9 @@
     OwnershipFacts,
     OwnershipState,
 )
-from ..model.ids import ABSENT_ROW, RowVersion
+from ..decide.rendezvous import ranked
+from ..model.fleet import EntryInstance
+from ..model.ids import ABSENT_ROW, NodeName, RowVersion
 from ..model.log_parts import Part
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
@@ -40,6 +44,8 @@
 
 TENURE_KEY = 'tenure'
 BEAT_KEY = 'beat'
+#: Key of the line of successors.
+_LINE = 'owner'
 
 _FACTS = OwnershipFacts()
 _log = part_logger(Part.LEASE)
@@ -89,9 +95,20 @@
             return False
         return self._clock.now_s() - self._renewed_s <= HOLD_S
 
-    def set_rank(self, rank: int) -> None:
-        """Take the place of this instance in the line of successors."""
-        self._rank = rank
+    def line_up(self, entries: Sequence[EntryInstance]) -> None:
+        """Find the place of this instance in the line of successors."""
+        holder = _node_of(self.tenure.holder)
+        line = ranked(
+            _LINE,
+            [
+                entry.node
+                for entry in entries
+                if not entry.is_leaving and entry.node != holder
+            ],
+        )
+        own = _node_of(self._holder)
+        if own in line:
+            self._rank = line.index(own)
 
     def condition(self) -> RowExpected:
         """Return the condition of every write of the owner."""
@@ -137,7 +154,8 @@
 
     def _look(self, now_s: float) -> OwnershipAction | None:
         is_first = self._rank < FIRST_IN_LINE
-        self._next_s = now_s + (LOOK_S if is_first else LATE_LOOK_S)
+        pause_s = LOOK_S if is_first else LATE_LOOK_S
+        self._next_s = now_s + pause_s
         answer = self._store.read_all(Table.OWNER)
         if isinstance(answer, Failure):
             # Without an answer nothing is known of the owner's silence.
@@ -223,3 +241,7 @@
                 extra={'term': self.tenure.term},
             )
         return move.action
+
+
+def _node_of(holder: str) -> NodeName:
+    return NodeName(holder.partition(' ')[0])
--- a/pomelogauge/wire/caller_connection.py
+++ b/pomelogauge/wire/caller_connection.py
@@ -122,7 +122,8 @@
         except h11.RemoteProtocolError as exc:
             return ReadRefused(exc.error_status_hint, str(exc))
         except TimeoutError:
-            if self._http.their_state is h11.IDLE and not self._has_begun():
+            has_begun = bool(self._http.trailing_data[0])
+            if self._http.their_state is h11.IDLE and not has_begun:
                 return ReadEnded()
             return ReadRefused(REQUEST_TIMEOUT, 'the request takes too long')
         except OSError:
@@ -240,29 +241,34 @@
         self._sock.close()
 
     def _read(self, limits: ReadLimits) -> ReadOutcome:
-        head: h11.Request | None = None
-        body = bytearray()
         self._sock.settimeout(limits.idle_s)
+        head = self._next_part()
+        self._sock.settimeout(limits.head_s)
+        if not isinstance(head, h11.Request):
+            return ReadEnded()
+        body = bytearray()
         while True:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA:
-                self._fill()
-                self._sock.settimeout(limits.head_s)
-            elif isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.body_bytes:
-                    return ReadRefused(BODY_TOO_LARGE, 'body is too large')
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return RequestRead(
-                    head.method,
-                    head.target,
-                    tuple(head.headers.raw_items()),
-                    bytes(body),
-                )
-            else:
-                return ReadEnded()
+            part = self._next_part()
+            if not isinstance(part, h11.Data):
+                break
+            body += part.data
+            if len(body) > limits.body_bytes:
+                return ReadRefused(BODY_TOO_LARGE, 'body is too large')
+        if not isinstance(part, h11.EndOfMessage):
+            return ReadEnded()
+        return RequestRead(
+            head.method,
+            head.target,
+            tuple(head.headers.raw_items()),
+            bytes(body),
+        )
+
+    def _next_part(self) -> object:
+        while True:
+            part = self._http.next_event()
+            if part is not h11.NEED_DATA:
+                return part
+            self._fill()
 
     def _fill(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
@@ -270,9 +276,6 @@
             self._sock.sendall(self._http.send(go_on) or b'')
         self._http.receive_data(self._sock.recv(_READ_BYTES))
 
-    def _has_begun(self) -> bool:
-        return bool(self._http.trailing_data[0])
-
     def _send(self, sent: bytes | None) -> None:
         if not sent:
             return
--- a/pomelogauge/wire/target_link.py
+++ b/pomelogauge/wire/target_link.py
@@ -1,6 +1,7 @@
 """One connection to a target, owned by one task."""
 
 import socket
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import h11
@@ -140,21 +141,32 @@
         """Close the connection."""
         self._sock.close()
 
-    def _events(self) -> list[LinkEvent]:
-        found: list[LinkEvent] = []
+    def _events(self) -> Iterator[LinkEvent]:
+        """Yield what the bytes read so far complete."""
         while True:
             try:
                 event = self._http.next_event()
             except h11.ProtocolError as exc:
-                return [*found, LinkError(f'no answer: {exc}')]
-            if isinstance(event, h11.Response):
-                headers = tuple(event.headers.raw_items())
-                found.append(HeadRead(event.status_code, headers))
-            elif isinstance(event, h11.Data):
-                found.append(BodyRead(bytes(event.data)))
-            elif isinstance(event, h11.EndOfMessage):
-                return [*found, AnswerEnded()]
-            elif isinstance(event, h11.ConnectionClosed):
-                return [*found, LinkError('closed without an answer')]
-            elif event is h11.NEED_DATA or event is h11.PAUSED:
-                return found
+                yield LinkError(f'no answer: {exc}')
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            yield _link_event(event)
+            if isinstance(event, _LAST_EVENTS):
+                return
+
+
+_LAST_EVENTS = (h11.EndOfMessage, h11.ConnectionClosed)
+
+
+def _link_event(event: object) -> LinkEvent:
+    match event:
+        case h11.Response():
+            headers = tuple(event.headers.raw_items())
+            return HeadRead(event.status_code, headers)
+        case h11.Data():
+            return BodyRead(bytes(event.data))
+        case h11.EndOfMessage():
+            return AnswerEnded()
+        case _:
+            return LinkError('closed without an answer')
