Ask members that are not listed, form groups of staged targets only, stage what is missing first

Ruled out: too few targets (48 listed, 24 needed). Owners are succeeded after 1.7 s of silence instead of 2.4.

--- a/pomelogauge/decide/group_plan.py
+++ b/pomelogauge/decide/group_plan.py
@@ -1,7 +1,7 @@
 """Decides which groups to form and which hosts to stage models on."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ..model.fleet import Fleet, Target, TargetState
@@ -40,6 +40,8 @@
         Targets whose host is being given a model.
     loads_left
         Loads from the weight store that may start now.
+    loads_are_free
+        No traffic has come yet; loads are short and count for nothing.
 
     """
 
@@ -49,6 +51,7 @@
     suspects: frozenset[TargetName]
     staging: frozenset[TargetName]
     loads_left: float
+    loads_are_free: bool = False
 
 
 @dataclass(frozen=True)
@@ -135,78 +138,99 @@
         free = [one for one in targets if one.name not in self._stock.taken]
         reserve = round(SPARE_SHARE * len(targets))
         while True:
-            wanted = self._next_model(here, len(free), reserve)
-            if wanted is None:
+            members = self._form_one(here, free, reserve)
+            if not members:
                 break
-            members = _pick_members(free, wanted)
-            if not self._may_load(members, wanted):
-                break
-            self._groups.append(
-                GroupWanted(self._service, wanted.name, members)
-            )
-            self._counts[wanted.name] += 1
-            here.append(wanted.name)
             free = [one for one in free if one not in members]
-        self._plan_spares(here, free)
+        self._plan_missing(here, free)
 
-    def _next_model(
+    def _form_one(
         self,
-        here: Sequence[ModelName],
-        free: int,
+        here: list[ModelName],
+        free: Sequence[Target],
         reserve: int,
-    ) -> ModelSpec | None:
-        """Return the model to form next in a domain.
+    ) -> tuple[Target, ...]:
+        """Form the next group of a domain; return its members.
 
         Each domain first gets one group of each model, the one with the most
         work for a group first; more groups leave the reserve.
         """
-        by_need = sorted(self._engine.models, key=self._need, reverse=True)
+        by_need = self._by_need()
+        first = [spec for spec in by_need if spec.name not in here]
+        for spec in first:
+            members = self._members(free, spec)
+            if members:
+                return self._add(here, spec, members)
         for spec in by_need:
-            if spec.name not in here and spec.size <= free:
-                return spec
-        for spec in by_need:
-            if spec.size <= free - reserve:
-                return spec
-        return None
+            if spec.size <= len(free) - reserve:
+                members = self._members(free, spec)
+                if members and not first:
+                    return self._add(here, spec, members)
+        return ()
 
-    def _need(self, spec: ModelSpec) -> float:
-        return spec.share * spec.pace / (self._counts[spec.name] + 1)
+    def _members(
+        self,
+        free: Sequence[Target],
+        spec: ModelSpec,
+    ) -> tuple[Target, ...]:
+        """Return members whose hosts have the model.
+
+        Where loads count for nothing all targets will do.
+        """
+        able = [
+            one
+            for one in free
+            if self._stock.loads_are_free or spec.name in one.staged
+        ]
+        if len(able) < spec.size:
+            return ()
+        return _pick_members(able, spec)
 
-    def _may_load(
+    def _add(
         self,
-        members: Iterable[Target],
+        here: list[ModelName],
         spec: ModelSpec,
-    ) -> bool:
-        loads = sum(spec.name not in member.staged for member in members)
-        if loads > self._loads_left:
-            return False
-        self._loads_left -= loads
-        return True
-
-    def _plan_spares(
+        members: tuple[Target, ...],
+    ) -> tuple[Target, ...]:
+        self._groups.append(GroupWanted(self._service, spec.name, members))
+        self._counts[spec.name] += 1
+        here.append(spec.name)
+        return members
+
+    def _by_need(self) -> list[ModelSpec]:
+        return sorted(self._engine.models, key=self._need, reverse=True)
+
+    def _need(self, spec: ModelSpec) -> float:
+        return spec.share * spec.pace / (self._counts[spec.name] + 1)
+
+    def _plan_missing(
         self,
         here: Sequence[ModelName],
         free: Sequence[Target],
     ) -> None:
-        """Stage on spares the models whose groups they may repair."""
-        models = sorted(
-            (one for one in self._engine.models if one.name in here),
-            key=lambda spec: spec.load_s * spec.size,
-            reverse=True,
-        )
-        missing = list(models)
+        """Stage models for groups that lack members, then on spares.
+
+        A spare with the model of a group repairs it after a loss.
+        """
+        wanted: list[ModelName] = []
+        for spec in self._by_need():
+            is_missing = spec.name not in here and spec.size <= len(free)
+            hosts = spec.size if is_missing else 1
+            wanted.extend(spec.name for _ in range(hosts))
         idle = []
         for target in free:
-            staged = [one for one in missing if one.name in target.staged]
-            if staged:
-                missing.remove(staged[0])
-            elif target.name not in self._stock.staging:
+            held = [model for model in wanted if model in target.staged]
+            if held:
+                wanted.remove(held[0])
+            elif target.name in self._stock.staging:
+                wanted = wanted[1:]
+            else:
                 idle.append(target)
-        for target, spec in zip(idle, missing, strict=False):
+        for target, model in zip(idle, wanted, strict=False):
             if self._loads_left < 1:
                 return
             self._loads_left -= 1
-            self._stages.append(StageWanted(target, spec.name))
+            self._stages.append(StageWanted(target, model))
 
 
 def _pick_members(
--- a/pomelogauge/decide/group_sight.py
+++ b/pomelogauge/decide/group_sight.py
@@ -30,14 +30,12 @@
     is_closed
         The head is ready and takes none.
     lost
-        Members that are gone, started again, or report another group after
-        they had joined this one.
+        Members that started again, broke, or report another group after they
+        had joined this one.
     leaving
         Members that drain.
     head_is_listed
         The head's life that was recorded is still listed.
-    head_holds_seat
-        The head reports this group.
 
     """
 
@@ -47,7 +45,6 @@
     lost: tuple[TargetName, ...]
     leaving: tuple[TargetName, ...]
     head_is_listed: bool
-    head_holds_seat: bool
 
 
 def look(
@@ -83,14 +80,13 @@
         and all(seat.state in _JOINED for seat in seats.values()),
         is_open=head is not None and head.state is SeatState.OPEN,
         is_closed=head is not None and head.state is SeatState.READY,
-        lost=_lost(record, alive, seats, seen),
+        lost=_lost(record, fleet, seats, seen),
         leaving=tuple(
             name
             for name, target in alive.items()
             if target.state is TargetState.DRAINING
         ),
         head_is_listed=record.head.target in alive,
-        head_holds_seat=head is not None,
     )
 
 
@@ -125,17 +121,20 @@
 
 def _lost(
     record: GroupRecord,
-    alive: Mapping[TargetName, Target],
+    fleet: Fleet,
     seats: Mapping[TargetName, Seat],
     seen: frozenset[TargetName],
 ) -> tuple[TargetName, ...]:
-    return tuple(
-        member.target
-        for member in record.members
-        if member.target not in alive
-        or (member.target in seen and member.target not in seats)
-        or _is_broken(seats.get(member.target))
-    )
+    lost = []
+    for member in record.members:
+        if member.target not in fleet.targets:
+            continue
+        seat = seats.get(member.target)
+        has_left = seat is None and member.target in seen
+        is_other = living(member, fleet.targets) is None
+        if has_left or is_other or _is_broken(seat):
+            lost.append(member.target)
+    return tuple(lost)
 
 
 def _is_broken(seat: Seat | None) -> bool:
--- a/pomelogauge/decide/offers.py
+++ b/pomelogauge/decide/offers.py
@@ -1,14 +1,11 @@
 """Lists the targets that may take requests now."""
 
-from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from ..model.fleet import Fleet, Seat, SeatState, Target, TargetState
+from ..model.fleet import Fleet, Target, TargetState
 from ..model.ids import (
     DataCentreName,
-    Epoch,
-    GroupName,
     ModelName,
     ServiceName,
     TargetName,
@@ -17,7 +14,6 @@
 
 #: Model of the targets of plain services.
 NO_MODEL = ModelName('')
-_WHOLE = frozenset((SeatState.READY, SeatState.OPEN, SeatState.CLOSING))
 
 
 @dataclass(frozen=True)
@@ -59,11 +55,10 @@
 
 def list_offers(fleet: Fleet) -> Offers:
     """List what may take requests, from targets in service only."""
-    sizes = _whole_sizes(fleet)
     by_model: dict[tuple[ServiceName, ModelName], tuple[Offer, ...]] = {}
     names = set()
     for target in fleet.targets.values():
-        offer = _offer(target, fleet, sizes)
+        offer = _offer(target, fleet)
         if offer is None:
             continue
         key = target.service, offer.model
@@ -75,7 +70,6 @@
 def _offer(
     target: Target,
     fleet: Fleet,
-    sizes: Mapping[tuple[GroupName, Epoch], int],
 ) -> Offer | None:
     if not _in_service(target, fleet.drained) or fleet.config is None:
         return None
@@ -84,44 +78,22 @@
         return None
     if service.engine is None:
         return Offer(target, NO_MODEL, max(target.slots, 1))
-    return _group_offer(target, service.engine, sizes)
+    return _group_offer(target, service.engine)
 
 
 def _group_offer(
     target: Target,
     engine: EngineSpec,
-    sizes: Mapping[tuple[GroupName, Epoch], int],
 ) -> Offer | None:
-    seat = target.seat
-    if seat is None or not target.heads_open_group():
+    if not target.heads_open_group():
         return None
     for model in engine.models:
         if model.name in target.models:
-            if sizes.get((seat.group, seat.epoch), 0) < model.size:
-                return None
             slots = max(engine.slots, 1)
             return Offer(target, model.name, slots, model.pace)
     return None
 
 
-def _whole_sizes(fleet: Fleet) -> Counter[tuple[GroupName, Epoch]]:
-    """Count the members of each group that are in service and joined."""
-    sizes: Counter[tuple[GroupName, Epoch]] = Counter()
-    for target in fleet.targets.values():
-        seat = target.seat
-        if seat is not None and _counts(seat, target, fleet.drained):
-            sizes[seat.group, seat.epoch] += 1
-    return sizes
-
-
-def _counts(
-    seat: Seat,
-    target: Target,
-    drained: frozenset[DataCentreName],
-) -> bool:
-    return seat.state in _WHOLE and _in_service(target, drained)
-
-
 def _in_service(target: Target, drained: frozenset[DataCentreName]) -> bool:
     if target.state is not TargetState.READY:
         return False
--- a/pomelogauge/entry/group_orders.py
+++ b/pomelogauge/entry/group_orders.py
@@ -10,6 +10,8 @@
 #: Seconds for which a target is left out that did not take an order. A lost
 #: order may be carried out up to twelve seconds later.
 SUSPECT_S = 4.0
+#: Seconds between two questions to a member that is not listed.
+ASK_S = 1.0
 
 
 class GroupOrders:
@@ -28,6 +30,7 @@
         self._own: Outbox[OwnerMessage] | None = None
         self._suspects: dict[TargetName, float] = {}
         self._staging: dict[TargetName, ModelName] = {}
+        self._asked: dict[TargetName, float] = {}
 
     def listen_on(self, own: Outbox[OwnerMessage]) -> None:
         """Set where outcomes are left; before the start."""
@@ -66,6 +69,13 @@
         for member in record.members:
             self.send(OrderKind.LEAVE, record, member)
 
+    def ask(self, record: GroupRecord, member: Member, now_s: float) -> None:
+        """Ask an unlisted member whether it still holds its seat."""
+        if now_s < self._asked.get(member.target, float('-inf')) + ASK_S:
+            return
+        self._asked[member.target] = now_s
+        self.send(OrderKind.ASK, record, member)
+
     def stage(self, wanted: StageWanted, service: ServiceName) -> None:
         """Order a spare target to put a model on its host."""
         target = wanted.target
--- a/pomelogauge/entry/held_group.py
+++ b/pomelogauge/entry/held_group.py
@@ -12,7 +12,7 @@
 )
 from ..decide.group_sight import GroupSight, joined_members, look
 from ..model.chart import Chart
-from ..model.fleet import Fleet, GroupRecord
+from ..model.fleet import Fleet, GroupRecord, Member
 from ..model.ids import TargetName
 from ..model.log_parts import Part
 from ..model.serving import EngineSpec
@@ -27,6 +27,7 @@
 #: Seconds after which an order to leave is sent again.
 LEAVING_S = 1.5
 
+_ASKED = frozenset((GroupState.JOINING, GroupState.OPENING, GroupState.SERVING))
 _FACTS = GroupFacts()
 _log = part_logger(Part.GROUPS)
 
@@ -172,6 +173,16 @@
             found.append(GroupEvent.EXPIRED)
         return tuple(found)
 
+    def unlisted(self, fleet: Fleet) -> tuple[Member, ...]:
+        """Return members that are to be asked whether they live."""
+        if self.state not in _ASKED:
+            return ()
+        return tuple(
+            member
+            for member in self.record.members
+            if member.target not in fleet.targets
+        )
+
     def take(self, chart: GroupChart, event: GroupEvent, now_s: float) -> Step:
         """Apply an event."""
         move = chart.step(self.state, event, _FACTS)
@@ -196,7 +207,7 @@
         return Step(after, move.action)
 
     def _sight_events(self, sight: GroupSight) -> list[GroupEvent]:
-        if sight.lost or self.lost:
+        if sight.lost or self.lost or not sight.head_is_listed:
             return [GroupEvent.MEMBER_LOST]
         if sight.is_open:
             return [GroupEvent.OPENED]
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -144,13 +144,14 @@
 
 
 class OrderKind(StrEnum):
-    """Orders to a target."""
+    """Orders to a target; ``ASK`` asks whether it still holds its seat."""
 
     JOIN = 'join'
     OPEN = 'open'
     CLOSE = 'close'
     LEAVE = 'leave'
     STAGE = 'stage'
+    ASK = 'ask'
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -33,6 +33,8 @@
 #: Seconds between two looks at the groups without news.
 TICK_S = 0.25
 
+#: Orders whose failure shows that a member is lost.
+_MEMBER_NEEDED = frozenset((OrderKind.JOIN, OrderKind.ASK))
 _log = part_logger(Part.GROUPS)
 
 
@@ -186,9 +188,12 @@
     def _watch(self, name: GroupName, fleet: Fleet) -> None:
         held = self._groups[name].watch(fleet)
         self._groups[name] = held
+        now_s = self._parts.clock.now_s()
+        for member in held.unlisted(fleet):
+            self._parts.orders.ask(held.record, member, now_s)
         engine = engine_of(held.record, fleet)
         wanted = bool(engine and engine.model(held.record.model))
-        for event in held.events(fleet, wanted, self._parts.clock.now_s()):
+        for event in held.events(fleet, wanted, now_s):
             self._step(name, event)
 
     def _step(self, name: GroupName, event: GroupEvent) -> None:
@@ -217,7 +222,7 @@
         if held is None:
             return
         is_taken = settled.outcome is OrderOutcome.TAKEN
-        if order.kind is OrderKind.JOIN and not is_taken:
+        if order.kind in _MEMBER_NEEDED and not is_taken:
             lost = held.lost | {order.target}
             self._groups[order.group] = replace(held, lost=lost)
         is_head = order.target == held.record.head.target
--- a/pomelogauge/entry/planning.py
+++ b/pomelogauge/entry/planning.py
@@ -78,9 +78,8 @@
         groups: Sequence[HeldGroup],
         now_s: float,
     ) -> Stock:
+        is_prelude = self._prelude.is_on(now_s)
         loads_left = self._loads.left(engine.loads_per_s, now_s)
-        if self._prelude.is_on(now_s):
-            loads_left = float('inf')
         return Stock(
             fleet=fleet,
             standing=tuple(_standing(fleet, groups)),
@@ -91,7 +90,8 @@
             ),
             suspects=self._orders.suspects(now_s),
             staging=self._orders.staging(fleet),
-            loads_left=loads_left,
+            loads_left=float('inf') if is_prelude else loads_left,
+            loads_are_free=is_prelude,
         )
 
 
--- a/pomelogauge/entry/tenure_keeper.py
+++ b/pomelogauge/entry/tenure_keeper.py
@@ -30,14 +30,14 @@
 )
 
 #: Seconds between two renewals.
-RENEW_S = 0.7
+RENEW_S = 0.5
 #: Seconds after the start of the last renewal in which the owner may act.
-HOLD_S = 1.8
+HOLD_S = 1.3
 #: Seconds without a renewal after which others take over: the hold and the
 #: time of an order on its way.
-SILENT_S = 2.4
+SILENT_S = 1.7
 #: Seconds between two looks of the first in line and of all others.
-LOOK_S = 0.6
+LOOK_S = 0.4
 LATE_LOOK_S = 3.0
 #: Instances that look often.
 FIRST_IN_LINE = 2
--- a/pomelogauge/platform/orders.py
+++ b/pomelogauge/platform/orders.py
@@ -5,11 +5,15 @@
 
 from urllib3 import PoolManager, Timeout
 from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.response import BaseHTTPResponse
 
 from ..entry.messages import Order, OrderKind, OrderOutcome
+from ..model.errors import FindingsError
+from ..model.fleet import SeatState
 from ..model.ids import Address
 from ..model.log_parts import Part
 from ..tasks.log import part_logger
+from .targets import decode_seat
 
 #: Seconds to connect and to wait for the answer. Targets answer orders at
 #: once.
@@ -27,12 +31,13 @@
 
     def send(self, address: Address, order: Order) -> OrderOutcome:
         """Send one order once and return what became of it."""
+        is_question = order.kind is OrderKind.ASK
         try:
             with PoolManager(retries=False) as pool:
                 answer = pool.request(
-                    'POST',
-                    f'http://{address}/order',
-                    body=json.dumps(_body(order)),
+                    'GET' if is_question else 'POST',
+                    f'http://{address}/{"report" if is_question else "order"}',
+                    body=None if is_question else json.dumps(_body(order)),
                     headers={
                         'Content-Type': 'application/json',
                         'X-Expect-Instance': order.target,
@@ -44,12 +49,30 @@
         except HTTPError as exc:
             _log.warning('no answer from %s: %s', order.target, exc)
             return OrderOutcome.SILENT
-        if answer.status in _TAKEN:
-            return OrderOutcome.TAKEN
-        if answer.status == _MISDIRECTED:
-            return OrderOutcome.DEAD
+        return _outcome(answer, order)
+
+
+def _outcome(answer: BaseHTTPResponse, order: Order) -> OrderOutcome:
+    if answer.status == _MISDIRECTED:
+        return OrderOutcome.DEAD
+    if answer.status not in _TAKEN:
         _log.info('%s answered %s', order.target, answer.status)
         return OrderOutcome.REFUSED
+    if order.kind is OrderKind.ASK and not _holds_seat(answer.data, order):
+        return OrderOutcome.REFUSED
+    return OrderOutcome.TAKEN
+
+
+def _holds_seat(report: bytes, order: Order) -> bool:
+    """Return whether a target reports the group that an order names."""
+    try:
+        seat = decode_seat(order.target, report)
+    except FindingsError as exc:
+        _log.warning('report of %s is malformed: %s', order.target, exc)
+        return False
+    if seat is None or seat.state is SeatState.BROKEN:
+        return False
+    return seat.group == order.group and seat.epoch == order.epoch
 
 
 def _unreached(exc: NewConnectionError) -> OrderOutcome:
--- a/pomelogauge/platform/targets.py
+++ b/pomelogauge/platform/targets.py
@@ -67,6 +67,21 @@
     return target
 
 
+def decode_seat(name: str, text: bytes) -> Seat | None:
+    """Decode the seat that a target reports when it is asked.
+
+    Raises
+    ------
+    FindingsError
+        The report has faults.
+
+    """
+    fields = read_fields(f'report of {name}', text)
+    seat = _seat(fields)
+    fields.check()
+    return seat
+
+
 def _some(fields: Fields, name: str) -> str:
     text = fields.text(name)
     if not text:
