Report to the owner over gRPC; suspects reach it, members are asked at once

Instances report to the owner each half second, with the targets that were silent; the owner asks the members of their groups, and its answer lists the living instances.

--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,6 @@
 	$(BIN)/ruff check --fix .
 
 proto: $(VENV)/.installed
-	cd pomelogauge/wire && ../../$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --pyi_out=. --grpc_python_out=. peer.proto
+	cd pomelogauge/wire && $(abspath $(BIN))/python -m grpc_tools.protoc -I . --python_out=. --pyi_out=. --grpc_python_out=. peer.proto entry_peer.proto
 	sed -i 's/^import peer_pb2 as/from . import peer_pb2 as/' pomelogauge/wire/peer_pb2_grpc.py
+	sed -i 's/^import entry_peer_pb2 as/from . import entry_peer_pb2 as/' pomelogauge/wire/entry_peer_pb2_grpc.py
--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -20,6 +20,7 @@
 from ..entry.listener import ConnectionTasks, Listener
 from ..entry.messages import DispatchMessage, EntryLeaves
 from ..entry.owner import Owner, OwnerParts, OwnerSettings
+from ..entry.ownership import Tenancy, Tenure
 from ..entry.pages import (
     DirectoryPage,
     MetricsPage,
@@ -28,7 +29,7 @@
     ReadyPage,
 )
 from ..entry.planning import Planning
-from ..entry.register import Register
+from ..entry.register import Register, RegisterPorts
 from ..entry.request_ports import RequestPorts, load_request_chart
 from ..entry.store import Table
 from ..entry.table_reader import ReaderSettings, TableReader
@@ -53,6 +54,8 @@
     ShutdownPorts,
     ShutdownTimes,
 )
+from ..wire.entry_link import GrpcOwnerLink
+from ..wire.entry_server import EntryServer
 from .entry_settings import EntryOptions
 from .identity import draw_incarnation
 from .logs import set_up_entry_logs
@@ -82,6 +85,7 @@
     own: EntryInstance
     life: str
     board: Published[Fleet]
+    tenancy: Published[Tenancy]
     leaving: Published[bool]
     rows: RowTranslator
     clock: Clock
@@ -128,6 +132,7 @@
         own=EntryInstance(cfg.node, cfg.callers, cfg.data_centre),
         life=f'{cfg.node} {draw_incarnation()}',
         board=Published(Fleet()),
+        tenancy=Published(Tenancy()),
         leaving=Published(False),
         rows=RowTranslator(),
         clock=BootClock(),
@@ -154,8 +159,26 @@
         'knowledge',
         Knowledge(shared.rows, shared.board, (owner_task,), shared.clock),
     )
+    register = tasks.add(
+        'register',
+        Register(
+            shared.own,
+            RegisterPorts(
+                GrpcOwnerLink(),
+                shared.tenancy,
+                owner_task,
+                (knowledge, owner_task),
+            ),
+            shared.clock,
+        ),
+    )
+    tasks.include(EntryServer(shared.cfg.peers, register))
     dispatcher = Dispatcher(
-        _dispatch_settings(shared.cfg), shared.board, shared.clock, Random()
+        _dispatch_settings(shared.cfg),
+        shared.board,
+        register,
+        shared.clock,
+        Random(),
     )
     dispatch_task = tasks.add('dispatcher', dispatcher)
     for table in (Table.OPERATOR, Table.TARGETS):
@@ -166,16 +189,6 @@
             shared.clock,
         )
         tasks.add(f'{table} reader', reader)
-    register = tasks.add(
-        'register',
-        Register(
-            shared.own,
-            shared.store(),
-            shared.rows,
-            (knowledge, owner_task),
-            shared.clock,
-        ),
-    )
     shutdown = ShutdownActor(
         load_chart('router_shutdown', SHUTDOWN_WORDS),
         ShutdownTimes(
@@ -202,7 +215,8 @@
 
 def _owner(shared: _Shared) -> Owner:
     store = shared.store()
-    keeper = TenureKeeper(shared.life, store, shared.rows, shared.clock)
+    own = Tenure(shared.life, address=shared.cfg.peers)
+    keeper = TenureKeeper(own, store, shared.rows, shared.clock)
     cfg = shared.cfg
     orders = GroupOrders(CourierPool(OrderClient()))
     prelude = Prelude(cfg.is_first_start, shared.clock.now_s())
@@ -210,6 +224,7 @@
         OwnerSettings(cfg.bounds.stall_s),
         OwnerParts(
             shared.board,
+            shared.tenancy,
             keeper,
             GroupLedger(store, shared.rows, keeper),
             orders,
--- /dev/null
+++ b/pomelogauge/decide/owner_watch.py
@@ -0,0 +1,99 @@
+"""Decides how often to look at the owner, and when it is silent."""
+
+from collections.abc import Sequence
+
+from ..model.fleet import EntryInstance
+from ..model.ids import ABSENT_ROW, NodeName, RowVersion
+from .rendezvous import ranked
+
+#: Seconds without a renewal after which others take over: the owner's hold
+#: and the time of an order on its way.
+SILENT_S = 1.7
+#: Seconds without a renewal after which others take over an owner whose
+#: process does not listen: one renewal and its delay.
+ENDED_S = 0.7
+#: Seconds between two looks of the first in line and of all others, while
+#: the owner does not answer reports.
+LOOK_S = 0.35
+LATE_LOOK_S = 1.5
+#: Seconds between two looks while it does.
+CALM_LOOK_S = 8.0
+#: Instances that look often.
+FIRST_IN_LINE = 3
+
+#: Key of the line of successors.
+_LINE = 'owner'
+
+
+class OwnerWatch:
+    """What one instance in standby knows of the owner's life.
+
+    Parameters
+    ----------
+    own
+        This instance.
+    now_s
+        Present time of the own clock.
+
+    """
+
+    def __init__(self, own: NodeName, now_s: float) -> None:
+        """Start without an owner."""
+        self._own = own
+        self._rank = 0
+        self._is_calm = False
+        self._has_ended = False
+        self._seen_s = now_s
+        self.beat = ABSENT_ROW
+
+    def line_up(
+        self,
+        entries: Sequence[EntryInstance],
+        holder: NodeName,
+    ) -> None:
+        """Find the place of this instance in the line of successors."""
+        nodes = [
+            entry.node
+            for entry in entries
+            if not entry.is_leaving and entry.node != holder
+        ]
+        line = ranked(_LINE, nodes)
+        if self._own in line:
+            self._rank = line.index(self._own)
+
+    def hear(self, beat: RowVersion, now_s: float) -> bool:
+        """Take notice of an answer; return whether it came after silence."""
+        was_calm = self._is_calm
+        self._is_calm = True
+        self._has_ended = False
+        self.see(beat, now_s)
+        return not was_calm
+
+    def miss(self, has_ended: bool) -> bool:
+        """Take notice of no answer; return whether it came after answers."""
+        was_calm = self._is_calm
+        self._is_calm = False
+        self._has_ended = has_ended
+        return was_calm
+
+    def see(self, beat: RowVersion, now_s: float) -> None:
+        """Take the row version of the newest renewal."""
+        if beat > self.beat:
+            self.beat = beat
+            self._seen_s = now_s
+
+    def forgive(self, now_s: float) -> None:
+        """Start anew: nothing can be known of the owner, or it is another."""
+        self._has_ended = False
+        self._seen_s = now_s
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether this instance may take over."""
+        longest_s = ENDED_S if self._has_ended else SILENT_S
+        return now_s - self._seen_s > longest_s + LOOK_S * self._rank
+
+    def pause_s(self) -> float:
+        """Return the seconds until the next look."""
+        if self._is_calm:
+            return CALM_LOOK_S
+        return LOOK_S if self._rank < FIRST_IN_LINE else LATE_LOOK_S
--- a/pomelogauge/entry/codecs.py
+++ b/pomelogauge/entry/codecs.py
@@ -70,17 +70,6 @@
     ) -> Result[Tenure, FindingsError]:
         """Decode who owns the groups."""
 
-    def encode_entry(self, entry: EntryInstance) -> bytes:
-        """Encode an entry instance."""
-
-    def entry(
-        self,
-        key: str,
-        body: bytes,
-        version: RowVersion,
-    ) -> Result[EntryInstance, FindingsError]:
-        """Decode an entry instance."""
-
 
 class RequestCodec(Protocol):
     """Translates requests and answers."""
--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -14,6 +14,7 @@
 from ..model.log_parts import Part
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
+from ..tasks.mailbox import Outbox
 from ..tasks.messages import PhaseChanged, RunningAsked, RunningCounted
 from ..tasks.published import Published
 from .messages import (
@@ -24,6 +25,7 @@
     PlaceDenied,
     PlaceEnded,
     PlaceGiven,
+    TargetsSuspected,
 )
 
 #: Seconds for which a target that lost a request is avoided.
@@ -72,6 +74,8 @@
         Bounds.
     board
         Picture of the fleet.
+    register
+        Tells the owner of suspects.
     clock
         Own clock.
     rng
@@ -83,12 +87,14 @@
         self,
         settings: DispatchSettings,
         board: Published[Fleet],
+        register: Outbox[TargetsSuspected],
         clock: Clock,
         rng: Random,
     ) -> None:
         """Start without loads."""
         self._settings = settings
         self._board = board
+        self._register = register
         self._clock = clock
         self._rng = rng
         self._views: dict[TargetName, TargetView] = {}
@@ -231,6 +237,8 @@
         view = replace(view, own=max(0, view.own - 1))
         if ended.outcome in _BAD:
             view = replace(view, suspect_until_s=now_s + SUSPECT_S)
+            suspects = frozenset((ended.target,))
+            self._register.post(TargetsSuspected(suspects))
             _log.info('target %s is avoided: %s', ended.target, ended.outcome)
         self._views[ended.target] = view
 
--- a/pomelogauge/entry/group_orders.py
+++ b/pomelogauge/entry/group_orders.py
@@ -1,10 +1,14 @@
 """Sends the owner's orders and remembers which targets did not take them."""
 
+from collections.abc import Sequence
+
+from ..decide.group_chart import GroupState
 from ..decide.group_plan import StageWanted
 from ..model.fleet import Fleet, GroupRecord, Member
 from ..model.ids import ModelName, ServiceName, TargetName
 from ..tasks.mailbox import Outbox
 from .courier import CourierPool
+from .held_group import HeldGroup
 from .messages import Order, OrderKind, OrderOutcome, OrderSettled, OwnerMessage
 
 #: Seconds for which a target is left out that did not take an order. A lost
@@ -76,6 +80,20 @@
         self._asked[member.target] = now_s
         self.send(OrderKind.ASK, record, member)
 
+    def question(
+        self,
+        groups: Sequence[HeldGroup],
+        suspects: frozenset[TargetName],
+        now_s: float,
+    ) -> None:
+        """Ask all members of the serving groups that suspects lead."""
+        for held in groups:
+            record = held.record
+            is_serving = held.state is GroupState.SERVING
+            if is_serving and record.head.target in suspects:
+                for member in record.members:
+                    self.ask(record, member, now_s)
+
     def stage(self, wanted: StageWanted, service: ServiceName) -> None:
         """Order a spare target to put a model on its host."""
         target = wanted.target
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -6,9 +6,17 @@
 from ..decide.serving_rules import Denial
 from ..model.entry_request import AdmittedRequest, Spot, TargetLoad
 from ..model.fleet import EntryInstance
-from ..model.ids import Epoch, GroupName, ModelName, ServiceName, TargetName
+from ..model.ids import (
+    Epoch,
+    GroupName,
+    ModelName,
+    RowVersion,
+    ServiceName,
+    TargetName,
+)
 from ..tasks.mailbox import Outbox
 from ..tasks.messages import PhaseChanged, RunningAsked
+from .roll import EntryReport, Roll
 from .store import Rows, StoreError, Table
 
 
@@ -58,6 +66,65 @@
     """Tells that the own instance ends."""
 
 
+@dataclass(frozen=True)
+class TargetsSuspected:
+    """Targets were silent or lost a request."""
+
+    targets: frozenset[TargetName]
+
+
+@dataclass(frozen=True)
+class ReportHeard:
+    """Another instance has reported to this one.
+
+    Parameters
+    ----------
+    report
+        What it says.
+    reply
+        Gets the roll; ``None`` where this instance is not the owner.
+
+    """
+
+    report: EntryReport
+    reply: Outbox[Roll | None]
+
+
+@dataclass(frozen=True)
+class OwnerHeard:
+    """The owner has answered a report.
+
+    Parameters
+    ----------
+    term
+        Its term.
+    beat
+        Row version of its last renewal.
+
+    """
+
+    term: int
+    beat: RowVersion
+
+
+@dataclass(frozen=True)
+class OwnerUnheard:
+    """The owner has not answered a report.
+
+    Parameters
+    ----------
+    term
+        Term of the owner that was asked.
+    is_refused
+        Nothing listens there, or the process is not the owner.
+
+    """
+
+    term: int
+    is_refused: bool
+
+
+RegisterMessage = ReportHeard | TargetsSuspected | EntryLeaves
 KnowledgeMessage = TableRead | TableUnread | EntriesSeen
 
 
@@ -211,4 +278,11 @@
     """What is known of the fleet has changed."""
 
 
-OwnerMessage = FleetChanged | OrderSettled | EntriesSeen
+OwnerMessage = (
+    FleetChanged
+    | OrderSettled
+    | EntriesSeen
+    | OwnerHeard
+    | OwnerUnheard
+    | TargetsSuspected
+)
--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -25,8 +25,12 @@
     OrderKind,
     OrderOutcome,
     OrderSettled,
+    OwnerHeard,
     OwnerMessage,
+    OwnerUnheard,
+    TargetsSuspected,
 )
+from .ownership import Tenancy
 from .planning import Planning
 from .tenure_keeper import TenureKeeper
 
@@ -60,6 +64,8 @@
     ----------
     board
         Picture of the fleet.
+    tenancy
+        Where it is published who the owner is.
     keeper
         View of the tenure.
     ledger
@@ -74,6 +80,7 @@
     """
 
     board: Published[Fleet]
+    tenancy: Published[Tenancy]
     keeper: TenureKeeper
     ledger: GroupLedger
     orders: GroupOrders
@@ -115,6 +122,16 @@
                 self._settle(message)
             case EntriesSeen():
                 self._parts.keeper.line_up(message.entries)
+            case OwnerHeard():
+                self._parts.keeper.hear(message)
+            case OwnerUnheard():
+                self._parts.keeper.miss(message)
+            case TargetsSuspected():
+                self._parts.orders.question(
+                    tuple(self._groups.values()),
+                    message.targets,
+                    self._parts.clock.now_s(),
+                )
             case FleetChanged():
                 return
 
@@ -128,7 +145,9 @@
 
         """
         keeper = self._parts.keeper
-        if keeper.tick() is not None or self._parts.ledger.is_unsettled:
+        has_changed = keeper.tick() is not None
+        self._parts.tenancy.publish(keeper.tenancy())
+        if has_changed or self._parts.ledger.is_unsettled:
             self._drop()
         if not keeper.is_held:
             return keeper.due_s()
--- a/pomelogauge/entry/ownership.py
+++ b/pomelogauge/entry/ownership.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..model.ids import ABSENT_ROW, RowVersion
+from ..model.ids import ABSENT_ROW, Address, RowVersion
 
 
 @dataclass(frozen=True)
@@ -15,6 +15,8 @@
         Node and life of the owner.
     term
         Rises with every new holder.
+    address
+        ``host:port`` for reports to the holder.
     version
         Row version: the condition of every write of the holder.
 
@@ -22,4 +24,28 @@
 
     holder: str = ''
     term: int = 0
+    address: Address = Address('')
     version: RowVersion = ABSENT_ROW
+
+
+@dataclass(frozen=True)
+class Tenancy:
+    """Who owns the groups, as one instance knows it.
+
+    Parameters
+    ----------
+    is_own
+        This instance is the owner.
+    term
+        Term of the owner.
+    address
+        ``host:port`` for reports to it; empty where none is known.
+    beat
+        Row version of the last renewal, where it is own.
+
+    """
+
+    is_own: bool = False
+    term: int = 0
+    address: Address = Address('')
+    beat: RowVersion = ABSENT_ROW
--- a/pomelogauge/entry/register.py
+++ b/pomelogauge/entry/register.py
@@ -1,49 +1,79 @@
-"""The task that lists the living entry instances."""
+"""The task that reports to the owner, and keeps the roll when it is own."""
 
 from dataclasses import dataclass, replace
 
 from returns.result import Failure
 
 from ..model.fleet import EntryInstance
-from ..model.ids import ABSENT_ROW, NodeName, RowVersion
+from ..model.ids import NodeName, TargetName
 from ..model.log_parts import Part
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
-from .codecs import OwnRows
-from .messages import EntriesSeen, EntryLeaves
-from .store import Rows, RowWritten, StoreWrites, Table
-
-#: Seconds between two reports of one instance, and two looks at all others.
-BEAT_S = 1.6
-#: Seconds without a report after which an instance is not named: two reports
-#: and the delay of the last.
-SILENT_S = 4.5
+from ..tasks.published import Published
+from .messages import (
+    EntriesSeen,
+    EntryLeaves,
+    OwnerHeard,
+    OwnerUnheard,
+    RegisterMessage,
+    ReportHeard,
+    TargetsSuspected,
+)
+from .ownership import Tenancy
+from .roll import EntryReport, OwnerLink, Roll
+
+#: Seconds between two reports.
+REPORT_S = 0.5
+#: Seconds between two reports while suspects are told.
+SOON_S = 0.05
+#: Seconds without a report after which an instance is not named: three
+#: reports and their timeout.
+SILENT_S = 2.0
 
 _log = part_logger(Part.ENTRY)
 
 
+@dataclass(frozen=True)
+class RegisterPorts:
+    """Whom the register talks to.
+
+    Parameters
+    ----------
+    link
+        Reports to the owner; owned by this task.
+    tenancy
+        Who the owner is.
+    owner
+        Own task that owns the groups, or waits to.
+    listeners
+        Who learns of the living instances.
+
+    """
+
+    link: OwnerLink
+    tenancy: Published[Tenancy]
+    owner: Outbox[OwnerHeard | OwnerUnheard | TargetsSuspected]
+    listeners: tuple[Outbox[EntriesSeen], ...]
+
+
 @dataclass(frozen=True)
 class _Heard:
-    """When a row last changed, by the own clock."""
+    """An instance and when it last reported, by the own clock."""
 
-    version: RowVersion
+    entry: EntryInstance
     at_s: float
 
 
 class Register:
-    """Owns this instance's row and what is known of the others.
+    """Owns this instance's report and what is known of the others.
 
     Parameters
     ----------
     own
         This instance.
-    store
-        Connection of this task.
-    rows
-        Encodes rows.
-    listeners
-        Who learns of the living instances.
+    ports
+        Whom to talk to.
     clock
         Own clock, suspensions included.
 
@@ -52,32 +82,38 @@
     def __init__(
         self,
         own: EntryInstance,
-        store: StoreWrites,
-        rows: OwnRows,
-        listeners: tuple[Outbox[EntriesSeen], ...],
+        ports: RegisterPorts,
         clock: Clock,
     ) -> None:
         """Start alone."""
         self._own = own
-        self._store = store
-        self._rows = rows
-        self._listeners = listeners
+        self._ports = ports
         self._clock = clock
         self._heard: dict[NodeName, _Heard] = {}
-        self._read_s = float('-inf')
+        self._suspects: frozenset[TargetName] = frozenset()
+        self._told: tuple[EntryInstance, ...] = ()
+        self._is_heard = False
         self._next_s = 0.0
 
     def on_start(self) -> None:
-        """Tell of this instance before the first look."""
+        """Tell of this instance before the first report."""
         self._tell((self._own,))
 
-    def on_message(self, message: EntryLeaves) -> None:
-        """Say that this instance ends."""
-        self._own = replace(self._own, is_leaving=True)
-        self._next_s = 0
+    def on_message(self, message: RegisterMessage) -> None:
+        """Take a report, a suspicion or the end of this instance."""
+        match message:
+            case ReportHeard():
+                message.reply.post(self._answer(message.report))
+            case TargetsSuspected():
+                self._suspects |= message.targets
+                soon_s = self._clock.now_s() + SOON_S
+                self._next_s = min(self._next_s, soon_s)
+            case EntryLeaves():
+                self._own = replace(self._own, is_leaving=True)
+                self._next_s = 0
 
     def on_timer(self) -> float | None:
-        """Report and look.
+        """Report.
 
         Returns
         -------
@@ -88,60 +124,75 @@
         now_s = self._clock.now_s()
         if now_s < self._next_s:
             return self._next_s - now_s
-        self._next_s = now_s + BEAT_S
-        self._report()
-        self._look()
-        return BEAT_S
+        self._next_s = now_s + REPORT_S
+        report = EntryReport(self._own, self._suspects)
+        self._suspects = frozenset()
+        tenancy = self._ports.tenancy.latest()
+        if tenancy.is_own:
+            self._take(report)
+            self._tell(self._living())
+        elif tenancy.address:
+            self._report(tenancy, report)
+        return max(0, self._next_s - self._clock.now_s())
 
     def on_stop(self) -> None:
-        """Leave the row; it falls silent."""
+        """Fall silent."""
 
-    def _report(self) -> None:
-        self._own = replace(self._own, beat=self._own.beat + 1)
-        body = self._rows.encode_entry(self._own)
-        written = RowWritten(Table.ENTRIES, self._own.node, body)
-        answer = self._store.commit((), (written,))
-        if isinstance(answer, Failure):
-            _log.warning('no report: %s', answer.failure().message)
+    def _answer(self, report: EntryReport) -> Roll | None:
+        tenancy = self._ports.tenancy.latest()
+        if not tenancy.is_own:
+            return None
+        self._take(report)
+        return Roll(tenancy.term, tenancy.beat, self._living())
 
-    def _look(self) -> None:
-        answer = self._store.read_all(Table.ENTRIES)
+    def _take(self, report: EntryReport) -> None:
+        now_s = self._clock.now_s()
+        self._heard[report.entry.node] = _Heard(report.entry, now_s)
+        if report.suspects:
+            self._ports.owner.post(TargetsSuspected(report.suspects))
+
+    def _living(self) -> tuple[EntryInstance, ...]:
+        oldest_s = self._clock.now_s() - SILENT_S
+        self._heard = {
+            node: heard
+            for node, heard in self._heard.items()
+            if heard.at_s >= oldest_s
+        }
+        return tuple(heard.entry for heard in self._heard.values())
+
+    def _report(self, tenancy: Tenancy, report: EntryReport) -> None:
+        answer = self._ports.link.report(tenancy.address, report)
         if isinstance(answer, Failure):
-            _log.warning('no look: %s', answer.failure().message)
+            self._suspects |= report.suspects
+            error = answer.failure()
+            if self._is_heard:
+                _log.warning(
+                    'the owner does not answer: %s',
+                    error.message,
+                    extra={'term': tenancy.term, 'owner': tenancy.address},
+                )
+            self._is_heard = False
+            self._ports.owner.post(OwnerUnheard(tenancy.term, error.is_refused))
             return
-        self._hear(answer.unwrap())
-
-    def _hear(self, rows: Rows) -> None:
+        if not self._is_heard:
+            _log.info('the owner answers', extra={'term': tenancy.term})
+        self._is_heard = True
+        roll = answer.unwrap()
         now_s = self._clock.now_s()
-        # Nobody could report while the store was away.
-        was_away = now_s - self._read_s > SILENT_S
-        self._read_s = now_s
-        living: list[EntryInstance] = []
-        for row in rows.rows:
-            if row.body is None:
-                continue
-            decoded = self._rows.entry(row.key, row.body, row.version)
-            if isinstance(decoded, Failure):
-                _log.warning('entry is malformed: %s', decoded.failure())
-                continue
-            entry = decoded.unwrap()
-            if self._is_live(entry, row.version, now_s, was_away):
-                living.append(entry)
-        self._tell(tuple(living) or (self._own,))
-
-    def _is_live(
-        self,
-        entry: EntryInstance,
-        version: RowVersion,
-        now_s: float,
-        was_away: bool,
-    ) -> bool:
-        heard = self._heard.get(entry.node, _Heard(ABSENT_ROW, now_s))
-        if was_away or heard.version != version:
-            heard = _Heard(version, now_s)
-            self._heard[entry.node] = heard
-        return now_s - heard.at_s <= SILENT_S
+        # After a succession the roll starts with who lived before.
+        self._heard = {
+            entry.node: _Heard(entry, now_s) for entry in roll.entries
+        }
+        self._ports.owner.post(OwnerHeard(roll.term, roll.beat))
+        self._tell(roll.entries)
 
     def _tell(self, living: tuple[EntryInstance, ...]) -> None:
-        for listener in self._listeners:
+        if living == self._told:
+            return
+        self._told = living
+        _log.info(
+            'living instances',
+            extra={'entries': [entry.node for entry in living]},
+        )
+        for listener in self._ports.listeners:
             listener.post(EntriesSeen(living))
--- a/pomelogauge/entry/store.py
+++ b/pomelogauge/entry/store.py
@@ -16,7 +16,6 @@
     TARGETS = 'targets'
     GROUPS = 'groups'
     OWNER = 'owner'
-    ENTRIES = 'entries'
 
 
 class StoreFault(StrEnum):
--- a/pomelogauge/entry/tenure_keeper.py
+++ b/pomelogauge/entry/tenure_keeper.py
@@ -1,10 +1,12 @@
 """Takes, renews and watches the ownership of all groups in the store."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from returns.result import Failure, Success
 
 from ..charts.reader import load_chart
+from ..decide.owner_watch import OwnerWatch
 from ..decide.ownership_chart import (
     OWNERSHIP_WORDS,
     OwnershipAction,
@@ -12,14 +14,14 @@
     OwnershipFacts,
     OwnershipState,
 )
-from ..decide.rendezvous import ranked
 from ..model.fleet import EntryInstance
 from ..model.ids import ABSENT_ROW, NodeName, RowVersion
 from ..model.log_parts import Part
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
 from .codecs import OwnRows
-from .ownership import Tenure
+from .messages import OwnerHeard, OwnerUnheard
+from .ownership import Tenancy, Tenure
 from .store import (
     RowExpected,
     RowWritten,
@@ -33,19 +35,9 @@
 RENEW_S = 0.5
 #: Seconds after the start of the last renewal in which the owner may act.
 HOLD_S = 1.3
-#: Seconds without a renewal after which others take over: the hold and the
-#: time of an order on its way.
-SILENT_S = 1.7
-#: Seconds between two looks of the first in line and of all others.
-LOOK_S = 0.4
-LATE_LOOK_S = 3.0
-#: Instances that look often.
-FIRST_IN_LINE = 2
 
 TENURE_KEY = 'tenure'
 BEAT_KEY = 'beat'
-#: Key of the line of successors.
-_LINE = 'owner'
 
 _FACTS = OwnershipFacts()
 _log = part_logger(Part.LEASE)
@@ -56,8 +48,8 @@
 
     Parameters
     ----------
-    holder
-        Node and life of this process, unique for ever.
+    own
+        Holder and address of this process; the holder is unique for ever.
     store
         Connection of the task.
     rows
@@ -69,13 +61,13 @@
 
     def __init__(
         self,
-        holder: str,
+        own: Tenure,
         store: StoreWrites,
         rows: OwnRows,
         clock: Clock,
     ) -> None:
         """Start in standby."""
-        self._holder = holder
+        self._own = own
         self._store = store
         self._rows = rows
         self._clock = clock
@@ -83,9 +75,7 @@
         self._state = self._chart.initial
         self._renewed_s = float('-inf')
         self._next_s = 0.0
-        self._beat = ABSENT_ROW
-        self._beat_seen_s = clock.now_s()
-        self._rank = 0
+        self._watch = OwnerWatch(_node_of(own), clock.now_s())
         self.tenure = Tenure()
 
     @property
@@ -95,20 +85,33 @@
             return False
         return self._clock.now_s() - self._renewed_s <= HOLD_S
 
+    def tenancy(self) -> Tenancy:
+        """Return who the owner is."""
+        return Tenancy(
+            self._state is not OwnershipState.STANDBY,
+            self.tenure.term,
+            self.tenure.address,
+            self._watch.beat,
+        )
+
     def line_up(self, entries: Sequence[EntryInstance]) -> None:
         """Find the place of this instance in the line of successors."""
-        holder = _node_of(self.tenure.holder)
-        line = ranked(
-            _LINE,
-            [
-                entry.node
-                for entry in entries
-                if not entry.is_leaving and entry.node != holder
-            ],
-        )
-        own = _node_of(self._holder)
-        if own in line:
-            self._rank = line.index(own)
+        self._watch.line_up(entries, _node_of(self.tenure))
+
+    def hear(self, heard: OwnerHeard) -> None:
+        """Take notice that the owner answers."""
+        if heard.term != self.tenure.term:
+            return
+        now_s = self._clock.now_s()
+        if self._watch.hear(heard.beat, now_s):
+            self._next_s = now_s + self._watch.pause_s()
+
+    def miss(self, unheard: OwnerUnheard) -> None:
+        """Take notice that the owner does not answer."""
+        if unheard.term != self.tenure.term:
+            return
+        if self._watch.miss(unheard.is_refused):
+            self._next_s = 0
 
     def condition(self) -> RowExpected:
         """Return the condition of every write of the owner."""
@@ -144,65 +147,52 @@
         answer = self._store.commit((self.condition(),), written)
         if isinstance(answer, Success):
             self._renewed_s = now_s
+            self._watch.see(answer.unwrap(), now_s)
             return self._step(OwnershipEvent.RENEWED)
         if answer.failure().fault is StoreFault.CONFLICT:
             _log.warning('term %s has ended', self.tenure.term)
-            return self._step(OwnershipEvent.TAKEN_BY_OTHER)
+            return self.lose()
         if self._clock.now_s() - self._renewed_s > HOLD_S:
             return self._step(OwnershipEvent.LAPSED)
         return None
 
     def _look(self, now_s: float) -> OwnershipAction | None:
-        is_first = self._rank < FIRST_IN_LINE
-        pause_s = LOOK_S if is_first else LATE_LOOK_S
-        self._next_s = now_s + pause_s
+        self._next_s = now_s + self._watch.pause_s()
         answer = self._store.read_all(Table.OWNER)
         if isinstance(answer, Failure):
             # Without an answer nothing is known of the owner's silence.
-            self._beat_seen_s = self._clock.now_s()
+            self._watch.forgive(self._clock.now_s())
             return None
         rows = {row.key: row for row in answer.unwrap().rows}
-        self.tenure = self._decode(rows.get(TENURE_KEY))
+        found = self._decode(rows.get(TENURE_KEY))
+        if found.term != self.tenure.term:
+            self._watch.forgive(now_s)
+        self.tenure = found
         beat = rows.get(BEAT_KEY)
-        self._see_beat(beat, self._clock.now_s())
-        if self.tenure.holder == self._holder:
+        version = ABSENT_ROW if beat is None else beat.version
+        self._watch.see(version, now_s)
+        if found.holder == self._own.holder:
             self._renewed_s = now_s
             return self._step(OwnershipEvent.TAKEN)
-        if self.tenure.term and not self._is_silent():
+        if found.term and not self._watch.is_silent(self._clock.now_s()):
             return None
-        action = self._step(OwnershipEvent.SILENT)
-        if action is OwnershipAction.TAKE:
-            return self._take(now_s, beat)
-        return action
-
-    def _see_beat(self, beat: StoredRow | None, now_s: float) -> None:
-        version = ABSENT_ROW if beat is None else beat.version
-        if version != self._beat:
-            self._beat = version
-            self._beat_seen_s = now_s
-
-    def _is_silent(self) -> bool:
-        silence_s = self._clock.now_s() - self._beat_seen_s
-        return silence_s > SILENT_S + LOOK_S * self._rank
+        if self._step(OwnershipEvent.SILENT) is OwnershipAction.TAKE:
+            return self._take(now_s, version)
+        return None
 
     def _take(
         self,
         now_s: float,
-        beat: StoredRow | None,
+        beat: RowVersion,
     ) -> OwnershipAction | None:
-        taken = Tenure(self._holder, self.tenure.term + 1)
+        taken = replace(self._own, term=self.tenure.term + 1)
+        body = self._rows.encode_tenure(taken)
         expected = (
             self.condition(),
-            RowExpected(
-                Table.OWNER,
-                BEAT_KEY,
-                ABSENT_ROW if beat is None else beat.version,
-            ),
+            RowExpected(Table.OWNER, BEAT_KEY, beat),
         )
         written = (
-            RowWritten(
-                Table.OWNER, TENURE_KEY, self._rows.encode_tenure(taken)
-            ),
+            RowWritten(Table.OWNER, TENURE_KEY, body),
             RowWritten(Table.OWNER, BEAT_KEY, b'{}'),
         )
         answer = self._store.commit(expected, written)
@@ -210,13 +200,17 @@
             _log.info('term %s is not taken: %s', taken.term, answer.failure())
             self._next_s = now_s
             return None
-        version = answer.unwrap()
-        self.tenure = Tenure(taken.holder, taken.term, version)
+        self.tenure = replace(taken, version=answer.unwrap())
+        self._watch.see(self.tenure.version, now_s)
         self._renewed_s = now_s
         _log.info(
             'term %s is taken',
             taken.term,
-            extra={'term': taken.term, 'row_version': version},
+            extra={
+                'term': taken.term,
+                'row_version': self.tenure.version,
+                'beat': beat,
+            },
         )
         return self._step(OwnershipEvent.TAKEN)
 
@@ -226,8 +220,9 @@
         decoded = self._rows.tenure(row.key, row.body, row.version)
         if isinstance(decoded, Failure):
             _log.error('owner row is malformed: %s', decoded.failure())
-            return Tenure(version=RowVersion(row.version))
-        return decoded.unwrap()
+            return Tenure(version=row.version)
+        tenure: Tenure = decoded.unwrap()
+        return tenure
 
     def _step(self, event: OwnershipEvent) -> OwnershipAction | None:
         before = self._state
@@ -243,5 +238,5 @@
         return move.action
 
 
-def _node_of(holder: str) -> NodeName:
-    return NodeName(holder.partition(' ')[0])
+def _node_of(tenure: Tenure) -> NodeName:
+    return NodeName(tenure.holder.partition(' ')[0])
--- a/pomelogauge/model/fleet.py
+++ b/pomelogauge/model/fleet.py
@@ -164,8 +164,6 @@
         ``host:port`` for callers.
     data_centre
         Where it stands.
-    beat
-        Rises with every report.
     is_leaving
         It ends and takes no new callers.
 
@@ -174,7 +172,6 @@
     node: NodeName
     address: Address
     data_centre: DataCentreName
-    beat: int = 0
     is_leaving: bool = False
 
 
--- a/pomelogauge/platform/configuration.py
+++ b/pomelogauge/platform/configuration.py
@@ -127,7 +127,7 @@
     for one in fields.each('tenants'):
         priority = one.whole('priority') if one.has('priority') else None
         holder = Organisation(OrganisationName(one.text('name')), priority)
-        for key in one.texts('api_keys'):
+        for key in one.some('api_keys', str):
             keys[key] = holder
     return keys
 
--- a/pomelogauge/platform/fields.py
+++ b/pomelogauge/platform/fields.py
@@ -2,10 +2,12 @@
 
 import json
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, TypeVar
 
 from ..model.errors import Finding, FindingsError, Place
 
+MemberT = TypeVar('MemberT', str, int)
+
 
 class Fields:
     """One JSON object whose faults are collected.
@@ -70,12 +72,12 @@
         self._find(name, 'is neither true nor false')
         return default
 
-    def texts(self, name: str) -> tuple[str, ...]:
-        """Return a list of texts; an absent list is empty."""
+    def some(self, name: str, kind: type[MemberT]) -> tuple[MemberT, ...]:
+        """Return a list of texts or of whole numbers; absent is empty."""
         found = self._list(name)
-        if all(isinstance(one, str) for one in found):
+        if all(_is_one(one, kind) for one in found):
             return tuple(found)
-        self._find(name, 'is not a list of texts')
+        self._find(name, f'is not a list of {kind.__name__}')
         return ()
 
     def has(self, name: str) -> bool:
@@ -150,3 +152,7 @@
     if isinstance(found, bool) or not isinstance(found, int | float):
         return False
     return 0 <= found < float('inf')
+
+
+def _is_one(found: Any, kind: type) -> bool:
+    return isinstance(found, kind) and not isinstance(found, bool)
--- a/pomelogauge/platform/rows.py
+++ b/pomelogauge/platform/rows.py
@@ -4,14 +4,12 @@
 from collections.abc import Iterable
 
 from ..entry.ownership import Tenure
-from ..model.fleet import EntryInstance, GroupRecord, Member
+from ..model.fleet import GroupRecord, Member
 from ..model.ids import (
     Address,
-    DataCentreName,
     Epoch,
     GroupName,
     ModelName,
-    NodeName,
     RowVersion,
     ServiceName,
     TargetName,
@@ -64,7 +62,13 @@
 
 def encode_tenure(tenure: Tenure) -> bytes:
     """Encode who owns the groups."""
-    return _encode({'holder': tenure.holder, 'term': tenure.term})
+    return _encode(
+        {
+            'holder': tenure.holder,
+            'term': tenure.term,
+            'address': tenure.address,
+        }
+    )
 
 
 def decode_tenure(key: str, text: bytes, version: RowVersion) -> Tenure:
@@ -80,45 +84,13 @@
     tenure = Tenure(
         holder=fields.text('holder'),
         term=fields.whole('term'),
+        address=Address(fields.text('address')),
         version=version,
     )
     fields.check()
     return tenure
 
 
-def encode_entry(entry: EntryInstance) -> bytes:
-    """Encode the row of an entry instance."""
-    return _encode(
-        {
-            'address': entry.address,
-            'data_centre': entry.data_centre,
-            'beat': entry.beat,
-            'leaving': entry.is_leaving,
-        }
-    )
-
-
-def decode_entry(key: str, text: bytes, version: RowVersion) -> EntryInstance:
-    """Decode the row of an entry instance.
-
-    Raises
-    ------
-    FindingsError
-        The row has faults.
-
-    """
-    fields = read_fields(f'entries/{key}', text)
-    entry = EntryInstance(
-        node=NodeName(key),
-        address=Address(fields.text('address')),
-        data_centre=DataCentreName(fields.text('data_centre')),
-        beat=fields.whole('beat'),
-        is_leaving=fields.flag('leaving'),
-    )
-    fields.check()
-    return entry
-
-
 def _members(each: Iterable[Fields]) -> Iterable[Member]:
     for one in each:
         yield Member(
--- a/pomelogauge/platform/settings.py
+++ b/pomelogauge/platform/settings.py
@@ -58,6 +58,8 @@
     callers, readiness, directory
         ``host:port`` to listen on for callers, for the platform's checks and
         for callers that ask where to connect; empty where it does not serve.
+    peers
+        ``host:port`` for the other entry instances.
     store
         ``host:port`` of the platform's store.
     is_first_start
@@ -72,6 +74,7 @@
     callers: Address
     readiness: Address
     directory: Address
+    peers: Address
     store: Address
     is_first_start: bool
     bounds: EntryBounds
@@ -110,6 +113,7 @@
         callers=_address(listen, 'frontend'),
         readiness=_address(listen, 'ready'),
         directory=_address(listen, 'directory'),
+        peers=_peers(fields),
         store=_address(fields.inner('platform'), 'address'),
         is_first_start=fields.flag('bootstrap'),
         bounds=_bounds(fields.inner('bounds')),
@@ -126,6 +130,14 @@
     return Address(address)
 
 
+def _peers(fields: Fields) -> Address:
+    ports = fields.some('internal_ports', int)
+    if not ports:
+        fields.refuse('internal_ports', 'is empty')
+        return Address('')
+    return Address(f'{fields.text("ip")}:{ports[0]}')
+
+
 def _bounds(fields: Fields) -> EntryBounds:
     return EntryBounds(
         revoke_s=fields.number('revoke_ms') / _MS_IN_S,
--- a/pomelogauge/platform/store.py
+++ b/pomelogauge/platform/store.py
@@ -34,7 +34,6 @@
     Table.TARGETS: 'servers',
     Table.GROUPS: 'pomelogauge-groups',
     Table.OWNER: 'pomelogauge-owner',
-    Table.ENTRIES: 'pomelogauge-entries',
 }
 _OK = 200
 _GONE = 410
--- a/pomelogauge/platform/targets.py
+++ b/pomelogauge/platform/targets.py
@@ -56,7 +56,7 @@
         slots=fields.whole('slots'),
         cold_until_s=now_s + cold_s if cold_s else 0,
         born_ms=fields.whole('born', 0),
-        staged=tuple(ModelName(one) for one in fields.texts('staged')),
+        staged=tuple(ModelName(one) for one in fields.some('staged', str)),
         models=tuple(
             ModelName(model.text('name')) for model in fields.each('models')
         ),
--- a/pomelogauge/platform/translator.py
+++ b/pomelogauge/platform/translator.py
@@ -13,7 +13,7 @@
     TargetRequest,
 )
 from ..model.errors import Finding, FindingsError, Place
-from ..model.fleet import EntryInstance, GroupRecord, Target
+from ..model.fleet import GroupRecord, Target
 from ..model.ids import DataCentreName, RowVersion
 from ..model.serving import ServingConfig
 from ..wire.caller_connection import RequestRead
@@ -84,19 +84,6 @@
         """Decode who owns the groups."""
         return _tried(lambda: rows.decode_tenure(key, body, version))
 
-    def encode_entry(self, entry: EntryInstance) -> bytes:
-        """Encode an entry instance."""
-        return rows.encode_entry(entry)
-
-    def entry(
-        self,
-        key: str,
-        body: bytes,
-        version: RowVersion,
-    ) -> Result[EntryInstance, FindingsError]:
-        """Decode an entry instance."""
-        return _tried(lambda: rows.decode_entry(key, body, version))
-
 
 class RequestTranslator:
     """Requests of callers and answers of targets."""
--- /dev/null
+++ b/pomelogauge/wire/entry_link.py
@@ -0,0 +1,67 @@
+"""Reports to the owner over gRPC."""
+
+import grpc
+from returns.result import Failure, Result, Success
+
+from ..entry.roll import EntryReport, OwnerLinkError, Roll
+from ..model.ids import Address
+from . import entry_peer_pb2
+from .entry_codec import decode_roll, encode_report
+
+#: Seconds for one report. Instances are a millisecond apart.
+REPORT_TIMEOUT_S = 0.4
+
+_METHOD = '/pomelogauge.EntryPeer/Report'
+_OPTIONS = (
+    ('grpc.enable_retries', 0),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.min_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 300),
+)
+_REFUSED = frozenset(
+    (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.FAILED_PRECONDITION)
+)
+
+
+class GrpcOwnerLink:
+    """One channel to the present owner; used by one task."""
+
+    def __init__(self) -> None:
+        """Start without a channel."""
+        self._address = Address('')
+        self._channel: grpc.Channel | None = None
+
+    def report(
+        self,
+        address: Address,
+        report: EntryReport,
+    ) -> Result[Roll, OwnerLinkError]:
+        """Report once."""
+        call = self._open(address).unary_unary(
+            _METHOD,
+            request_serializer=entry_peer_pb2.EntryReport.SerializeToString,
+            response_deserializer=entry_peer_pb2.EntryRoll.FromString,
+        )
+        try:
+            answer = call(encode_report(report), timeout=REPORT_TIMEOUT_S)
+        except grpc.RpcError as exc:
+            # A channel that went silent is not used again.
+            self._close()
+            return Failure(
+                OwnerLinkError(str(exc.details()), exc.code() in _REFUSED)
+            )
+        return Success(decode_roll(answer))
+
+    def _open(self, address: Address) -> grpc.Channel:
+        if self._channel is None or address != self._address:
+            self._close()
+            self._address = address
+            self._channel = grpc.insecure_channel(address, options=_OPTIONS)
+        return self._channel
+
+    def _close(self) -> None:
+        if self._channel is not None:
+            self._channel.close()
+            self._channel = None
