--- a/pomelogauge/decide/serving_rules.py
+++ b/pomelogauge/decide/serving_rules.py
@@ -34,7 +34,8 @@
     Parameters
     ----------
     key_age_s
-        Age of the configuration beyond which no key is used.
+        Age of the configuration beyond which no key is used and nothing is
+        denied for good.
 
     """
 
@@ -64,12 +65,13 @@
     config = fleet.config
     if config is None:
         return Denial.NO_CONFIGURATION
+    is_old = req.read_s - fleet.confirmed_s > bounds.key_age_s
     route = find_route(config, req.host, req.path)
     if route is None:
-        return Denial.NO_ROUTE
+        return Denial.UNCONFIRMED if is_old else Denial.NO_ROUTE
     organisation = None
     if config.has_organisations and not route.is_public:
-        if req.read_s - fleet.confirmed_s > bounds.key_age_s:
+        if is_old:
             return Denial.UNCONFIRMED
         organisation = config.keys.get(req.key)
         if organisation is None:
--- a/pomelogauge/platform/fields.py
+++ b/pomelogauge/platform/fields.py
@@ -54,7 +54,7 @@
         if _is_number(found):
             return float(found or 0)
         self._find(name, 'is not a number of zero or more')
-        return default or 0
+        return float(default or 0)
 
     def whole(self, name: str, default: int | None = None) -> int:
         """Return a whole number that is not negative."""
--- /dev/null
+++ b/test/entry_fakes.py
@@ -0,0 +1,248 @@
+"""Records and fakes for the tests of entry instances."""
+
+from collections import deque
+
+from returns.result import Failure, Result, Success
+
+from pomelogauge.entry.ownership import Tenure
+from pomelogauge.entry.store import (
+    RowExpected,
+    Rows,
+    RowWritten,
+    StoredRow,
+    StoreError,
+    StoreFault,
+    Table,
+)
+from pomelogauge.model.entry_request import CallerRequest
+from pomelogauge.model.fleet import (
+    Fleet,
+    GroupRecord,
+    Member,
+    Seat,
+    SeatState,
+    Target,
+    TargetState,
+)
+from pomelogauge.model.ids import (
+    ABSENT_ROW,
+    Address,
+    ConfigVersion,
+    DataCentreName,
+    DomainName,
+    Epoch,
+    GroupName,
+    ModelName,
+    OrganisationName,
+    RouteName,
+    RowVersion,
+    ServiceName,
+    TargetName,
+)
+from pomelogauge.model.serving import (
+    EngineSpec,
+    ModelSpec,
+    Organisation,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    ServingConfig,
+    Share,
+)
+
+LLM = ServiceName('llm')
+DESK = ServiceName('desk')
+BIG = ModelName('big')
+SMALL = ModelName('small')
+ZONE = DataCentreName('zone-a')
+DOMAIN = DomainName('domain-0')
+HOST = 'app.example'
+
+ENGINE = EngineSpec(
+    models=(
+        ModelSpec(BIG, 4, 0.67, 1.0, 16, 1.6),
+        ModelSpec(SMALL, 2, 0.33, 0.6, 12, 1.1),
+    ),
+    slots=13,
+    loads_per_s=4,
+    form_s=0.3,
+)
+
+
+class FakeClock:
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        self.at_s = 100.0
+
+    def now_s(self) -> float:
+        return self.at_s
+
+
+class Outbox:
+    """Keeps what is posted."""
+
+    def __init__(self) -> None:
+        self.posted: list = []
+
+    def post(self, message: object) -> None:
+        self.posted.append(message)
+
+
+class MemoryStore:
+    """The platform's store in memory, with faults on demand."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.rows: dict[tuple[Table, str], StoredRow] = {}
+        self.changed: list[tuple[Table, StoredRow]] = []
+        self.faults: deque[StoreFault | None] = deque()
+        self.loses_answers = False
+
+    def put(self, table: Table, key: str, body: bytes | None) -> RowVersion:
+        self.version += 1
+        return self._put(table, key, body)
+
+    def _put(self, table: Table, key: str, body: bytes | None) -> RowVersion:
+        version = RowVersion(self.version)
+        row = StoredRow(key, version, body)
+        if body is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[table, key] = row
+        self.changed.append((table, row))
+        return version
+
+    def read_all(self, table: Table) -> Result[Rows, StoreError]:
+        fault = self._fault()
+        if fault:
+            return Failure(StoreError(fault, 'fault'))
+        rows = [row for (at, _), row in self.rows.items() if at is table]
+        return Success(Rows(tuple(rows), RowVersion(self.version)))
+
+    def changes(
+        self, table: Table, after: RowVersion, wait_s: float
+    ) -> Result[Rows, StoreError]:
+        fault = self._fault()
+        if fault:
+            return Failure(StoreError(fault, 'fault'))
+        rows = [
+            row
+            for at, row in self.changed
+            if at is table and row.version > after
+        ]
+        return Success(Rows(tuple(rows), RowVersion(self.version)))
+
+    def commit(
+        self,
+        expected: tuple[RowExpected, ...],
+        written: tuple[RowWritten, ...],
+    ) -> Result[RowVersion, StoreError]:
+        fault = self._fault()
+        if fault:
+            return Failure(StoreError(fault, 'fault'))
+        for one in expected:
+            row = self.rows.get((one.table, one.key))
+            if one.version != (row.version if row else ABSENT_ROW):
+                return Failure(StoreError(StoreFault.CONFLICT, 'conflict'))
+        self.version += 1
+        for one in written:
+            self._put(one.table, one.key, one.body)
+        if self.loses_answers:
+            return Failure(StoreError(StoreFault.UNSETTLED, 'lost'))
+        return Success(RowVersion(self.version))
+
+    def _fault(self) -> StoreFault | None:
+        return self.faults.popleft() if self.faults else None
+
+
+def target(name: str, **fields: object) -> Target:
+    given = {
+        'name': TargetName(name),
+        'service': LLM,
+        'address': Address(f'{name}:80'),
+        'data_centre': ZONE,
+        'domain': DOMAIN,
+        'state': TargetState.READY,
+        'slots': 13,
+        'born_ms': 1,
+    }
+    return Target(**{**given, **fields})
+
+
+def seat(
+    group: str,
+    rank: int,
+    state: SeatState,
+    epoch: int = 1,
+) -> Seat:
+    return Seat(GroupName(group), Epoch(epoch), rank, state)
+
+
+def record(group: str, names: list[str], model: ModelName) -> GroupRecord:
+    members = tuple(
+        Member(TargetName(name), Address(f'{name}:80'), 1) for name in names
+    )
+    return GroupRecord(GroupName(group), Epoch(1), LLM, model, members)
+
+
+def route(**fields: object) -> Route:
+    given = {
+        'name': RouteName('r'),
+        'host': HOST,
+        'prefix': '/a/',
+        'kind': RouteKind.STREAMING,
+        'shares': (Share(LLM, 1),),
+        'timeout_s': 6.0,
+        'target_latency_s': 0.3,
+        'most_targets': 2,
+        'priority': 1,
+        'may_resume': True,
+    }
+    return Route(**{**given, **fields})
+
+
+def config(*routes: Route, version: int = 1) -> ServingConfig:
+    return ServingConfig(
+        version=ConfigVersion(version),
+        routes={HOST: routes or (route(),)},
+        services={
+            LLM: ServiceSpec(LLM, 264, 26, ENGINE),
+            DESK: ServiceSpec(DESK, 48, 0),
+        },
+        keys={'good': Organisation(OrganisationName('acme'), 3)},
+        has_organisations=True,
+    )
+
+
+def fleet(*targets: Target, **fields: object) -> Fleet:
+    given = {
+        'config': config(),
+        'confirmed_s': 100.0,
+        'targets': {one.name: one for one in targets},
+        'can_serve': True,
+    }
+    return Fleet(**{**given, **fields})
+
+
+def request(**fields: object) -> CallerRequest:
+    given = {
+        'attempt': 'a1',
+        'method': b'POST',
+        'target': b'/a/b',
+        'host': HOST,
+        'path': '/a/b',
+        'key': 'good',
+        'budget_s': 8.0,
+        'model': BIG,
+        'size': None,
+        'last_event': '',
+        'headers': ((b'Host', HOST.encode()), (b'X-Attempt-Id', b'a1')),
+        'body': b'{}',
+        'read_s': 100.0,
+    }
+    return CallerRequest(**{**given, **fields})
+
+
+def tenure(holder: str) -> Tenure:
+    return Tenure(f'{holder} life', address=Address(f'{holder}:7340'))
--- /dev/null
+++ b/test/test_group_ledger.py
@@ -0,0 +1,78 @@
+"""Records of groups under a tenure."""
+
+import unittest
+from dataclasses import replace
+
+from pomelogauge.decide.group_plan import GroupWanted
+from pomelogauge.entry.group_ledger import GroupLedger
+from pomelogauge.entry.store import StoreFault, Table
+from pomelogauge.entry.tenure_keeper import TenureKeeper
+from pomelogauge.platform.translator import RowTranslator
+
+from .entry_fakes import LLM, SMALL, FakeClock, MemoryStore, target, tenure
+
+WANTED = GroupWanted(LLM, SMALL, (target('a'), target('b')))
+
+
+class GroupLedgerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = MemoryStore()
+        self.clock = FakeClock()
+        self.keeper = self.keeper_of('n1')
+        self.ledger = GroupLedger(self.store, RowTranslator(), self.keeper)
+        self.keeper.tick()
+
+    def keeper_of(self, node: str) -> TenureKeeper:
+        rows = RowTranslator()
+        return TenureKeeper(tenure(node), self.store, rows, self.clock)
+
+    def test_a_record_is_read_as_it_was_written(self) -> None:
+        (formed,) = self.ledger.form([WANTED])
+        (read,) = self.ledger.read()
+        self.assertEqual(replace(read, version=formed.version), formed)
+        self.assertEqual(read.head.target, 'a')
+
+    def test_reading_again_never_uses_a_name_twice(self) -> None:
+        """Groups were overwritten when one term read its records anew."""
+        (first,) = self.ledger.form([WANTED])
+        self.ledger.read()
+        (second,) = self.ledger.form([WANTED])
+        self.assertNotEqual(first.group, second.group)
+        self.assertGreater(second.epoch, first.epoch)
+
+    def test_a_later_term_has_higher_epochs(self) -> None:
+        (first,) = self.ledger.form([WANTED])
+        other = self.keeper_of('n2')
+        other.tick()
+        self.clock.at_s += 10
+        other.tick()
+        other.tick()
+        ledger = GroupLedger(self.store, RowTranslator(), other)
+        (second,) = ledger.form([WANTED])
+        self.assertGreater(second.epoch, first.epoch + 1)
+
+    def test_nothing_is_recorded_once_another_has_taken_over(self) -> None:
+        other = self.keeper_of('n2')
+        other.tick()
+        self.clock.at_s += 10
+        other.tick()
+        self.assertTrue(other.is_held)
+        self.assertEqual(self.ledger.form([WANTED]), ())
+        self.assertFalse(self.keeper.is_held)
+
+    def test_a_lost_answer_makes_it_read_again(self) -> None:
+        self.store.loses_answers = True
+        self.assertEqual(self.ledger.form([WANTED]), ())
+        self.assertTrue(self.ledger.is_unsettled)
+        self.store.loses_answers = False
+        self.assertEqual(len(self.ledger.read()), 1)
+        self.assertFalse(self.ledger.is_unsettled)
+
+    def test_a_malformed_record_harms_no_other(self) -> None:
+        self.ledger.form([WANTED])
+        self.store.put(Table.GROUPS, 'bad', b'{"epoch": "x"}')
+        self.assertEqual(len(self.ledger.read()), 1)
+
+    def test_without_the_store_nothing_is_known(self) -> None:
+        self.store.faults.append(StoreFault.AWAY)
+        self.assertIsNone(self.ledger.read())
--- /dev/null
+++ b/test/test_held_group.py
@@ -0,0 +1,117 @@
+"""What becomes of a group, by the reports of its members."""
+
+import unittest
+
+from pomelogauge.decide.group_chart import GroupAction, GroupEvent, GroupState
+from pomelogauge.entry.held_group import (
+    HeldGroup,
+    Step,
+    group_times,
+    load_group_chart,
+)
+from pomelogauge.model.fleet import Fleet, SeatState, Target, TargetState
+
+from .entry_fakes import ENGINE, SMALL, fleet, record, seat, target
+
+CHART = load_group_chart()
+RECORD = record('g', ['head', 'tail'], SMALL)
+
+
+def member(name: str, rank: int, state: SeatState) -> Target:
+    return target(name, seat=seat('g', rank, state), staged=(SMALL,))
+
+
+READY = fleet(
+    member('head', 0, SeatState.READY), member('tail', 1, SeatState.READY)
+)
+OPEN = fleet(
+    member('head', 0, SeatState.OPEN), member('tail', 1, SeatState.READY)
+)
+
+
+class HeldGroupTest(unittest.TestCase):
+    def held(self, state: GroupState, seen: Fleet = READY) -> HeldGroup:
+        times = group_times(RECORD, ENGINE, 6)
+        return HeldGroup(RECORD, times, state, 0, 0).watch(seen)
+
+    def step(self, held: HeldGroup, known: Fleet, now_s: float = 1) -> Step:
+        held = held.watch(known)
+        step = Step(held, None)
+        for event in held.events(known, True, now_s):
+            step = step.group.take(CHART, event, now_s)
+        return step
+
+    def test_it_opens_once_all_members_are_ready(self) -> None:
+        joining = fleet(
+            member('head', 0, SeatState.READY),
+            member('tail', 1, SeatState.JOINING),
+        )
+        held = self.held(GroupState.JOINING, joining)
+        self.assertIsNone(self.step(held, joining).action)
+        step = self.step(held, READY)
+        self.assertIs(step.action, GroupAction.OPEN)
+        self.assertIs(step.group.state, GroupState.OPENING)
+
+    def test_it_is_not_opened_while_a_member_has_not_reported(self) -> None:
+        half = fleet(member('head', 0, SeatState.READY), target('tail'))
+        step = self.step(self.held(GroupState.JOINING, half), half)
+        self.assertIs(step.group.state, GroupState.JOINING)
+
+    def test_it_serves_once_the_head_is_open(self) -> None:
+        step = self.step(self.held(GroupState.OPENING), OPEN)
+        self.assertIs(step.group.state, GroupState.SERVING)
+
+    def test_a_head_that_is_no_longer_listed_ends_it(self) -> None:
+        gone = fleet(member('tail', 1, SeatState.READY))
+        step = self.step(self.held(GroupState.SERVING), gone)
+        self.assertIs(step.action, GroupAction.LEAVE_HEAD)
+
+    def test_an_unlisted_member_is_asked_before_anything_is_done(self) -> None:
+        cut = fleet(member('head', 0, SeatState.OPEN))
+        held = self.held(GroupState.SERVING)
+        self.assertIs(self.step(held, cut).group.state, GroupState.SERVING)
+        asked = [one.target for one in held.unlisted(cut)]
+        self.assertEqual(asked, ['tail'])
+
+    def test_a_member_that_started_again_ends_it(self) -> None:
+        reborn = fleet(
+            member('head', 0, SeatState.OPEN), target('tail', born_ms=2)
+        )
+        step = self.step(self.held(GroupState.SERVING), reborn)
+        self.assertIs(step.group.state, GroupState.LEAVING)
+
+    def test_a_member_that_left_ends_it(self) -> None:
+        left = fleet(member('head', 0, SeatState.OPEN), target('tail'))
+        step = self.step(self.held(GroupState.SERVING, OPEN), left)
+        self.assertIs(step.group.state, GroupState.LEAVING)
+
+    def test_a_draining_member_closes_it(self) -> None:
+        draining = target(
+            'tail',
+            seat=seat('g', 1, SeatState.READY),
+            state=TargetState.DRAINING,
+        )
+        known = fleet(member('head', 0, SeatState.OPEN), draining)
+        step = self.step(self.held(GroupState.SERVING), known)
+        self.assertIs(step.action, GroupAction.CLOSE)
+
+    def test_it_is_released_only_once_the_head_has_left(self) -> None:
+        held = self.held(GroupState.LEAVING)
+        step = held.take(CHART, GroupEvent.HEAD_LEFT, 1)
+        self.assertIs(step.action, GroupAction.RELEASE)
+
+    def test_members_of_a_silent_head_wait_until_it_has_broken(self) -> None:
+        held = self.held(GroupState.LEAVING)
+        step = held.take(CHART, GroupEvent.HEAD_SILENT, 1)
+        self.assertIs(step.action, GroupAction.LEAVE_MEMBERS)
+        gone = fleet(target('tail'))
+        self.assertIs(
+            self.step(step.group, gone, 7.5).group.state, GroupState.STALLING
+        )
+        self.assertIs(
+            self.step(step.group, gone, 8.5).group.state, GroupState.RELEASED
+        )
+
+    def test_an_opened_group_that_was_closed_is_opened_again(self) -> None:
+        step = self.step(self.held(GroupState.SERVING), READY)
+        self.assertIs(step.action, GroupAction.OPEN)
--- /dev/null
+++ b/test/test_serving_rules.py
@@ -0,0 +1,69 @@
+"""Which requests the configuration allows."""
+
+import unittest
+
+from pomelogauge.decide.serving_rules import (
+    AdmissionBounds,
+    Denial,
+    admit,
+    find_route,
+    pick_share,
+)
+from pomelogauge.model.entry_request import AdmittedRequest
+from pomelogauge.model.fleet import Fleet
+from pomelogauge.model.serving import Share
+
+from .entry_fakes import DESK, HOST, LLM, config, fleet, request, route
+
+BOUNDS = AdmissionBounds(key_age_s=4.3)
+
+
+class ServingRulesTest(unittest.TestCase):
+    def admit(self, known: Fleet, **fields: object) -> object:
+        return admit(request(**fields), known, BOUNDS, 0.5)
+
+    def test_a_request_gets_its_route_service_and_organisation(self) -> None:
+        admitted = self.admit(fleet())
+        assert isinstance(admitted, AdmittedRequest)
+        self.assertEqual(admitted.service.name, LLM)
+        self.assertEqual(admitted.organisation.name, 'acme')
+
+    def test_the_organisations_priority_goes_first(self) -> None:
+        self.assertEqual(self.admit(fleet()).priority, 3)
+
+    def test_the_time_ends_with_the_callers_budget_or_the_route(self) -> None:
+        self.assertEqual(self.admit(fleet()).until_s, 106.0)
+        self.assertEqual(self.admit(fleet(), budget_s=2.0).until_s, 102.0)
+
+    def test_without_a_configuration_nothing_is_denied_for_good(self) -> None:
+        self.assertIs(self.admit(Fleet()), Denial.NO_CONFIGURATION)
+
+    def test_an_unknown_key_is_denied(self) -> None:
+        self.assertIs(self.admit(fleet(), key='bad'), Denial.NO_KEY)
+
+    def test_a_public_route_needs_no_key(self) -> None:
+        known = fleet(config=config(route(is_public=True)))
+        admitted = self.admit(known, key='')
+        self.assertIsNone(admitted.organisation)
+
+    def test_no_key_is_used_once_the_configuration_is_too_old(self) -> None:
+        known = fleet(confirmed_s=100 - 4.4)
+        self.assertIs(self.admit(known), Denial.UNCONFIRMED)
+
+    def test_an_old_configuration_denies_nothing_for_good(self) -> None:
+        known = fleet(confirmed_s=100 - 4.4)
+        unknown = {'path': '/nothing/', 'key': 'bad'}
+        self.assertIs(self.admit(known, **unknown), Denial.UNCONFIRMED)
+
+    def test_the_longest_prefix_wins(self) -> None:
+        long = route(prefix='/a/b/')
+        known = config(long, route())
+        self.assertIs(find_route(known, HOST, '/a/b/c'), long)
+        self.assertIsNone(find_route(known, HOST, '/ab'))
+        self.assertIsNone(find_route(known, 'other', '/a/b/c'))
+
+    def test_a_split_follows_its_weights(self) -> None:
+        shares = (Share(LLM, 90), Share(DESK, 10))
+        self.assertEqual(pick_share(shares, 0.89).service, LLM)
+        self.assertEqual(pick_share(shares, 0.91).service, DESK)
+        self.assertEqual(pick_share(shares, 1.0).service, DESK)
