--- /dev/null
+++ b/test/test_budgets.py
@@ -0,0 +1,56 @@
+"""Budgets of repeats, loads and cold targets."""
+
+import unittest
+
+from pomelogauge.decide.cold_rate import ColdRate
+from pomelogauge.decide.load_budget import LoadBudget
+from pomelogauge.decide.prelude import Prelude
+from pomelogauge.decide.repeat_budget import RepeatBudget
+
+
+class RepeatBudgetTest(unittest.TestCase):
+    def test_requests_pay_for_repeats(self) -> None:
+        budget = RepeatBudget(share=0.2, slack=1, window_s=10)
+        for _ in range(10):
+            budget.count_request(0)
+        taken = [budget.take(1) for _ in range(5)]
+        self.assertEqual(taken, [True, True, True, False, False])
+
+    def test_the_window_slides(self) -> None:
+        budget = RepeatBudget(share=0, slack=1, window_s=10)
+        self.assertTrue(budget.take(0))
+        self.assertFalse(budget.take(9))
+        self.assertTrue(budget.take(10.1))
+
+
+class LoadBudgetTest(unittest.TestCase):
+    def test_half_of_the_rate_is_used(self) -> None:
+        budget = LoadBudget()
+        budget.count(4, 0)
+        self.assertEqual(budget.left(4, 1), 6)
+        self.assertEqual(budget.left(4, 5.1), 10)
+
+
+class ColdRateTest(unittest.TestCase):
+    def test_a_cold_target_gets_its_rate_in_any_second(self) -> None:
+        rate = ColdRate()
+        for _ in range(3):
+            rate.count('t', 0)
+        self.assertFalse(rate.may_send('t', 0.9, 3))
+        self.assertTrue(rate.may_send('t', 0.9, 4))
+        self.assertTrue(rate.may_send('t', 1.1, 3))
+        self.assertTrue(rate.may_send('other', 0.9, 0.2), 'one is allowed')
+
+
+class PreludeTest(unittest.TestCase):
+    def test_groups_are_planned_once_the_targets_are_listed(self) -> None:
+        prelude = Prelude(True, 0)
+        self.assertFalse(prelude.has_settled(3, 1))
+        self.assertFalse(prelude.has_settled(8, 1.6))
+        self.assertFalse(prelude.has_settled(8, 2.2))
+        self.assertTrue(prelude.has_settled(8, 2.4))
+        self.assertTrue(prelude.has_settled(9, 10), 'it is over')
+
+    def test_a_restart_has_none(self) -> None:
+        self.assertFalse(Prelude(False, 0).is_on(0))
+        self.assertTrue(Prelude(False, 0).has_settled(3, 0))
--- /dev/null
+++ b/test/test_platform_rows.py
@@ -0,0 +1,285 @@
+"""Decoding of the platform's rows, requests and settings."""
+
+import json
+import unittest
+
+from returns.result import Failure
+
+from pomelogauge.model.entry_request import TargetLoad, TargetRequest
+from pomelogauge.model.errors import FindingsError
+from pomelogauge.model.fleet import SeatState, TargetState
+from pomelogauge.model.ids import RowVersion
+from pomelogauge.model.serving import RouteKind
+from pomelogauge.platform.pages import PageTranslator
+from pomelogauge.platform.settings import decode_settings
+from pomelogauge.platform.translator import RequestTranslator, RowTranslator
+from pomelogauge.wire.caller_connection import RequestRead
+from pomelogauge.wire.target_link import HeadRead
+
+from .entry_fakes import request
+
+ROWS = RowTranslator()
+REQUESTS = RequestTranslator()
+ENTRY = {
+    'service': 'llm',
+    'address': '10.0.0.1:80',
+    'zone': 'a',
+    'domain': 'd1',
+    'slots': 13,
+    'state': 'ready',
+    'cold_remaining_ms': 500,
+    'born': 7,
+    'staged': ['m'],
+    'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+    'group': {'name': 'g', 'epoch': 3, 'rank': 0, 'state': 'open'},
+}
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'host': 'App.example',
+            'prefix': '/a/',
+            'route_type': 'streaming',
+            'timeout_ms': 8000,
+            'target_latency_ms': 500,
+            'priority': 1,
+            'traffic_split': [{'service': 's', 'weight': 90}],
+            'max_attempts': 2,
+            'stream_resume': True,
+        },
+        {
+            'name': 'r2',
+            'host': 'app.example',
+            'prefix': '/a/b/',
+            'route_type': 'non_idempotent',
+            'timeout_ms': 800,
+            'service': 's',
+        },
+    ],
+    'services': [{'name': 's', 'engine': {'slots': 13, 'models': []}}],
+    'tenants': [{'name': 't', 'api_keys': ['k'], 'priority': 1}],
+    'limits': {'idle_timeout_ms': 9000},
+}
+SETTINGS = {
+    'node_name': 'n1',
+    'zone': 'a',
+    'ip': '10.0.0.1',
+    'internal_ports': [7340, 7355],
+    'bootstrap': True,
+    'listen_addrs': {
+        'frontend': '10.0.0.1:1',
+        'ready': '10.0.0.1:2',
+        'directory': '10.0.0.1:3',
+    },
+    'platform': {'address': '10.0.0.9:4'},
+    'bounds': {
+        'revoke_ms': 5000,
+        'grace_s': 8,
+        'stall_ms': 6000,
+        'retry_budget_ratio': 0.2,
+        'retry_budget_slack': 130,
+        'budget_window_s': 10,
+        'cold_overshoot': 1.5,
+        'cold_slack': 5,
+    },
+}
+
+
+def entry(**fields: object) -> bytes:
+    return json.dumps({**ENTRY, **fields}).encode()
+
+
+class TargetTest(unittest.TestCase):
+    def decode(self, body: bytes) -> object:
+        return ROWS.target('t1', body, RowVersion(5), 100.0)
+
+    def test_an_entry_is_decoded(self) -> None:
+        target = self.decode(entry()).unwrap()
+        self.assertEqual(target.born_ms, 7)
+        self.assertEqual(target.cold_until_s, 100.5)
+        self.assertEqual(target.staged, ('m',))
+        self.assertTrue(target.heads_open_group())
+
+    def test_a_target_without_a_group_has_no_seat(self) -> None:
+        self.assertIsNone(self.decode(entry(group=None)).unwrap().seat)
+
+    def test_a_domain_may_be_a_number(self) -> None:
+        self.assertEqual(self.decode(entry(domain=4)).unwrap().domain, '4')
+
+    def test_malformed_entries_name_no_target(self) -> None:
+        bad = (
+            b'',
+            b'\xff\xfe',
+            b'[]',
+            b'{}',
+            b'[' * 100_000,
+            entry(state='sleeping'),
+            entry(address='nowhere'),
+            entry(address=7),
+            entry(slots='many'),
+            entry(slots=-1),
+            entry(slots=1.5),
+            entry(slots=True),
+            entry(born='today'),
+            entry(staged=[1]),
+            entry(staged='m'),
+            entry(models=[1]),
+            entry(group={'name': 'g'}),
+            entry(group={'name': 'g', 'epoch': 1, 'rank': 0, 'state': 'x'}),
+            entry(service=''),
+            b'{"slots": NaN}',
+        )
+        for body in bad:
+            with self.subTest(body=body[:40]):
+                self.assertIsInstance(self.decode(body), Failure)
+
+    def test_all_findings_come_with_their_place(self) -> None:
+        error = self.decode(entry(state='x', slots='y')).failure()
+        places = [finding.place.path for finding in error.findings]
+        self.assertEqual(places, ['state', 'slots'])
+
+    def test_states_are_decoded(self) -> None:
+        target = self.decode(entry(state='draining')).unwrap()
+        self.assertIs(target.state, TargetState.DRAINING)
+        self.assertIs(target.seat.state, SeatState.OPEN)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def decode(self, **fields: object) -> object:
+        body = json.dumps({**CONFIG, **fields}).encode()
+        return ROWS.configuration(body)
+
+    def test_a_configuration_is_decoded(self) -> None:
+        config = self.decode().unwrap()
+        first, second = config.routes['app.example']
+        self.assertEqual(first.prefix, '/a/b/', 'the longest comes first')
+        self.assertIs(first.kind, RouteKind.NON_IDEMPOTENT)
+        self.assertFalse(first.may_repeat())
+        self.assertTrue(second.may_repeat())
+        self.assertEqual(config.keys['k'].name, 't')
+        self.assertEqual(config.limits.idle_timeout_s, 9.0)
+
+    def test_without_organisations_no_key_is_needed(self) -> None:
+        config = self.decode(tenants=None).unwrap()
+        self.assertFalse(config.has_organisations)
+
+    def test_faults_are_found_together(self) -> None:
+        error = self.decode(version='x', services=[{}]).failure()
+        self.assertEqual(len(error.findings), 2)
+
+    def test_rows_of_the_operator_are_told_apart(self) -> None:
+        self.assertTrue(ROWS.is_configuration('config'))
+        self.assertEqual(ROWS.drained_data_centre('evacuate/z'), 'z')
+        self.assertIsNone(ROWS.drained_data_centre('other'))
+
+
+class RequestTest(unittest.TestCase):
+    HEADERS = (
+        (b'Host', b'App.example:80'),
+        (b'X-Attempt-Id', b'a1'),
+        (b'X-Deadline-Ms', b'1500'),
+        (b'X-Tenant', b'forged'),
+        (b'X-Expect-Instance', b'forged'),
+        (b'Authorization', b'Bearer key'),
+        (b'X-Token-Counts', b'10,20'),
+        (b'Connection', b'keep-alive, X-Hop'),
+        (b'X-Hop', b'1'),
+        (b'X-Kept', b'1'),
+    )
+
+    def decode(self, *headers: tuple[bytes, bytes]) -> object:
+        read = RequestRead(b'POST', b'/a/b?q=1', headers, b'body')
+        return REQUESTS.decode_request(read, 1.0)
+
+    def test_a_request_is_decoded(self) -> None:
+        req = self.decode(*self.HEADERS).unwrap()
+        self.assertEqual(req.host, 'app.example')
+        self.assertEqual(req.path, '/a/b')
+        self.assertEqual(req.key, 'key')
+        self.assertEqual(req.budget_s, 1.5)
+        names = [name for name, _ in req.headers]
+        kept = [b'Host', b'X-Attempt-Id', b'X-Token-Counts', b'X-Kept']
+        self.assertEqual(names, kept)
+
+    def test_missing_repeated_and_malformed_headers_are_found(self) -> None:
+        error = self.decode(
+            (b'Host', b'h'),
+            (b'X-Deadline-Ms', b'soon'),
+            (b'Authorization', b'Bearer a'),
+            (b'Authorization', b'Bearer b'),
+            (b'X-Token-Counts', b'many'),
+        ).failure()
+        self.assertIsInstance(error, FindingsError)
+        places = {finding.place.path for finding in error.findings}
+        found = {
+            'x-deadline-ms',
+            'authorization',
+            'x-token-counts',
+            'x-attempt-id',
+        }
+        self.assertEqual(places, found)
+
+    def test_a_target_is_told_what_it_needs_and_no_key(self) -> None:
+        req = self.decode(*self.HEADERS).unwrap()
+        sent = TargetRequest(req, 't1', 'acme', 12, 0.75, '8')
+        headers = dict(REQUESTS.encode_request(sent).headers)
+        self.assertEqual(headers[b'X-Deadline-Ms'], b'750')
+        self.assertEqual(headers[b'X-Expect-Instance'], b't1')
+        self.assertEqual(headers[b'X-Tenant'], b'acme')
+        self.assertEqual(headers[b'X-Request-Priority'], b'9')
+        self.assertEqual(headers[b'Last-Event-Id'], b'8')
+        self.assertEqual(headers[b'Content-Length'], b'4')
+        self.assertNotIn(b'Authorization', headers)
+
+    def test_a_plain_request_has_no_rank(self) -> None:
+        sent = TargetRequest(request(), 't1', '', 1, 1.0, '')
+        headers = dict(REQUESTS.encode_request(sent).headers)
+        self.assertNotIn(b'X-Request-Priority', headers)
+        self.assertNotIn(b'X-Tenant', headers)
+
+    def test_an_answer_is_decoded(self) -> None:
+        head = HeadRead(
+            200,
+            (
+                (b'X-Attempt-Id', b'a1'),
+                (b'X-Response-Stamp', b's'),
+                (b'X-Instance-Load', b'3, 0, 8'),
+                (b'Content-Type', b'text/event-stream'),
+                (b'Transfer-Encoding', b'chunked'),
+            ),
+        )
+        answer = REQUESTS.decode_answer(head)
+        self.assertTrue(answer.is_stamped and answer.is_stream)
+        self.assertEqual(answer.load, TargetLoad(3, 0, 8))
+        self.assertEqual(len(answer.headers), 4)
+
+    def test_only_the_targets_own_word_says_that_nothing_ran(self) -> None:
+        shed = HeadRead(503, ((b'X-Not-Executed', b'1'),))
+        self.assertTrue(REQUESTS.decode_answer(shed).was_not_run)
+        self.assertTrue(REQUESTS.decode_answer(HeadRead(421, ())).was_not_run)
+        self.assertFalse(REQUESTS.decode_answer(HeadRead(503, ())).was_not_run)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_settings_are_decoded(self) -> None:
+        text = json.dumps(SETTINGS).encode()
+        cfg = decode_settings('settings.json', text)
+        self.assertEqual(cfg.peers, '10.0.0.1:7340')
+        self.assertEqual(cfg.bounds.revoke_s, 5)
+
+    def test_all_faults_are_reported_together(self) -> None:
+        broken = {**SETTINGS, 'zone': 5, 'internal_ports': ['x']}
+        del broken['platform']
+        with self.assertRaises(FindingsError) as caught:
+            decode_settings('settings.json', json.dumps(broken).encode())
+        self.assertGreaterEqual(len(caught.exception.findings), 3)
+        self.assertIn('settings.json', str(caught.exception))
+
+
+class PageTest(unittest.TestCase):
+    def test_a_question_names_the_data_centre(self) -> None:
+        pages = PageTranslator()
+        asked = pages.decode_question(b'/resolve?name=h&zone=z1')
+        self.assertEqual(asked.data_centre, 'z1')
+        self.assertIsNone(pages.decode_question(b'/other'))
