--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -101,7 +101,7 @@
         self._budgets: dict[ServiceName, RepeatBudget] = {}
         self._cold = ColdRate()
         self._fleet = board.latest()
-        self._offers = Offers()
+        self._offers: Offers = list_offers(self._fleet)
 
     def on_start(self) -> None:
         """Own nothing that must be opened."""
--- /dev/null
+++ b/test/platform_standin.py
@@ -0,0 +1,259 @@
+"""A small stand-in of the users' platform: its store and its workers."""
+
+import base64
+import json
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import suppress
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+WAIT_S = 0.02
+TRIES = 5000
+
+
+class QuietServer(ThreadingHTTPServer):
+    """Serves each connection in a daemon thread."""
+
+    daemon_threads = True
+
+    def handle_error(self, request: object, client: object) -> None:
+        """Ignore callers that leave."""
+
+
+class Handler(BaseHTTPRequestHandler):
+    """One connection to a stand-in."""
+
+    protocol_version = 'HTTP/1.1'
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Write nothing."""
+
+    def do_GET(self) -> None:
+        self.server.owner.serve(self, b'')
+
+    def do_POST(self) -> None:
+        length = int(self.headers.get('Content-Length', 0))
+        self.server.owner.serve(self, self.rfile.read(length))
+
+    def answer(self, status: int, body: Any, **headers: str) -> None:
+        text = json.dumps(body).encode()
+        self.send_response(status)
+        for name, found in headers.items():
+            self.send_header(name.replace('_', '-'), found)
+        self.send_header('Content-Length', str(len(text)))
+        self.end_headers()
+        self.wfile.write(text)
+
+
+class Service:
+    """A listening stand-in."""
+
+    def __init__(self) -> None:
+        self.server = QuietServer(('127.0.0.1', 0), Handler)
+        self.server.owner = self
+        self.address = f'127.0.0.1:{self.server.server_port}'
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class StoreStandin(Service):
+    """Rows, transactions and feeds; refuses everything while it is down."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], dict] = {}
+        self.history: list[dict] = []
+        self.version = 0
+        self.is_down = False
+        self.lock = threading.Lock()
+        super().__init__()
+
+    def put(self, table: str, key: str, fields: dict | None) -> None:
+        """Write a row as the operator or a worker."""
+        with self.lock:
+            self.version += 1
+            body = None if fields is None else json.dumps(fields).encode()
+            self.write(table, key, body)
+
+    def write(self, table: str, key: str, body: bytes | None) -> None:
+        """Write a row under the present version."""
+        row = {'table': table, 'part': '', 'key': key, 'ver': self.version}
+        if body is None:
+            self.rows.pop((table, key), None)
+            row['tombstone'] = True
+        else:
+            row['value'] = base64.b64encode(body).decode()
+            self.rows[table, key] = row
+        self.history.append(row)
+
+    def serve(self, conn: Handler, body: bytes) -> None:
+        if self.is_down:
+            conn.answer(503, {})
+            return
+        parts = urlsplit(conn.path)
+        query = {key: found[0] for key, found in parse_qs(parts.query).items()}
+        if parts.path == '/rows-tx':
+            self.transact(conn, json.loads(body))
+        elif parts.path == '/rows-get':
+            with self.lock:
+                self.give(conn, list(self.table(query['table'])))
+        else:
+            self.feed(conn, query)
+
+    def table(self, table: str) -> Iterator[dict]:
+        return (row for key, row in self.rows.items() if key[0] == table)
+
+    def give(self, conn: Handler, rows: list[dict]) -> None:
+        answer = {'rows': rows, 'truncated': False, 'ver': self.version}
+        conn.answer(200, answer)
+
+    def feed(self, conn: Handler, query: dict[str, str]) -> None:
+        until_s = time.monotonic() + int(query['wait_ms']) / 1000
+        while True:
+            with self.lock:
+                rows = [
+                    row
+                    for row in self.history
+                    if row['table'] == query['table']
+                    and row['ver'] > int(query['after_rev'])
+                ]
+                if rows or time.monotonic() > until_s or self.is_down:
+                    self.give(conn, rows)
+                    return
+            time.sleep(WAIT_S)
+
+    def transact(self, conn: Handler, asked: dict) -> None:
+        with self.lock:
+            for one in asked['expected_rev']:
+                row = self.rows.get((one['table'], one['key']))
+                if (row['ver'] if row else 0) != one['ver']:
+                    conn.answer(412, {'rows': [], 'ver': self.version})
+                    return
+            self.version += 1
+            for one in asked['set_keys']:
+                body = base64.b64decode(one['value'])
+                self.write(one['table'], one['key'], body)
+            for one in asked['remove']:
+                self.write(one['table'], one['key'], None)
+            conn.answer(200, {'ver': self.version, 'now_ms': 0})
+
+
+class WorkerStandin(Service):
+    """A model worker that joins at once and streams three events."""
+
+    def __init__(self, name: str, store: StoreStandin) -> None:
+        self.name = name
+        self.store = store
+        self.group: dict | None = None
+        self.orders: list[dict] = []
+        self.served: list[str] = []
+        super().__init__()
+        self.tell()
+
+    def tell(self, state: str = 'ready') -> None:
+        """Write the own entry."""
+        model = self.group['model'] if self.group else None
+        entry = {
+            'service': 'llm',
+            'address': self.address,
+            'zone': 'a',
+            'domain': 'd0',
+            'slots': 4,
+            'state': state,
+            'cold_remaining_ms': 0,
+            'born': 1,
+            'staged': ['m'],
+            'models': [{'name': model}] if model else [],
+            'group': self.group,
+            'sequence': 1,
+        }
+        self.store.put('servers', self.name, entry)
+
+    def serve(self, conn: Handler, body: bytes) -> None:
+        if conn.headers.get('X-Expect-Instance') != self.name:
+            conn.answer(421, {})
+        elif conn.path == '/order':
+            self.obey(conn, json.loads(body))
+        elif conn.path == '/report':
+            conn.answer(200, {'group': self.group})
+        else:
+            self.stream(conn)
+
+    def obey(self, conn: Handler, order: dict) -> None:
+        self.orders.append(order)
+        if order['operation'] == 'join':
+            self.group = {
+                'name': order['group'],
+                'epoch': order['epoch'],
+                'rank': order['members'].index(self.name),
+                'state': 'ready',
+                'model': order['model'],
+            }
+        elif order['operation'] == 'open' and self.group:
+            self.group['state'] = 'open'
+        elif order['operation'] == 'leave':
+            self.group = None
+        conn.answer(202, {})
+        self.tell()
+
+    def stream(self, conn: Handler) -> None:
+        self.served.append(conn.headers['X-Attempt-Id'])
+        conn.send_response(200)
+        conn.send_header('X-Attempt-Id', conn.headers['X-Attempt-Id'])
+        conn.send_header('X-Response-Stamp', self.name)
+        conn.send_header('Content-Type', 'text/event-stream')
+        conn.send_header('Transfer-Encoding', 'chunked')
+        conn.end_headers()
+        for number in range(1, 4):
+            event = b'id: %d\ndata: x\n\n' % number
+            conn.wfile.write(b'%x\r\n%s\r\n' % (len(event), event))
+            time.sleep(0.05)
+        conn.wfile.write(b'0\r\n\r\n')
+
+
+def configuration(version: int, *keys: str) -> dict:
+    """Return a configuration with one model of two workers."""
+    return {
+        'version': version,
+        'routes': [
+            {
+                'name': 'r',
+                'host': 'app',
+                'prefix': '/a/',
+                'route_type': 'streaming',
+                'timeout_ms': 4000,
+                'service': 'llm',
+                'max_attempts': 2,
+                'stream_resume': True,
+            }
+        ],
+        'services': [
+            {
+                'name': 'llm',
+                'max_connections': 9,
+                'engine': {
+                    'slots': 4,
+                    'loads_per_s': 4,
+                    'models': [{'name': 'm', 'size': 2}],
+                },
+            }
+        ],
+        'tenants': [{'name': 't', 'api_keys': list(keys)}],
+    }
+
+
+def wait_for(holds: Any, seconds: float = 15) -> bool:
+    """Return whether something holds in time."""
+    until_s = time.monotonic() + seconds
+    while time.monotonic() < until_s:
+        with suppress(OSError):
+            if holds():
+                return True
+        time.sleep(WAIT_S)
+    return False
--- /dev/null
+++ b/test/test_entry_process.py
@@ -0,0 +1,252 @@
+"""Whole entry processes before stand-ins of the platform."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from .platform_standin import (
+    StoreStandin,
+    WorkerStandin,
+    configuration,
+    wait_for,
+)
+
+BOUNDS = {
+    'revoke_ms': 5000,
+    'grace_s': 8,
+    'stall_ms': 500,
+    'retry_budget_ratio': 0.2,
+    'retry_budget_slack': 130,
+    'budget_window_s': 10,
+    'cold_overshoot': 1.5,
+    'cold_slack': 5,
+}
+
+
+def free_port() -> int:
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        return server.getsockname()[1]
+
+
+class Entry:
+    """One entry process; ended by its id."""
+
+    def __init__(self, name: str, folder: Path, store: StoreStandin) -> None:
+        ports = [free_port() for _ in range(5)]
+        self.callers = f'127.0.0.1:{ports[0]}'
+        self.ready = f'127.0.0.1:{ports[1]}'
+        self.directory = f'127.0.0.1:{ports[2]}'
+        self.metrics = f'127.0.0.1:{ports[4]}'
+        self.settings = folder / f'{name}.json'
+        self.log = folder / f'{name}.log'
+        self.settings.write_text(
+            json.dumps(
+                {
+                    'node_name': name,
+                    'zone': 'a',
+                    'ip': '127.0.0.1',
+                    'internal_ports': [ports[3], ports[3]],
+                    'bootstrap': True,
+                    'listen_addrs': {
+                        'frontend': self.callers,
+                        'ready': self.ready,
+                        'directory': self.directory,
+                    },
+                    'platform': {'address': store.address},
+                    'bounds': BOUNDS,
+                }
+            )
+        )
+        self.metrics_port = ports[4]
+        self.start()
+
+    def start(self) -> None:
+        with self.log.open('ab') as log:
+            self.process = subprocess.Popen(
+                [
+                    *(sys.executable, '-m', 'pomelogauge', 'entry'),
+                    *('--settings', str(self.settings)),
+                    *('--metrics-port', str(self.metrics_port)),
+                ],
+                stdout=log,
+                stderr=log,
+            )
+
+    def end(self, number: int = signal.SIGKILL) -> int:
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+        return self.process.wait(15)
+
+    def is_ready(self) -> bool:
+        return self.get(self.ready, '/ready').status == 200
+
+    def get(self, address: str, path: str) -> urllib3.BaseHTTPResponse:
+        try:
+            return urllib3.request('GET', f'http://{address}{path}', retries=0)
+        except HTTPError as exc:
+            raise OSError(str(exc)) from exc
+
+    def ask(self, attempt: str, key: str = 'k') -> urllib3.BaseHTTPResponse:
+        try:
+            return urllib3.request(
+                'POST',
+                f'http://{self.callers}/a/b',
+                body=b'{}',
+                retries=0,
+                timeout=8,
+                headers={
+                    'Host': 'app',
+                    'X-Attempt-Id': attempt,
+                    'X-Model': 'm',
+                    'X-Deadline-Ms': '4000',
+                    'Authorization': f'Bearer {key}',
+                },
+            )
+        except HTTPError as exc:
+            raise OSError(str(exc)) from exc
+
+    def is_served(self) -> bool:
+        answer = self.ask('a1')
+        return answer.status == 200 and answer.data.count(b'id: ') == 3
+
+    def decisions(self) -> list[dict]:
+        lines = self.log.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith('{')]
+
+
+class EntryProcessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory(prefix='pomelogauge-')
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.store = StoreStandin()
+        self.addCleanup(self.store.close)
+        self.store.put('op', 'config', configuration(1, 'k'))
+        self.workers = [
+            WorkerStandin(f'w{index}', self.store) for index in range(3)
+        ]
+        for worker in self.workers:
+            self.addCleanup(worker.close)
+
+    def entry(self, name: str) -> Entry:
+        entry = Entry(name, self.folder, self.store)
+        self.addCleanup(entry.end)
+        return entry
+
+    def test_the_whole_path(self) -> None:
+        first, second = self.entry('n1'), self.entry('n2')
+        self.assertTrue(wait_for(first.is_ready))
+        for entry in (first, second):
+            self.assertTrue(wait_for(entry.is_served))
+        self.assert_named(first, {first.callers, second.callers})
+        self.assertEqual(first.ask('a2', 'bad').status, 401)
+        self.assert_revoked(first)
+        self.assert_metrics(first)
+        self.assert_logged(first)
+
+    def assert_named(self, entry: Entry, addresses: set[str]) -> None:
+        def named() -> bool:
+            answer = entry.get(entry.directory, '/resolve?name=h&zone=a')
+            return set(answer.json()['addresses']) == addresses
+
+        self.assertTrue(wait_for(named))
+
+    def assert_revoked(self, entry: Entry) -> None:
+        self.store.put('op', 'config', configuration(2, 'other'))
+        self.assertTrue(wait_for(lambda: entry.ask('a3').status == 401, 2))
+        self.store.put('op', 'config', configuration(3, 'k'))
+        self.assertTrue(wait_for(entry.is_served, 2))
+
+    def assert_metrics(self, entry: Entry) -> None:
+        text = entry.get(entry.metrics, '/metrics').data.decode()
+        self.assertIn('pomelogauge_entry_requests_total', text)
+
+    def assert_logged(self, entry: Entry) -> None:
+        lines = [
+            line for line in entry.decisions() if line.get('request') == 'a1'
+        ]
+        parts = {line['part'] for line in lines}
+        self.assertEqual(parts, {'choice', 'request'})
+
+    def test_any_instance_may_be_killed(self) -> None:
+        first, second = self.entry('n1'), self.entry('n2')
+        self.assertTrue(wait_for(first.is_served))
+        self.assertTrue(wait_for(second.is_served))
+        first.end()
+        self.assertTrue(second.is_served())
+        self.assert_named(second, {second.callers})
+        first.start()
+        self.assertTrue(wait_for(first.is_served))
+        second.end()
+        worker = next(one for one in self.workers if one.group)
+        worker.close()
+        self.store.put('servers', worker.name, None)
+        self.assertTrue(wait_for(first.is_served, 20), 'a group is repaired')
+
+    def test_all_instances_may_be_killed(self) -> None:
+        entry = self.entry('n1')
+        self.assertTrue(wait_for(entry.is_served))
+        orders = sum(len(worker.orders) for worker in self.workers)
+        entry.end()
+        entry.start()
+        self.assertTrue(wait_for(entry.is_served))
+        again = sum(len(worker.orders) for worker in self.workers)
+        self.assertEqual(again, orders, 'the group that stands is adopted')
+
+    def test_no_key_is_used_without_the_store(self) -> None:
+        entry = self.entry('n1')
+        self.assertTrue(wait_for(entry.is_served))
+        self.store.is_down = True
+        self.assertTrue(entry.is_served(), 'it serves on for a while')
+        self.assertTrue(wait_for(lambda: entry.ask('a2').status == 503, 7))
+        self.store.is_down = False
+        self.assertTrue(wait_for(entry.is_served))
+
+    def test_a_shutdown_cuts_nothing(self) -> None:
+        first, second = self.entry('n1'), self.entry('n2')
+        self.assertTrue(wait_for(first.is_served))
+        self.assertTrue(wait_for(second.is_served))
+        os.kill(first.process.pid, signal.SIGTERM)
+        self.assertTrue(wait_for(lambda: not first.is_ready(), 1))
+        self.assertTrue(first.is_served(), 'late callers are still served')
+        self.assert_named(second, {second.callers})
+        self.assertEqual(first.process.wait(9), 0)
+
+    def test_a_drained_data_centre_gets_nothing(self) -> None:
+        entry = self.entry('n1')
+        self.assertTrue(wait_for(entry.is_served))
+        self.store.put('op', 'evacuate/a', {})
+        self.assertTrue(wait_for(lambda: entry.ask('a2').status == 503, 3))
+        self.store.put('op', 'evacuate/a', None)
+        self.assertTrue(wait_for(entry.is_served, 3))
+
+    def test_malformed_entries_harm_no_other(self) -> None:
+        self.store.put('servers', 'bad', {'service': 5})
+        self.store.put('servers', 'odd', {'state': 'x', 'group': []})
+        entry = self.entry('n1')
+        self.assertTrue(wait_for(entry.is_served))
+
+    def test_malformed_settings_are_one_line_each(self) -> None:
+        settings = self.folder / 'bad.json'
+        settings.write_text('{"node_name": 5}')
+        ended = subprocess.run(
+            [
+                *(sys.executable, '-m', 'pomelogauge', 'entry'),
+                *('--settings', str(settings)),
+            ],
+            capture_output=True,
+            check=False,
+            timeout=20,
+        )
+        self.assertEqual(ended.returncode, 2)
+        self.assertIn(b'bad.json node_name: is not a text', ended.stderr)
+        self.assertNotIn(b'Traceback', ended.stderr)
