--- a/pomelogauge/app/settings_page.py
+++ b/pomelogauge/app/settings_page.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from .entry_settings import EntryOptions
 from .operator_settings import DrainSettings, PublishSettings, StatusSettings
 from .setting_fields import Definition, definitions
 from .setting_options import bounds_text
@@ -38,6 +39,7 @@
         _section('Router and controller', common),
         _section('Router', _own(RouterSettings, common)),
         _section('Controller', _own(ControllerSettings, common)),
+        _section('Entry', definitions(EntryOptions)),
         _section('`publish`, `dc return`', definitions(PublishSettings)),
         _section('`dc drain`', definitions(DrainSettings)),
         _section('`status`', definitions(StatusSettings)),
