--- a/pomelogauge/decide/group_chart.py
+++ b/pomelogauge/decide/group_chart.py
@@ -29,6 +29,7 @@
     HEAD_LEFT = 'head_left'
     HEAD_SILENT = 'head_silent'
     EXPIRED = 'expired'
+    UNCONFIRMED = 'unconfirmed'
 
 
 class GroupAction(StrEnum):
--- a/pomelogauge/entry/held_group.py
+++ b/pomelogauge/entry/held_group.py
@@ -1,8 +1,10 @@
 """A group in the hands of its owner: its record, state and deadline."""
 
+import math
 from dataclasses import dataclass, replace
 
 from ..charts.reader import load_chart
+from ..decide.crash import has_crashed
 from ..decide.group_chart import (
     GROUP_WORDS,
     GroupAction,
@@ -17,6 +19,7 @@
 from ..model.log_parts import Part
 from ..model.serving import EngineSpec
 from ..tasks.log import part_logger
+from .messages import OrderKind, OrderOutcome, OrderSettled
 
 GroupChart = Chart[GroupState, GroupEvent, GroupAction, GroupFacts]
 
@@ -24,9 +27,15 @@
 REPORT_S = 3.0
 #: Seconds for which what runs may end before a group is taken apart.
 CLOSING_S = 3.0
-#: Seconds after which an order to leave is sent again.
+#: Seconds after which an order to leave is sent again, to the head and to
+#: members of a silent head.
 LEAVING_S = 1.5
+RETRY_S = 3.0
 
+#: Orders whose failure shows that a member is lost.
+_MEMBER_NEEDED = frozenset((OrderKind.JOIN, OrderKind.ASK))
+#: Outcomes that show that a target holds its seat no more.
+_LEFT = frozenset((OrderOutcome.TAKEN, OrderOutcome.REFUSED, OrderOutcome.DEAD))
 _ASKED = frozenset((GroupState.JOINING, GroupState.OPENING, GroupState.SERVING))
 _FACTS = GroupFacts()
 _log = part_logger(Part.GROUPS)
@@ -52,7 +61,7 @@
     leaving
         From the order to leave until it is sent again.
     stalling
-        Until a head without members has broken by itself.
+        From a member's leaving until its head has broken by itself.
 
     """
 
@@ -69,9 +78,8 @@
             GroupState.OPENING: self.opening,
             GroupState.CLOSING: self.closing,
             GroupState.LEAVING: self.leaving,
-            GroupState.STALLING: self.stalling,
         }
-        return limits.get(state, float('inf'))
+        return limits.get(state, math.inf)
 
 
 def group_times(
@@ -122,6 +130,14 @@
     action: GroupAction | None
 
 
+@dataclass(frozen=True)
+class News:
+    """What an order's outcome says: the group after it, and an event."""
+
+    group: 'HeldGroup'
+    event: GroupEvent | None = None
+
+
 @dataclass(frozen=True)
 class HeldGroup:
     """One group at one moment.
@@ -142,6 +158,8 @@
         Members that have reported the group.
     lost
         Members that an order has shown to be lost.
+    left_s
+        When a member was first known to have left; endless before.
 
     """
 
@@ -152,6 +170,7 @@
     formed_s: float
     seen: frozenset[TargetName] = frozenset()
     lost: frozenset[TargetName] = frozenset()
+    left_s: float = math.inf
 
     def watch(self, fleet: Fleet) -> 'HeldGroup':
         """Note which members have reported the group."""
@@ -169,8 +188,7 @@
         found = list(self._sight_events(sight))
         if sight.leaving or not is_wanted:
             found.append(GroupEvent.UNWANTED)
-        if now_s - self.since_s > self.times.of(self.state):
-            found.append(GroupEvent.EXPIRED)
+        found.extend(self._time_events(now_s))
         return tuple(found)
 
     def unlisted(self, fleet: Fleet) -> tuple[Member, ...]:
@@ -183,6 +201,25 @@
             if member.target not in fleet.targets
         )
 
+    def hear(self, settled: OrderSettled, fleet: Fleet, now_s: float) -> News:
+        """Take the outcome of an order to a member."""
+        order = settled.order
+        is_taken = settled.outcome is OrderOutcome.TAKEN
+        if order.kind in _MEMBER_NEEDED and not is_taken:
+            return News(replace(self, lost=self.lost | {order.target}))
+        if order.kind is not OrderKind.LEAVE:
+            return News(self)
+        has_left = settled.outcome in _LEFT or (
+            settled.outcome is OrderOutcome.CLOSED
+            and has_crashed(order.target, fleet, now_s)
+        )
+        if order.target == self.record.head.target:
+            silent = GroupEvent.HEAD_SILENT
+            return News(self, GroupEvent.HEAD_LEFT if has_left else silent)
+        if has_left:
+            return News(replace(self, left_s=min(self.left_s, now_s)))
+        return News(self)
+
     def take(self, chart: GroupChart, event: GroupEvent, now_s: float) -> Step:
         """Apply an event."""
         move = chart.step(self.state, event, _FACTS)
@@ -206,6 +243,17 @@
         after = replace(self, state=move.state, since_s=now_s)
         return Step(after, move.action)
 
+    def _time_events(self, now_s: float) -> list[GroupEvent]:
+        if self.state is GroupState.STALLING:
+            if now_s - self.left_s > self.times.stalling:
+                return [GroupEvent.EXPIRED]
+            if math.isinf(self.left_s) and now_s - self.since_s > RETRY_S:
+                return [GroupEvent.UNCONFIRMED]
+            return []
+        if now_s - self.since_s > self.times.of(self.state):
+            return [GroupEvent.EXPIRED]
+        return []
+
     def _sight_events(self, sight: GroupSight) -> list[GroupEvent]:
         if sight.lost or self.lost or not sight.head_is_listed:
             return [GroupEvent.MEMBER_LOST]
--- a/pomelogauge/entry/knowledge.py
+++ b/pomelogauge/entry/knowledge.py
@@ -1,5 +1,6 @@
 """The task that joins all that was read into one picture of the fleet."""
 
+import math
 from collections import deque
 from dataclasses import dataclass, replace
 
@@ -84,6 +85,9 @@
             case EntriesSeen():
                 fleet = self._board.latest()
                 self._publish(replace(fleet, entries=message.entries))
+            case TableUnread(table=Table.TARGETS):
+                fleet = self._board.latest()
+                self._board.publish(replace(fleet, listed_since_s=math.inf))
             case TableUnread() | TableRead():
                 return
 
@@ -168,6 +172,11 @@
         if read.is_whole:
             for name in tuple(self._targets.keys() - named):
                 self._lapse(name, now_s)
+        fleet = self._board.latest()
+        since_s = min(fleet.listed_since_s, now_s)
+        self._board.publish(
+            replace(fleet, listed_s=read.began_s, listed_since_s=since_s)
+        )
         self._publish_targets()
 
     def _take_target(self, row: StoredRow, now_s: float) -> None:
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -254,14 +254,16 @@
 class OrderOutcome(StrEnum):
     """What became of an order.
 
-    ``REFUSED``: the target's state does not fit. ``DEAD``: nothing listens
-    there, or another target does. ``SILENT``: no answer; it may be carried
-    out later.
+    ``REFUSED``: the target's state does not fit. ``DEAD``: another target, or
+    another life of this one, is there. ``CLOSED``: nothing listens there; a
+    target that leaves may still work on what it has. ``SILENT``: no answer;
+    it may be carried out later.
     """
 
     TAKEN = 'taken'
     REFUSED = 'refused'
     DEAD = 'dead'
+    CLOSED = 'closed'
     SILENT = 'silent'
 
 
--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -1,6 +1,6 @@
 """The task that owns all groups while this instance holds the tenure."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from ..decide.group_chart import GroupAction, GroupEvent, GroupState
 from ..model.fleet import Fleet, GroupRecord
@@ -23,7 +23,6 @@
     EntriesSeen,
     FleetChanged,
     OrderKind,
-    OrderOutcome,
     OrderSettled,
     OwnerHeard,
     OwnerMessage,
@@ -37,8 +36,6 @@
 #: Seconds between two looks at the groups without news.
 TICK_S = 0.25
 
-#: Orders whose failure shows that a member is lost.
-_MEMBER_NEEDED = frozenset((OrderKind.JOIN, OrderKind.ASK))
 _log = part_logger(Part.GROUPS)
 
 
@@ -235,22 +232,15 @@
                 orders.leave(record)
 
     def _settle(self, settled: OrderSettled) -> None:
-        self._parts.orders.note(settled, self._parts.clock.now_s())
-        order = settled.order
-        held = self._groups.get(order.group)
+        now_s = self._parts.clock.now_s()
+        self._parts.orders.note(settled, now_s)
+        held = self._groups.get(settled.order.group)
         if held is None:
             return
-        is_taken = settled.outcome is OrderOutcome.TAKEN
-        if order.kind in _MEMBER_NEEDED and not is_taken:
-            lost = held.lost | {order.target}
-            self._groups[order.group] = replace(held, lost=lost)
-        is_head = order.target == held.record.head.target
-        if order.kind is OrderKind.LEAVE and is_head:
-            is_silent = settled.outcome is OrderOutcome.SILENT
-            self._step(
-                order.group,
-                GroupEvent.HEAD_SILENT if is_silent else GroupEvent.HEAD_LEFT,
-            )
+        news = held.hear(settled, self._parts.board.latest(), now_s)
+        self._groups[held.record.group] = news.group
+        if news.event is not None:
+            self._step(held.record.group, news.event)
 
     def _remove_released(self) -> None:
         names = tuple(
--- a/pomelogauge/model/fleet.py
+++ b/pomelogauge/model/fleet.py
@@ -194,6 +194,10 @@
         Live entry instances.
     can_serve
         The targets have been read since the start.
+    listed_s
+        When the read of the targets began that was answered last.
+    listed_since_s
+        Since when reads of the targets have been answered without a gap.
 
     """
 
@@ -203,3 +207,5 @@
     drained: frozenset[DataCentreName] = frozenset()
     entries: tuple[EntryInstance, ...] = ()
     can_serve: bool = False
+    listed_s: float = float('-inf')
+    listed_since_s: float = float('inf')
--- a/pomelogauge/platform/orders.py
+++ b/pomelogauge/platform/orders.py
@@ -77,7 +77,7 @@
 
 def _unreached(exc: NewConnectionError) -> OrderOutcome:
     if isinstance(exc.__cause__, ConnectionRefusedError):
-        return OrderOutcome.DEAD
+        return OrderOutcome.CLOSED
     _log.warning('no connection: %s', exc)
     return OrderOutcome.SILENT
 
--- a/test/test_held_group.py
+++ b/test/test_held_group.py
@@ -1,6 +1,7 @@
 """What becomes of a group, by the reports of its members."""
 
 import unittest
+from dataclasses import replace
 
 from pomelogauge.decide.group_chart import GroupAction, GroupEvent, GroupState
 from pomelogauge.entry.held_group import (
@@ -9,9 +10,16 @@
     group_times,
     load_group_chart,
 )
+from pomelogauge.entry.messages import (
+    Order,
+    OrderKind,
+    OrderOutcome,
+    OrderSettled,
+)
 from pomelogauge.model.fleet import Fleet, SeatState, Target, TargetState
+from pomelogauge.model.ids import TargetName
 
-from .entry_fakes import ENGINE, SMALL, fleet, record, seat, target
+from .entry_fakes import ENGINE, LLM, SMALL, fleet, record, seat, target
 
 CHART = load_group_chart()
 RECORD = record('g', ['head', 'tail'], SMALL)
@@ -105,13 +113,45 @@
         step = held.take(CHART, GroupEvent.HEAD_SILENT, 1)
         self.assertIs(step.action, GroupAction.LEAVE_MEMBERS)
         gone = fleet(target('tail'))
+        left = replace(step.group, left_s=1)
         self.assertIs(
-            self.step(step.group, gone, 7.5).group.state, GroupState.STALLING
+            self.step(left, gone, 7.5).group.state, GroupState.STALLING
         )
         self.assertIs(
-            self.step(step.group, gone, 8.5).group.state, GroupState.RELEASED
+            self.step(left, gone, 8.5).group.state, GroupState.RELEASED
         )
 
+    def test_nobody_is_free_before_a_member_is_known_to_have_left(self) -> None:
+        held = self.held(GroupState.STALLING)
+        again = self.step(held, fleet(target('tail')), 60)
+        self.assertIs(again.group.state, GroupState.STALLING)
+        self.assertIs(again.action, GroupAction.LEAVE_MEMBERS)
+
     def test_an_opened_group_that_was_closed_is_opened_again(self) -> None:
         step = self.step(self.held(GroupState.SERVING), READY)
         self.assertIs(step.action, GroupAction.OPEN)
+
+    def hear(
+        self, kind: OrderKind, outcome: OrderOutcome, known: Fleet
+    ) -> GroupEvent | None:
+        order = Order(kind, LLM, TargetName('head'), RECORD.group)
+        settled = OrderSettled(order, outcome)
+        return self.held(GroupState.LEAVING).hear(settled, known, 100).event
+
+    def test_a_head_that_only_stopped_listening_may_still_be_open(self) -> None:
+        """Members were joined elsewhere under a head that drained."""
+        closed = OrderOutcome.CLOSED
+        self.assertIs(
+            self.hear(OrderKind.LEAVE, closed, READY), GroupEvent.HEAD_SILENT
+        )
+        steady = replace(READY, listed_since_s=90, listed_s=99)
+        self.assertIs(
+            self.hear(OrderKind.LEAVE, closed, steady), GroupEvent.HEAD_LEFT
+        )
+
+    def test_outcomes_tell_whether_the_head_has_left(self) -> None:
+        for outcome in OrderOutcome:
+            event = self.hear(OrderKind.LEAVE, outcome, READY)
+            may_stay = {OrderOutcome.CLOSED, OrderOutcome.SILENT}
+            stays = event is GroupEvent.HEAD_SILENT
+            self.assertEqual(stays, outcome in may_stay, outcome)
