--- /dev/null
+++ b/test/test_knowledge.py
@@ -0,0 +1,172 @@
+"""The picture of the fleet, through outages and late news."""
+
+import json
+import unittest
+
+from pomelogauge.entry.knowledge import Knowledge
+from pomelogauge.entry.messages import TableRead, TableUnread
+from pomelogauge.entry.store import (
+    Rows,
+    StoredRow,
+    StoreError,
+    StoreFault,
+    Table,
+)
+from pomelogauge.entry.table_reader import ReaderSettings, TableReader
+from pomelogauge.model.fleet import Fleet
+from pomelogauge.model.ids import RowVersion
+from pomelogauge.platform.translator import RowTranslator
+from pomelogauge.tasks.published import Published
+
+from .entry_fakes import FakeClock, MemoryStore, Outbox
+from .platform_standin import configuration
+
+ENTRY = {
+    'service': 'llm',
+    'address': '10.0.0.1:80',
+    'zone': 'a',
+    'slots': 13,
+    'state': 'ready',
+}
+
+
+def row(key: str, version: int, fields: dict | None) -> StoredRow:
+    body = None if fields is None else json.dumps(fields).encode()
+    return StoredRow(key, RowVersion(version), body)
+
+
+class KnowledgeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.board = Published(Fleet())
+        self.heard = Outbox()
+        self.knowledge = Knowledge(
+            RowTranslator(), self.board, (self.heard,), self.clock
+        )
+
+    def read(
+        self,
+        table: Table,
+        *rows: StoredRow,
+        is_whole: bool = False,
+        was_away: bool = False,
+    ) -> Fleet:
+        read = Rows(tuple(rows), RowVersion(99))
+        self.knowledge.on_message(
+            TableRead(table, read, is_whole, self.clock.now_s(), was_away)
+        )
+        return self.board.latest()
+
+    def targets(self, *rows: StoredRow, **fields: bool) -> set[str]:
+        return set(self.read(Table.TARGETS, *rows, **fields).targets)
+
+    def test_targets_come_and_go(self) -> None:
+        self.assertEqual(self.targets(row('t', 1, ENTRY)), {'t'})
+        self.assertEqual(self.targets(row('t', 2, None)), set())
+
+    def test_an_older_row_never_follows_a_newer_one(self) -> None:
+        draining = {**ENTRY, 'state': 'draining'}
+        self.targets(row('t', 5, draining))
+        fleet = self.read(Table.TARGETS, row('t', 4, ENTRY))
+        self.assertEqual(fleet.targets['t'].state, 'draining')
+
+    def test_targets_missing_in_a_whole_read_are_gone(self) -> None:
+        self.targets(row('t', 1, ENTRY), row('u', 2, ENTRY))
+        left = self.targets(row('u', 2, ENTRY), is_whole=True)
+        self.assertEqual(left, {'u'})
+
+    def test_targets_that_lapsed_in_an_outage_may_come_back(self) -> None:
+        self.targets(row('t', 1, ENTRY), row('u', 2, ENTRY))
+        lapsed = (row('t', 3, None), row('u', 4, None))
+        self.assertEqual(self.targets(*lapsed, was_away=True), {'t', 'u'})
+        self.targets(row('t', 5, ENTRY))
+        self.clock.at_s += 2.3
+        self.knowledge.on_timer()
+        self.assertEqual(set(self.board.latest().targets), {'t'})
+
+    def test_a_malformed_entry_names_no_target_and_harms_none(self) -> None:
+        found = self.targets(row('t', 1, ENTRY), row('bad', 2, {'slots': 'x'}))
+        self.assertEqual(found, {'t'})
+
+    def test_a_configuration_never_goes_back(self) -> None:
+        self.read(Table.OPERATOR, row('config', 1, configuration(7, 'k')))
+        late = row('config', 2, configuration(6, 'k'))
+        self.assertEqual(self.read(Table.OPERATOR, late).config.version, 7)
+
+    def test_a_malformed_configuration_is_not_used(self) -> None:
+        self.read(Table.OPERATOR, row('config', 1, configuration(7, 'k')))
+        bad = row('config', 2, {'version': 'x'})
+        self.assertEqual(self.read(Table.OPERATOR, bad).config.version, 7)
+
+    def test_an_empty_answer_confirms_the_configuration(self) -> None:
+        self.clock.at_s += 50
+        self.assertEqual(self.read(Table.OPERATOR).confirmed_s, 150.0)
+        self.assertEqual(self.heard.posted, [])
+
+    def test_data_centres_are_drained_and_taken_back(self) -> None:
+        fleet = self.read(Table.OPERATOR, row('evacuate/a', 1, {}))
+        self.assertEqual(fleet.drained, {'a'})
+        fleet = self.read(Table.OPERATOR, row('evacuate/a', 2, None))
+        self.assertEqual(fleet.drained, frozenset())
+
+    def test_a_whole_read_forgets_drains_that_ended_unseen(self) -> None:
+        self.read(Table.OPERATOR, row('evacuate/a', 1, {}))
+        fleet = self.read(Table.OPERATOR, is_whole=True)
+        self.assertEqual(fleet.drained, frozenset())
+
+    def test_a_gap_in_the_list_is_known(self) -> None:
+        fleet = self.read(Table.TARGETS, row('t', 1, ENTRY))
+        self.assertEqual(fleet.listed_since_s, 100.0)
+        error = StoreError(StoreFault.AWAY, 'away')
+        self.knowledge.on_message(TableUnread(Table.TARGETS, error))
+        self.clock.at_s += 5
+        fleet = self.read(Table.TARGETS)
+        self.assertEqual(fleet.listed_since_s, 105.0)
+
+
+class TableReaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = MemoryStore()
+        self.clock = FakeClock()
+        self.heard = Outbox()
+        self.reader = TableReader(
+            ReaderSettings(Table.TARGETS, 1.5),
+            self.store,
+            self.heard,
+            self.clock,
+        )
+
+    def keys(self) -> list[str]:
+        read = self.heard.posted[-1]
+        return [one.key for one in read.rows.rows]
+
+    def test_it_reads_all_and_then_what_changes(self) -> None:
+        self.store.put(Table.TARGETS, 'a', b'{}')
+        self.reader.on_timer()
+        self.assertTrue(self.heard.posted[-1].is_whole)
+        self.store.put(Table.TARGETS, 'b', b'{}')
+        self.reader.on_timer()
+        self.assertEqual(self.keys(), ['b'])
+        self.assertFalse(self.heard.posted[-1].is_whole)
+        self.reader.on_timer()
+        self.assertEqual(self.keys(), [])
+
+    def test_a_lost_history_is_followed_by_a_whole_read(self) -> None:
+        self.store.put(Table.TARGETS, 'a', b'{}')
+        self.reader.on_timer()
+        self.store.faults.append(StoreFault.FORGOTTEN)
+        self.reader.on_timer()
+        self.reader.on_timer()
+        self.assertTrue(self.heard.posted[-1].is_whole)
+        self.assertEqual(self.keys(), ['a'])
+
+    def test_an_outage_is_told_and_remembered(self) -> None:
+        self.reader.on_timer()
+        self.store.faults.append(StoreFault.AWAY)
+        self.assertGreater(self.reader.on_timer(), 0, 'it does not spin')
+        self.assertIsInstance(self.heard.posted[-1], TableUnread)
+        self.clock.at_s += 5
+        self.reader.on_timer()
+        self.assertTrue(self.heard.posted[-1].was_away)
+        self.reader.on_timer()
+        self.assertFalse(self.heard.posted[-1].was_away)
