--- a/pomelogauge/decide/group_sight.py
+++ b/pomelogauge/decide/group_sight.py
@@ -125,12 +125,15 @@
     seats: Mapping[TargetName, Seat],
     seen: frozenset[TargetName],
 ) -> tuple[TargetName, ...]:
+    head = seats.get(record.head.target)
+    is_open = head is not None and head.state is SeatState.OPEN
     lost = []
     for member in record.members:
         if member.target not in fleet.targets:
             continue
         seat = seats.get(member.target)
-        has_left = seat is None and member.target in seen
+        # A head opens only after all members have joined.
+        has_left = seat is None and (is_open or member.target in seen)
         is_other = living(member, fleet.targets) is None
         if has_left or is_other or _is_broken(seat):
             lost.append(member.target)
--- a/pomelogauge/entry/held_group.py
+++ b/pomelogauge/entry/held_group.py
@@ -158,8 +158,10 @@
         Members that have reported the group.
     lost
         Members that an order has shown to be lost.
+    left
+        Members behind the head that are known to have left; they are free.
     left_s
-        When a member was first known to have left; endless before.
+        When the first of them was; endless before.
 
     """
 
@@ -170,8 +172,17 @@
     formed_s: float
     seen: frozenset[TargetName] = frozenset()
     lost: frozenset[TargetName] = frozenset()
+    left: frozenset[TargetName] = frozenset()
     left_s: float = math.inf
 
+    def held_members(self) -> tuple[TargetName, ...]:
+        """Return the members that may be part of no other group."""
+        return tuple(
+            member.target
+            for member in self.record.members
+            if member.target not in self.left
+        )
+
     def watch(self, fleet: Fleet) -> 'HeldGroup':
         """Note which members have reported the group."""
         seen = self.seen | joined_members(self.record, fleet)
@@ -217,7 +228,9 @@
             silent = GroupEvent.HEAD_SILENT
             return News(self, GroupEvent.HEAD_LEFT if has_left else silent)
         if has_left:
-            return News(replace(self, left_s=min(self.left_s, now_s)))
+            left = self.left | {order.target}
+            left_s = min(self.left_s, now_s)
+            return News(replace(self, left=left, left_s=left_s))
         return News(self)
 
     def take(self, chart: GroupChart, event: GroupEvent, now_s: float) -> Step:
--- a/pomelogauge/entry/planning.py
+++ b/pomelogauge/entry/planning.py
@@ -84,9 +84,7 @@
             fleet=fleet,
             standing=tuple(_standing(fleet, groups)),
             taken=frozenset(
-                member.target
-                for held in groups
-                for member in held.record.members
+                target for held in groups for target in held.held_members()
             ),
             suspects=self._orders.suspects(now_s),
             staging=self._orders.staging(fleet),
--- a/test/test_held_group.py
+++ b/test/test_held_group.py
@@ -155,3 +155,16 @@
             may_stay = {OrderOutcome.CLOSED, OrderOutcome.SILENT}
             stays = event is GroupEvent.HEAD_SILENT
             self.assertEqual(stays, outcome in may_stay, outcome)
+
+    def test_a_member_that_left_a_silent_head_is_free_at_once(self) -> None:
+        held = self.held(GroupState.STALLING)
+        self.assertEqual(held.held_members(), ('head', 'tail'))
+        order = Order(OrderKind.LEAVE, LLM, TargetName('tail'), RECORD.group)
+        settled = OrderSettled(order, OrderOutcome.TAKEN)
+        after = held.hear(settled, READY, 100).group
+        self.assertEqual(after.held_members(), ('head',))
+
+    def test_an_open_head_without_a_member_is_not_adopted(self) -> None:
+        left = fleet(member('head', 0, SeatState.OPEN), target('tail'))
+        step = self.step(self.held(GroupState.JOINING, Fleet()), left)
+        self.assertIs(step.group.state, GroupState.LEAVING)
