--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -257,8 +257,6 @@
         retry_share=cfg.bounds.retry_share,
         retry_slack=cfg.bounds.retry_slack,
         retry_window_s=cfg.bounds.retry_window_s,
-        cold_factor=cfg.bounds.cold_factor,
-        cold_slack=cfg.bounds.cold_slack,
     )
 
 
--- a/pomelogauge/decide/serving_rules.py
+++ b/pomelogauge/decide/serving_rules.py
@@ -22,9 +22,6 @@
     NO_SERVICE = 'the service of the route is unknown'
     NO_TARGET = 'no target can take the request now'
     NO_REPEAT = 'no repeat is left in the budget'
-    NOT_RUN = 'the target did not run the request'
-    LOST = 'the answer was lost'
-    EXPIRED = 'the time is over'
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/entry/codecs.py
+++ b/pomelogauge/entry/codecs.py
@@ -1,6 +1,5 @@
 """Decoding and encoding that the adapter of the platform provides."""
 
-from dataclasses import dataclass
 from typing import Protocol
 
 from returns.result import Result
@@ -94,18 +93,11 @@
         """Return the body of an own answer."""
 
 
-@dataclass(frozen=True)
-class EntryQuestion:
-    """A caller's question where to connect."""
-
-    data_centre: DataCentreName
-
-
 class PageCodec(Protocol):
     """Translates questions where to connect."""
 
-    def decode_question(self, target: bytes) -> EntryQuestion | None:
-        """Decode a question; ``None`` for any other request."""
+    def is_question(self, target: bytes) -> bool:
+        """Return whether a request asks where to connect."""
 
     def encode_entries(
         self,
--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -53,16 +53,12 @@
     ----------
     retry_share, retry_slack, retry_window_s
         Budget of repeats of one service over all entry instances.
-    cold_factor, cold_slack
-        Bound of a cold target over all entry instances.
 
     """
 
     retry_share: float
     retry_slack: float
     retry_window_s: float
-    cold_factor: float
-    cold_slack: float
 
 
 class Dispatcher:
--- a/pomelogauge/entry/pages.py
+++ b/pomelogauge/entry/pages.py
@@ -7,7 +7,6 @@
 
 from ..model.entry_request import Headers
 from ..model.fleet import EntryInstance, Fleet
-from ..model.ids import DataCentreName
 from ..model.log_parts import Part
 from ..model.metrics import MetricsSnapshot
 from ..tasks.clock import Clock
@@ -127,17 +126,12 @@
 
     def page(self, request: RequestRead) -> Page:
         """Return the instances that take callers."""
-        question = self._codec.decode_question(request.target)
-        if question is None:
+        if not self._codec.is_question(request.target):
             return Page(_NOT_FOUND, _JSON, b'{}')
-        entries = self._entries(question.data_centre)
-        body = self._codec.encode_entries(entries, ENTRIES_LIFE_S)
+        body = self._codec.encode_entries(self._entries(), ENTRIES_LIFE_S)
         return Page(_OK, _JSON, body)
 
-    def _entries(
-        self,
-        data_centre: DataCentreName,
-    ) -> tuple[EntryInstance, ...]:
+    def _entries(self) -> tuple[EntryInstance, ...]:
         others = tuple(
             entry
             for entry in self._board.latest().entries
--- a/pomelogauge/platform/settings.py
+++ b/pomelogauge/platform/settings.py
@@ -30,8 +30,6 @@
         Repeats beyond that, of all entry instances together.
     retry_window_s
         Span in which the repeats are counted.
-    cold_factor, cold_slack
-        Bound of a cold target: its rate times the factor, plus the slack.
 
     """
 
@@ -41,8 +39,6 @@
     retry_share: float
     retry_slack: float
     retry_window_s: float
-    cold_factor: float
-    cold_slack: float
 
 
 @dataclass(frozen=True)
@@ -146,6 +142,4 @@
         retry_share=fields.number('retry_budget_ratio'),
         retry_slack=fields.number('retry_budget_slack'),
         retry_window_s=fields.number('budget_window_s'),
-        cold_factor=fields.number('cold_overshoot'),
-        cold_slack=fields.number('cold_slack'),
     )
