Check changed settings on SIGHUP instead of ending

Cause: without a handler SIGHUP ended the process, and the platform sends it when the settings file has changed. The settings are read and checked, with one log line; what runs keeps those of its start. Found by reading; the test failed before.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -56,6 +56,7 @@
 )
 from ..wire.entry_link import GrpcOwnerLink
 from ..wire.entry_server import EntryServer
+from .entry_reload import check_settings
 from .entry_settings import EntryOptions
 from .identity import draw_incarnation
 from .logs import set_up_entry_logs
@@ -211,6 +212,12 @@
         signal.SIGTERM,
         lambda number, frame: shutdown_task.post(ShutdownAsked('signal')),
     )
+    signal.signal(
+        signal.SIGHUP,
+        lambda number, frame: check_settings(
+            shared.options.settings, shared.cfg
+        ),
+    )
 
 
 def _owner(shared: _Shared) -> Owner:
--- a/test/test_entry_process.py
+++ b/test/test_entry_process.py
@@ -221,6 +221,22 @@
         self.assert_named(second, {second.callers})
         self.assertEqual(first.process.wait(9), 0)
 
+    def test_changed_settings_end_nothing(self) -> None:
+        entry = self.entry('n1')
+        self.assertTrue(wait_for(entry.is_served))
+        settings = json.loads(entry.settings.read_text())
+        for change in ({'zone': 'b'}, {'zone': 5}):
+            entry.settings.write_text(json.dumps({**settings, **change}))
+            os.kill(entry.process.pid, signal.SIGHUP)
+            self.assertTrue(entry.is_served())
+        said = [
+            line['message']
+            for line in entry.decisions()
+            if 'reload' in line['message']
+        ]
+        self.assertEqual(len(said), 2)
+        self.assertIn('zone: is not a text', said[1])
+
     def test_a_drained_data_centre_gets_nothing(self) -> None:
         entry = self.entry('n1')
         self.assertTrue(wait_for(entry.is_served))
