--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import threading
 from dataclasses import dataclass
 from random import Random
@@ -11,23 +10,14 @@
 from ..decide.prelude import Prelude
 from ..decide.serving_rules import AdmissionBounds
 from ..decide.shutdown_chart import SHUTDOWN_WORDS
-from ..entry.caller_task import CallerTask
 from ..entry.courier import CourierPool
 from ..entry.dispatcher import Dispatcher, DispatchSettings
 from ..entry.group_ledger import GroupLedger
 from ..entry.group_orders import GroupOrders
 from ..entry.knowledge import Knowledge
-from ..entry.listener import ConnectionTasks, Listener
 from ..entry.messages import DispatchMessage, EntryLeaves
 from ..entry.owner import Owner, OwnerParts, OwnerSettings
 from ..entry.ownership import Tenancy, Tenure
-from ..entry.pages import (
-    DirectoryPage,
-    MetricsPage,
-    PageMaker,
-    PageTask,
-    ReadyPage,
-)
 from ..entry.planning import Planning
 from ..entry.register import Register, RegisterPorts
 from ..entry.request_ports import RequestPorts, load_request_chart
@@ -35,10 +25,8 @@
 from ..entry.table_reader import ReaderSettings, TableReader
 from ..entry.tenure_keeper import TenureKeeper
 from ..model.fleet import EntryInstance, Fleet
-from ..model.ids import Address
 from ..model.log_parts import Part
 from ..platform.orders import OrderClient
-from ..platform.pages import PageTranslator
 from ..platform.settings import EntrySettings, read_settings
 from ..platform.store import StoreClient
 from ..platform.translator import RequestTranslator, RowTranslator
@@ -56,6 +44,7 @@
 )
 from ..wire.entry_link import GrpcOwnerLink
 from ..wire.entry_server import EntryServer
+from .entry_listeners import EntryPages
 from .entry_reload import check_settings
 from .entry_settings import EntryOptions
 from .identity import draw_incarnation
@@ -207,7 +196,14 @@
     shutdown_task = tasks.add('shutdown', shutdown)
     shutdown.listen_on(shutdown_task)
     ports = _request_ports(shared, dispatch_task, metrics)
-    _listen(shared, ports, metrics)
+    pages = EntryPages(
+        cfg=shared.cfg,
+        own=shared.own,
+        metrics_port=shared.options.metrics_port,
+        ports=ports,
+    )
+    for listener in pages.listeners():
+        tasks.include(listener)
     signal.signal(
         signal.SIGTERM,
         lambda number, frame: shutdown_task.post(ShutdownAsked('signal')),
@@ -265,34 +261,3 @@
         retry_slack=cfg.bounds.retry_slack,
         retry_window_s=cfg.bounds.retry_window_s,
     )
-
-
-def _listen(
-    shared: _Shared,
-    ports: RequestPorts,
-    metrics: Outbox[MetricsMessage],
-) -> None:
-    cfg = shared.cfg
-    ready = ReadyPage(
-        shared.board, shared.leaving, ports.bounds.key_age_s, shared.clock
-    )
-    directory = DirectoryPage(
-        shared.own, shared.board, shared.leaving, PageTranslator()
-    )
-    host = cfg.readiness.rpartition(':')[0]
-    metrics_address = Address(f'{host}:{shared.options.metrics_port}')
-    listeners = (
-        Listener(cfg.readiness, _pages(ready)),
-        Listener(cfg.directory, _pages(directory)),
-        Listener(metrics_address, _pages(MetricsPage(metrics))),
-        Listener(cfg.callers, lambda sock: CallerTask(sock, ports)),
-    )
-    for listener in listeners:
-        shared.tasks.include(listener)
-
-
-def _pages(maker: PageMaker) -> ConnectionTasks:
-    def task(sock: socket.socket) -> PageTask:  # noqa: WPS430
-        return PageTask(sock, maker)
-
-    return task
