--- a/test/test_entry_process.py
+++ b/test/test_entry_process.py
@@ -2,12 +2,14 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import unittest
+from contextlib import suppress
 from pathlib import Path
 
 import urllib3
@@ -32,9 +34,19 @@
 }
 
 
+#: Below the ports that connections of other tests are given.
+PORTS = range(15_000, 30_000)
+PORT_TRIES = 100
+#: Characters of an entry's log that are shown after a failure.
+LOG_SHOWN = 8000
+
+
 def free_port() -> int:
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        return server.getsockname()[1]
+    for _ in range(PORT_TRIES):
+        port = random.choice(PORTS)
+        with suppress(OSError), socket.create_server(('127.0.0.1', port)):
+            return port
+    raise OSError('no free port')
 
 
 class Entry:
@@ -139,9 +151,16 @@
 
     def entry(self, name: str) -> Entry:
         entry = Entry(name, self.folder, self.store)
-        self.addCleanup(entry.end)
+        self.addCleanup(self.end, entry)
         return entry
 
+    def end(self, entry: Entry) -> None:
+        """End an entry; show its log after a failure."""
+        entry.end()
+        outcome = self._outcome
+        if not outcome.success:
+            print(entry.log.read_text()[-LOG_SHOWN:], file=sys.stderr)
+
     def test_the_whole_path(self) -> None:
         first, second = self.entry('n1'), self.entry('n2')
         self.assertTrue(wait_for(first.is_ready))
