--- a/test/test_entry_process.py
+++ b/test/test_entry_process.py
@@ -157,8 +157,8 @@
     def end(self, entry: Entry) -> None:
         """End an entry; show its log after a failure."""
         entry.end()
-        outcome = self._outcome
-        if not outcome.success:
+        failed = self._outcome.result.failures
+        if any(test is self for test, _ in failed):
             print(entry.log.read_text()[-LOG_SHOWN:], file=sys.stderr)
 
     def test_the_whole_path(self) -> None:
