--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -60,6 +60,9 @@
 #: Time between the reading of a request and its arrival at a target, for
 #: which a key must still be known, in seconds.
 KEY_MARGIN_S = 0.7
+#: Seconds between two looks of the main thread for signals; their handlers
+#: run there.
+SIGNAL_LOOK_S = 0.2
 #: Address space of a thread's stack; the tasks are shallow.
 _STACK_BYTES = 512 * 1024
 
@@ -132,13 +135,23 @@
     _wire(shared, ended)
     _log.info('start', extra={'life': shared.life, 'first': cfg.is_first_start})
     shared.tasks.start()
-    ended.take()
+    _wait_for(ended)
     _log.info('end')
     writer.close()
     # Tasks of connections end with the process.
     os._exit(0)
 
 
+def _wait_for(ended: Mailbox[bool]) -> None:
+    """Wait for the end, and let the handlers of signals run.
+
+    A signal that the kernel gives to another thread does not wake this one.
+    """
+    has_ended = None
+    while has_ended is None:
+        has_ended = ended.take(SIGNAL_LOOK_S)
+
+
 def _wire(shared: _Shared, ended: Mailbox[bool]) -> None:
     tasks = shared.tasks
     metrics = tasks.add('metrics', MetricsActor())
