Name the live states of a group once, publish targets once a read, and drop what the connection never used

Read again: the owner's planning and the held group each listed the same states; a read of the targets published the picture twice; three names of the caller's connection had no reader.

--- a/pomelogauge/decide/group_chart.py
+++ b/pomelogauge/decide/group_chart.py
@@ -18,6 +18,12 @@
     RELEASED = 'released'
 
 
+#: States of a group that counts as standing.
+LIVE_STATES = frozenset(
+    (GroupState.JOINING, GroupState.OPENING, GroupState.SERVING)
+)
+
+
 class GroupEvent(StrEnum):
     """What can happen to a group."""
 
--- a/pomelogauge/entry/held_group.py
+++ b/pomelogauge/entry/held_group.py
@@ -7,6 +7,7 @@
 from ..decide.crash import has_crashed
 from ..decide.group_chart import (
     GROUP_WORDS,
+    LIVE_STATES,
     GroupAction,
     GroupEvent,
     GroupFacts,
@@ -36,7 +37,6 @@
 _MEMBER_NEEDED = frozenset((OrderKind.JOIN, OrderKind.ASK))
 #: Outcomes that show that a target holds its seat no more.
 _LEFT = frozenset((OrderOutcome.TAKEN, OrderOutcome.REFUSED, OrderOutcome.DEAD))
-_ASKED = frozenset((GroupState.JOINING, GroupState.OPENING, GroupState.SERVING))
 _FACTS = GroupFacts()
 _log = part_logger(Part.GROUPS)
 
@@ -204,7 +204,7 @@
 
     def unlisted(self, fleet: Fleet) -> tuple[Member, ...]:
         """Return members that are to be asked whether they live."""
-        if self.state not in _ASKED:
+        if self.state not in LIVE_STATES:
             return ()
         return tuple(
             member
--- a/pomelogauge/entry/knowledge.py
+++ b/pomelogauge/entry/knowledge.py
@@ -108,7 +108,7 @@
             dropped = True
             _log.info('target %s has not come back', lapse.name)
         if dropped:
-            self._publish_targets()
+            self._publish_targets(self._board.latest())
         if self._lapses:
             return max(0, self._lapses[0].until_s - now_s)
         return None
@@ -174,10 +174,9 @@
                 self._lapse(name, now_s)
         fleet = self._board.latest()
         since_s = min(fleet.listed_since_s, now_s)
-        self._board.publish(
+        self._publish_targets(
             replace(fleet, listed_s=read.began_s, listed_since_s=since_s)
         )
-        self._publish_targets()
 
     def _take_target(self, row: StoredRow, now_s: float) -> None:
         name = TargetName(row.key)
@@ -222,8 +221,7 @@
                 lapse for lapse in self._lapses if lapse.name != name
             )
 
-    def _publish_targets(self) -> None:
-        fleet = self._board.latest()
+    def _publish_targets(self, fleet: Fleet) -> None:
         self._publish(
             replace(fleet, targets=dict(self._targets), can_serve=True)
         )
--- a/pomelogauge/entry/planning.py
+++ b/pomelogauge/entry/planning.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from ..decide.group_chart import GroupState
+from ..decide.group_chart import LIVE_STATES
 from ..decide.group_plan import Plan, Standing, Stock, plan_groups
 from ..decide.load_budget import LoadBudget
 from ..decide.prelude import Prelude
@@ -12,8 +12,6 @@
 from .group_orders import GroupOrders
 from .held_group import HeldGroup
 
-_LIVE = frozenset((GroupState.JOINING, GroupState.OPENING, GroupState.SERVING))
-
 
 class Planning:
     """Plans groups within the budget of loads; used by the owner's task.
@@ -98,7 +96,7 @@
     groups: Iterable[HeldGroup],
 ) -> Iterable[Standing]:
     for held in groups:
-        if held.state not in _LIVE:
+        if held.state not in LIVE_STATES:
             continue
         record = held.record
         domains = {
--- a/pomelogauge/wire/caller_connection.py
+++ b/pomelogauge/wire/caller_connection.py
@@ -52,10 +52,8 @@
 
 ReadOutcome = RequestRead | ReadEnded | ReadRefused
 
-BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 BODY_TOO_LARGE = 413
-HEAD_TOO_LARGE = 431
 
 
 @dataclass(frozen=True)
@@ -100,7 +98,6 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=head_bytes
         )
-        self._is_chunked = False
         self._has_early_bytes = False
 
     def fileno(self) -> int:
