End a process that cuts requests at its limit with the exit code that says so

Cause: at the limit the HTTP library's stop closes the callers' sockets, so the task of a stuck request ends within the servers' five seconds, and the process ended with 0 although it had cut the stream (11.2 s after SIGTERM, stream refused as 'caller left'). Ruled out: resumption elsewhere (one engine only). The chart now says whether the limit was passed (action cut), and the end is a message.

--- a/pomelogauge/app/controller_root.py
+++ b/pomelogauge/app/controller_root.py
@@ -20,6 +20,7 @@
 from ..tasks.metrics import MetricsActor
 from ..tasks.phase_board import PhaseBoard
 from ..tasks.published import Published
+from ..tasks.shutdown import ProcessEnd
 from ..wire.callers_server import CallersServer, ServerSettings
 from ..wire.cuts import LinkCuts
 from ..wire.health_http import HealthApp
@@ -83,13 +84,13 @@
     )
     ports = PeerPorts(shared.membership, shared.keeper, desk, desk)
     app = HealthApp(phase, MetricsReader(metrics))
-    ended: Mailbox[bool] = Mailbox()
+    ended: Mailbox[ProcessEnd] = Mailbox()
     return Daemon(
         identity,
         tasks,
         servers,
         lambda: servers.serve(app, ports, cuts),
-        lambda: ended.post(True),
+        lambda: ended.post(ProcessEnd.FINISHED),
         ended,
     )
 
--- a/pomelogauge/app/daemon.py
+++ b/pomelogauge/app/daemon.py
@@ -13,11 +13,13 @@
 from ..model.ids import Address
 from ..model.topology import InstanceRole
 from ..tasks.mailbox import Mailbox
+from ..tasks.shutdown import ProcessEnd
 from ..wire.callers_server import CallersServer
 from ..wire.cuts import LinkCuts
 from ..wire.peer_ports import PeerPorts
 from ..wire.peer_server import PeerServer
 from ..wire.wsgi_types import WsgiApp
+from .end_wait import await_end
 from .identity import Identity, draw_incarnation
 from .settings import CommonSettings
 from .task_set import TaskSet
@@ -141,7 +143,7 @@
     servers: Servers
     serve: Callable[[], None]
     end_asked: Callable[[], None]
-    ended: Mailbox[bool]
+    ended: Mailbox[ProcessEnd]
 
     def run(self) -> None:
         """Serve until the process is asked to end and may end."""
@@ -150,12 +152,12 @@
         self.tasks.start()
         self.serve()
         self._print_ready()
-        self.ended.take()
+        end = await_end(self.ended)
         stopping = threading.Thread(target=self.servers.stop, daemon=True)
         stopping.start()
         stopping.join(SERVERS_LIMIT_S)
         self.tasks.stop()
-        if stopping.is_alive():
+        if end is ProcessEnd.CUT or stopping.is_alive():
             self._cut()
 
     def _cut(self) -> None:
--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -37,6 +37,7 @@
 from ..tasks.metrics import MetricsActor, MetricsMessage
 from ..tasks.published import Published
 from ..tasks.shutdown import (
+    ProcessEnd,
     ShutdownActor,
     ShutdownAsked,
     ShutdownPorts,
@@ -44,6 +45,7 @@
 )
 from ..wire.entry_link import GrpcOwnerLink
 from ..wire.entry_server import EntryServer
+from .end_wait import await_end
 from .entry_listeners import EntryPages
 from .entry_reload import check_settings
 from .entry_settings import EntryOptions
@@ -60,9 +62,6 @@
 #: Time between the reading of a request and its arrival at a target, for
 #: which a key must still be known, in seconds.
 KEY_MARGIN_S = 0.7
-#: Seconds between two looks of the main thread for signals; their handlers
-#: run there.
-SIGNAL_LOOK_S = 0.2
 #: Address space of a thread's stack; the tasks are shallow.
 _STACK_BYTES = 512 * 1024
 
@@ -131,28 +130,18 @@
         clock=BootClock(),
         tasks=TaskSet(),
     )
-    ended: Mailbox[bool] = Mailbox()
+    ended: Mailbox[ProcessEnd] = Mailbox()
     _wire(shared, ended)
     _log.info('start', extra={'life': shared.life, 'first': cfg.is_first_start})
     shared.tasks.start()
-    _wait_for(ended)
-    _log.info('end')
+    end = await_end(ended)
+    _log.info('end: %s', end)
     writer.close()
     # Tasks of connections end with the process.
     os._exit(0)
 
 
-def _wait_for(ended: Mailbox[bool]) -> None:
-    """Wait for the end, and let the handlers of signals run.
-
-    A signal that the kernel gives to another thread does not wake this one.
-    """
-    has_ended = None
-    while has_ended is None:
-        has_ended = ended.take(SIGNAL_LOOK_S)
-
-
-def _wire(shared: _Shared, ended: Mailbox[bool]) -> None:
+def _wire(shared: _Shared, ended: Mailbox[ProcessEnd]) -> None:
     tasks = shared.tasks
     metrics = tasks.add('metrics', MetricsActor())
     owner = _owner(shared)
@@ -202,7 +191,7 @@
             _Leaving(shared.leaving, register),
             dispatch_task,
             dispatch_task,
-            lambda: ended.post(True),
+            ended,
         ),
         shared.clock,
     )
--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -33,6 +33,7 @@
 from ..tasks.router_state import RouterState
 from ..tasks.service_call_task import CallParts
 from ..tasks.shutdown import (
+    ProcessEnd,
     ShutdownActor,
     ShutdownAsked,
     ShutdownPorts,
@@ -136,7 +137,7 @@
             confirmations=(core.dispatcher,),
         ),
     )
-    ended: Mailbox[bool] = Mailbox()
+    ended: Mailbox[ProcessEnd] = Mailbox()
     shutdown = _shutdown(cfg, tasks, core, shared, ended)
     once = wire_once(identity, tasks, wiring)
     app = CallersApp(_app_parts(cfg, core, once, shared.membership))
@@ -248,7 +249,7 @@
     tasks: TaskSet,
     core: RouterCore,
     shared: PeerParts,
-    ended: Mailbox[bool],
+    ended: Mailbox[ProcessEnd],
 ) -> Task[ShutdownAsked | RunningCounted]:
     actor = ShutdownActor(
         load_chart('router_shutdown', SHUTDOWN_WORDS),
@@ -257,7 +258,7 @@
             shared.membership,
             core.dispatcher,
             core.dispatcher,
-            lambda: ended.post(True),
+            ended,
         ),
         MonotonicClock(),
     )
--- a/pomelogauge/decide/shutdown_chart.py
+++ b/pomelogauge/decide/shutdown_chart.py
@@ -30,6 +30,7 @@
     ANNOUNCE = 'announce'
     REFUSE_NEW = 'refuse_new'
     STOP = 'stop'
+    CUT = 'cut'
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/tasks/shutdown.py
+++ b/pomelogauge/tasks/shutdown.py
@@ -1,7 +1,7 @@
 """The task that takes a router out of service without cutting a request."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 
 from ..decide.shutdown_chart import (
     ShutdownAction,
@@ -33,6 +33,13 @@
     reason: str
 
 
+class ProcessEnd(StrEnum):
+    """How the work of a process ended: all was answered, or some is cut."""
+
+    FINISHED = 'finished'
+    CUT = 'cut'
+
+
 @dataclass(frozen=True)
 class ShutdownTimes:
     """Times of a shutdown.
@@ -62,15 +69,15 @@
         Learns it once the kept answers have lapsed.
     counter
         Answers how many requests run.
-    stop
-        Ends the process.
+    ended
+        Is told once the process may end.
 
     """
 
     membership: Outbox[PhaseChanged]
     dispatcher: Outbox[PhaseChanged]
     counter: Outbox[RunningAsked]
-    stop: Callable[[], None]
+    ended: Outbox[ProcessEnd]
 
 
 class ShutdownActor:
@@ -135,4 +142,6 @@
         elif move.action is ShutdownAction.REFUSE_NEW:
             self._ports.dispatcher.post(PhaseChanged(NodePhase.LEAVING))
         elif move.action is ShutdownAction.STOP:
-            self._ports.stop()
+            self._ports.ended.post(ProcessEnd.FINISHED)
+        elif move.action is ShutdownAction.CUT:
+            self._ports.ended.post(ProcessEnd.CUT)
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -12,6 +12,7 @@
     RunningCounted,
 )
 from pomelogauge.tasks.shutdown import (
+    ProcessEnd,
     ShutdownActor,
     ShutdownAsked,
     ShutdownPorts,
@@ -35,12 +36,12 @@
         self.membership: Mailbox[PhaseChanged] = Mailbox()
         self.dispatcher: Mailbox[PhaseChanged] = Mailbox()
         self.counter: Mailbox[RunningAsked] = Mailbox()
-        self.stops: list[str] = []
+        self.ended: Mailbox[ProcessEnd] = Mailbox()
         ports = ShutdownPorts(
             self.membership,
             self.dispatcher,
             self.counter,
-            lambda: self.stops.append('stop'),
+            self.ended,
         )
         chart = load_chart('router_shutdown', SHUTDOWN_WORDS)
         times = ShutdownTimes(answer_life_s=2, limit_s=30)
@@ -57,9 +58,9 @@
         self.actor.on_timer()
         self.assertEqual(self.dispatcher.take(0), LEAVING)
         self.actor.on_message(RunningCounted(1))
-        self.assertEqual(self.stops, [])
+        self.assertIsNone(self.ended.take(0))
         self.actor.on_message(RunningCounted(0))
-        self.assertEqual(self.stops, ['stop'])
+        self.assertEqual(self.ended.take(0), ProcessEnd.FINISHED)
         self.assertIsNone(self.actor.on_timer())
 
     def test_second_signal_cuts_nothing(self) -> None:
@@ -68,7 +69,7 @@
         self.assertEqual(self.dispatcher.take(0), LEAVING)
         self.actor.on_message(ShutdownAsked('signal'))
         self.actor.on_message(RunningCounted(1))
-        self.assertEqual(self.stops, [])
+        self.assertIsNone(self.ended.take(0))
 
     def test_limit_ends_a_stuck_shutdown(self) -> None:
         self.actor.on_message(ShutdownAsked('signal'))
@@ -76,4 +77,4 @@
         self.actor.on_timer()
         self.clock.time_s = 30.0
         self.actor.on_timer()
-        self.assertEqual(self.stops, ['stop'])
+        self.assertEqual(self.ended.take(0), ProcessEnd.CUT)
