--- a/pomelogauge/decide/group_plan.py
+++ b/pomelogauge/decide/group_plan.py
@@ -8,9 +8,9 @@
 from ..model.ids import DomainName, ModelName, ServiceName, TargetName
 from ..model.serving import EngineSpec, ModelSpec, ServiceSpec
 
-#: Part of a domain's targets kept as spares beyond one group of each model.
-#: It covers the loss of one member of each group.
-SPARE_SHARE = 0.25
+#: Targets of a domain kept as spares beyond one group of each model. One
+#: covers the loss of a member; its group is formed again with the survivors.
+SPARES = 1
 
 
 @dataclass(frozen=True)
@@ -136,9 +136,8 @@
             one.model for one in self._stock.standing if one.domain == domain
         ]
         free = [one for one in targets if one.name not in self._stock.taken]
-        reserve = round(SPARE_SHARE * len(targets))
         while True:
-            members = self._form_one(here, free, reserve)
+            members = self._form_one(here, free)
             if not members:
                 break
             free = [one for one in free if one not in members]
@@ -148,12 +147,11 @@
         self,
         here: list[ModelName],
         free: Sequence[Target],
-        reserve: int,
     ) -> tuple[Target, ...]:
         """Form the next group of a domain; return its members.
 
         Each domain first gets one group of each model, the one with the most
-        work for a group first; more groups leave the reserve.
+        work for a group first; more groups leave the spares.
         """
         by_need = self._by_need()
         first = [spec for spec in by_need if spec.name not in here]
@@ -162,7 +160,7 @@
             if members:
                 return self._add(here, spec, members)
         for spec in by_need:
-            if spec.size <= len(free) - reserve:
+            if spec.size <= len(free) - SPARES:
                 members = self._members(free, spec)
                 if members and not first:
                     return self._add(here, spec, members)
@@ -208,14 +206,14 @@
         here: Sequence[ModelName],
         free: Sequence[Target],
     ) -> None:
-        """Stage models for groups that lack members, then on spares.
+        """Stage models for groups that lack hosts, then on spares.
 
         A spare with the model of a group repairs it after a loss.
         """
         wanted: list[ModelName] = []
         for spec in self._by_need():
-            is_missing = spec.name not in here and spec.size <= len(free)
-            hosts = spec.size if is_missing else 1
+            spares = SPARES if spec.name in here else 0
+            hosts = spec.size if spec.size <= len(free) - spares else 1
             wanted.extend(spec.name for _ in range(hosts))
         idle = []
         for target in free:
--- a/pomelogauge/decide/repeat_budget.py
+++ b/pomelogauge/decide/repeat_budget.py
@@ -10,17 +10,14 @@
     ----------
     share
         Repeats that each request pays for.
-    slack
-        Repeats beyond that in one window: the part of this instance.
     window_s
         Seconds of the window.
 
     """
 
-    def __init__(self, share: float, slack: float, window_s: float) -> None:
+    def __init__(self, share: float, window_s: float) -> None:
         """Start with an empty window."""
         self._share = share
-        self._slack = slack
         self._window_s = window_s
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
@@ -30,10 +27,20 @@
         self._requests.append(now_s)
         self._forget(now_s)
 
-    def take(self, now_s: float) -> bool:
-        """Take one repeat; false when the window has none left."""
+    def take(self, now_s: float, slack: float) -> bool:
+        """Take one repeat; false when the window has none left.
+
+        Parameters
+        ----------
+        now_s
+            Present time of the own clock.
+        slack
+            Repeats beyond the share in one window: the part of this
+            instance.
+
+        """
         self._forget(now_s)
-        most = self._slack + self._share * len(self._requests)
+        most = slack + self._share * len(self._requests)
         if len(self._repeats) + 1 > most:
             return False
         self._repeats.append(now_s)
--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -38,8 +38,9 @@
 #: Part of the time that is drawn at random, so that callers do not come back
 #: together.
 RETRY_SPREAD = 0.5
-#: Entry instances among which the slack of the budget is shared out.
-_MOST_ENTRIES = 10
+#: Entry instances among which the slack of the budget is shared out at
+#: least; fewer may be listed than live while the owner changes.
+LEAST_SHARES = 10
 
 _BAD = frozenset((Outcome.LOST, Outcome.SILENT, Outcome.UNREACHED))
 _log = part_logger(Part.CHOICE)
@@ -96,6 +97,7 @@
         self._views: dict[TargetName, TargetView] = {}
         self._budgets: dict[ServiceName, RepeatBudget] = {}
         self._cold = ColdRate()
+        self._slack_shares = LEAST_SHARES
         self._fleet = board.latest()
         self._offers: Offers = list_offers(self._fleet)
 
@@ -138,7 +140,7 @@
         chosen = choose(may_take, self._views, now_s, self._rng.random)
         if chosen is None:
             return self._deny(asked, Denial.NO_TARGET, RETRY_AFTER_FULL_S)
-        if asked.is_repeat and not budget.take(now_s):
+        if asked.is_repeat and not budget.take(now_s, self._slack()):
             return self._deny(asked, Denial.NO_REPEAT, RETRY_AFTER_FULL_S)
         return self._give(asked, chosen.offer, chosen.load, now_s)
 
@@ -174,6 +176,7 @@
         if fleet is self._fleet:
             return
         self._fleet = fleet
+        self._slack_shares = max(self._slack_shares, len(fleet.entries))
         self._offers = list_offers(fleet)
         self._views = {
             name: view
@@ -238,12 +241,14 @@
             _log.info('target %s is avoided: %s', ended.target, ended.outcome)
         self._views[ended.target] = view
 
+    def _slack(self) -> float:
+        """Return this instance's part of the slack of all."""
+        return self._settings.retry_slack / self._slack_shares
+
     def _budget(self, service: ServiceName) -> RepeatBudget:
         if service not in self._budgets:
-            part = self._settings.retry_slack / _MOST_ENTRIES
             self._budgets[service] = RepeatBudget(
                 self._settings.retry_share,
-                part,
                 self._settings.retry_window_s,
             )
         return self._budgets[service]
--- a/test/test_budgets.py
+++ b/test/test_budgets.py
@@ -10,17 +10,17 @@
 
 class RepeatBudgetTest(unittest.TestCase):
     def test_requests_pay_for_repeats(self) -> None:
-        budget = RepeatBudget(share=0.2, slack=1, window_s=10)
+        budget = RepeatBudget(share=0.2, window_s=10)
         for _ in range(10):
             budget.count_request(0)
-        taken = [budget.take(1) for _ in range(5)]
+        taken = [budget.take(1, slack=1) for _ in range(5)]
         self.assertEqual(taken, [True, True, True, False, False])
 
     def test_the_window_slides(self) -> None:
-        budget = RepeatBudget(share=0, slack=1, window_s=10)
-        self.assertTrue(budget.take(0))
-        self.assertFalse(budget.take(9))
-        self.assertTrue(budget.take(10.1))
+        budget = RepeatBudget(share=0, window_s=10)
+        self.assertTrue(budget.take(0, slack=1))
+        self.assertFalse(budget.take(9, slack=1))
+        self.assertTrue(budget.take(10.1, slack=1))
 
 
 class LoadBudgetTest(unittest.TestCase):
--- /dev/null
+++ b/test/test_entry_dispatcher.py
@@ -0,0 +1,71 @@
+"""What one entry instance gives of the budgets that all share."""
+
+import unittest
+from random import Random
+
+from pomelogauge.decide.serving_rules import AdmissionBounds, admit
+from pomelogauge.entry.dispatcher import Dispatcher, DispatchSettings
+from pomelogauge.entry.messages import PlaceAsked, PlaceGiven
+from pomelogauge.model.fleet import EntryInstance, Fleet, SeatState
+from pomelogauge.model.ids import Address, NodeName
+from pomelogauge.tasks.published import Published
+
+from .entry_fakes import ZONE, FakeClock, Outbox, fleet, request, seat, target
+
+SLACK = 100
+
+
+def head(name: str) -> object:
+    return target(
+        name,
+        seat=seat(name, 0, SeatState.OPEN),
+        models=('big',),
+        slots=1000,
+    )
+
+
+def entries(count: int) -> tuple[EntryInstance, ...]:
+    return tuple(
+        EntryInstance(NodeName(f'n{index}'), Address(f'n{index}:1'), ZONE)
+        for index in range(count)
+    )
+
+
+class EntryDispatcherTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.board: Published[Fleet] = Published(Fleet())
+        self.dispatcher = Dispatcher(
+            DispatchSettings(0, SLACK, 10),
+            self.board,
+            Outbox(),
+            FakeClock(),
+            Random(1),
+        )
+
+    def publish(self, living: int) -> None:
+        self.board.publish(
+            fleet(head('t1'), head('t2'), entries=entries(living))
+        )
+
+    def place(self, *, is_repeat: bool) -> object:
+        admitted = admit(request(), self.board.latest(), AdmissionBounds(9), 0)
+        replies = Outbox()
+        self.dispatcher.on_message(
+            PlaceAsked(admitted, frozenset(), is_repeat, replies)
+        )
+        return replies.posted[0]
+
+    def repeats(self) -> int:
+        given = [self.place(is_repeat=True) for _ in range(SLACK)]
+        return sum(isinstance(one, PlaceGiven) for one in given)
+
+    def test_the_slack_is_shared_by_all_that_live(self) -> None:
+        self.publish(50)
+        self.place(is_repeat=False)
+        self.assertEqual(self.repeats(), 2)
+
+    def test_instances_that_are_not_listed_yet_keep_their_part(self) -> None:
+        self.publish(50)
+        self.place(is_repeat=False)
+        self.publish(1)
+        self.assertEqual(self.repeats(), 2)
--- a/test/test_group_plan.py
+++ b/test/test_group_plan.py
@@ -87,3 +87,18 @@
         standing = (Standing(LLM, SMALL, DOMAIN),)
         made = plan(*staged(2, SMALL), standing=standing)
         self.assertEqual(made.groups, (), 'a reserve stays')
+
+    def test_a_wide_domain_serves_with_all_but_its_spares(self) -> None:
+        targets = [target(f't{index}') for index in range(11)]
+        made = plan(*targets, loads_left=float('inf'), loads_are_free=True)
+        self.assertEqual(self.models(made), [BIG, SMALL, SMALL, SMALL])
+
+    def test_one_more_group_is_formed_again_after_a_loss(self) -> None:
+        standing = (Standing(LLM, BIG, DOMAIN), Standing(LLM, SMALL, DOMAIN))
+        survivor = staged(1, SMALL)
+        spares = [target('t8'), target('t9', staged=(BIG,))]
+        made = plan(*survivor, *spares, standing=standing)
+        self.assertEqual([one.model for one in made.stages], [SMALL])
+        ready = staged(2, SMALL)
+        made = plan(*ready, spares[1], standing=standing)
+        self.assertEqual(self.models(made), [SMALL])
