Let the owner tell other instances of the store's tables

The owner's reads are now told over gRPC in answers that are held until there is news; an instance reads the store itself only while the owner does not answer. A late answer of either way can no longer bring back an older state of a table. Failed reads are repeated with growing pauses.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -12,16 +12,23 @@
 from ..decide.shutdown_chart import SHUTDOWN_WORDS
 from ..entry.courier import CourierPool
 from ..entry.dispatcher import Dispatcher, DispatchSettings
+from ..entry.feed_relay import FeedRelay
+from ..entry.follower import Follower
+from ..entry.following import FOLLOWED
 from ..entry.group_ledger import GroupLedger
 from ..entry.group_orders import GroupOrders
 from ..entry.knowledge import Knowledge
-from ..entry.messages import DispatchMessage, EntryLeaves
+from ..entry.messages import (
+    DispatchMessage,
+    EntryLeaves,
+    TableRead,
+    TableUnread,
+)
 from ..entry.owner import Owner, OwnerParts, OwnerSettings
 from ..entry.ownership import Tenancy, Tenure
 from ..entry.planning import Planning
 from ..entry.register import Register, RegisterPorts
 from ..entry.request_ports import RequestPorts, load_request_chart
-from ..entry.store import Table
 from ..entry.table_reader import ReaderSettings, TableReader
 from ..entry.tenure_keeper import TenureKeeper
 from ..model.fleet import EntryInstance, Fleet
@@ -58,7 +65,7 @@
 STORE_ANSWER_S = 0.9
 #: Seconds that the store holds a feed without changes. An answer confirms
 #: the configuration.
-FEED_WAIT_S = 1.5
+FEED_WAIT_S = 1.0
 #: Time between the reading of a request and its arrival at a target, for
 #: which a key must still be known, in seconds.
 KEY_MARGIN_S = 0.7
@@ -164,7 +171,8 @@
             shared.clock,
         ),
     )
-    tasks.include(EntryServer(shared.cfg.peers, register))
+    relay = tasks.add('feed relay', FeedRelay(shared.tenancy, shared.clock))
+    tasks.include(EntryServer(shared.cfg.peers, register, relay))
     dispatcher = Dispatcher(
         _dispatch_settings(shared.cfg),
         shared.board,
@@ -173,14 +181,7 @@
         Random(),
     )
     dispatch_task = tasks.add('dispatcher', dispatcher)
-    for table in (Table.OPERATOR, Table.TARGETS):
-        reader = TableReader(
-            ReaderSettings(table, FEED_WAIT_S),
-            shared.store(),
-            knowledge,
-            shared.clock,
-        )
-        tasks.add(f'{table} reader', reader)
+    _wire_reads(shared, knowledge, relay)
     shutdown = ShutdownActor(
         load_chart('router_shutdown', SHUTDOWN_WORDS),
         ShutdownTimes(
@@ -218,6 +219,29 @@
     )
 
 
+def _wire_reads(
+    shared: _Shared,
+    knowledge: Outbox[TableRead | TableUnread],
+    relay: Outbox[TableRead | TableUnread],
+) -> None:
+    """Read the followed tables from the owner, or else from the store."""
+    cover = Published(float('-inf'))
+    listeners = knowledge, relay
+    follower = Follower(
+        GrpcOwnerLink(), shared.tenancy, cover, listeners, shared.clock
+    )
+    shared.tasks.add('follower', follower)
+    for table in FOLLOWED:
+        reader = TableReader(
+            ReaderSettings(table, FEED_WAIT_S),
+            shared.store(),
+            listeners,
+            cover,
+            shared.clock,
+        )
+        shared.tasks.add(f'{table} reader', reader)
+
+
 def _owner(shared: _Shared) -> Owner:
     store = shared.store()
     own = Tenure(shared.life, address=shared.cfg.peers)
--- /dev/null
+++ b/pomelogauge/entry/follower.py
@@ -0,0 +1,128 @@
+"""The task that learns from the owner what the store's tables hold."""
+
+from returns.result import Failure
+
+from ..model.ids import Address
+from ..model.log_parts import Part
+from ..tasks.clock import Clock
+from ..tasks.log import part_logger
+from ..tasks.mailbox import Outbox
+from ..tasks.published import Published
+from .following import NO_PLACES, FollowLink, News
+from .messages import TableRead
+from .ownership import Tenancy
+from .roll import OwnerLinkError
+
+#: Seconds after an answer for which this instance reads no table itself: one
+#: question that is held and its delay.
+COVER_S = 1.5
+#: Longest age of the owner's own reads; they are answered each second.
+FRESH_S = 2.0
+#: Seconds between two looks for another owner, and before an owner that did
+#: not answer is asked again.
+LOOK_S = 0.2
+RETRY_S = 0.4
+
+_log = part_logger(Part.STORE)
+
+
+class Follower:
+    """Owns the questions to the owner.
+
+    Parameters
+    ----------
+    link
+        Connection to the owner; owned by this task.
+    tenancy
+        Who the owner is.
+    cover
+        Time of the own clock until which the owner tells of the tables, and
+        readers need not ask the store.
+    listeners
+        Who learns of what was told.
+    clock
+        Own clock, suspensions included.
+
+    """
+
+    def __init__(
+        self,
+        link: FollowLink,
+        tenancy: Published[Tenancy],
+        cover: Published[float],
+        listeners: tuple[Outbox[TableRead], ...],
+        clock: Clock,
+    ) -> None:
+        """Start without knowledge."""
+        self._link = link
+        self._tenancy = tenancy
+        self._cover = cover
+        self._listeners = listeners
+        self._clock = clock
+        self._places = NO_PLACES
+        self._is_told = False
+
+    def on_start(self) -> None:
+        """Connect with the first question."""
+
+    def on_message(self, message: object) -> None:
+        """Take no messages."""
+
+    def on_timer(self) -> float | None:
+        """Ask once.
+
+        Returns
+        -------
+        float
+            Seconds until the next question.
+
+        """
+        tenancy = self._tenancy.latest()
+        if tenancy.is_own or not tenancy.address:
+            self._uncover('this instance is the owner, or knows none')
+            return LOOK_S
+        return self._ask(tenancy.address)
+
+    def on_stop(self) -> None:
+        """Leave the connection to the process's end."""
+
+    def _ask(self, owner: Address) -> float:
+        began_s = self._clock.now_s()
+        answer = self._link.follow(owner, self._places)
+        if isinstance(answer, Failure):
+            error: OwnerLinkError = answer.failure()
+            self._uncover(error.message)
+            return RETRY_S
+        news = answer.unwrap()
+        self._tell(news, began_s)
+        oldest_s = max(one.age_s for one in news.tables)
+        if oldest_s > FRESH_S:
+            self._uncover(f'the owner has read {oldest_s:.1f} s ago')
+            return RETRY_S
+        self._cover_up(owner)
+        return 0
+
+    def _tell(self, news: News, began_s: float) -> None:
+        for one in news.tables:
+            read = TableRead(
+                one.table,
+                one.rows,
+                one.is_whole,
+                began_s - one.age_s,
+                one.was_away,
+            )
+            for listener in self._listeners:
+                listener.post(read)
+        self._places = news.places()
+
+    def _cover_up(self, owner: Address) -> None:
+        self._cover.publish(self._clock.now_s() + COVER_S)
+        if not self._is_told:
+            self._is_told = True
+            _log.info('the owner tells of the tables', extra={'owner': owner})
+
+    def _uncover(self, reason: str) -> None:
+        self._cover.publish(float('-inf'))
+        if self._is_told:
+            self._is_told = False
+            _log.info('tables are read from the store: %s', reason)
--- /dev/null
+++ b/pomelogauge/entry/following.py
@@ -0,0 +1,74 @@
+"""What instances are told by the owner of the tables that all follow."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from returns.result import Result
+
+from ..model.ids import ABSENT_ROW, Address, RowVersion
+from ..model.rows import Rows
+from .roll import OwnerLinkError
+from .store import Table
+
+#: Tables that every instance follows.
+FOLLOWED = (Table.OPERATOR, Table.TARGETS)
+#: Seconds for which the owner holds a question without news. An answer
+#: confirms the configuration.
+HOLD_S = 1.0
+
+#: Version of each table that an instance knows.
+Places = Mapping[Table, RowVersion]
+NO_PLACES: Places = dict.fromkeys(FOLLOWED, ABSENT_ROW)
+
+
+@dataclass(frozen=True)
+class TableChanges:
+    """What changed in one table.
+
+    Parameters
+    ----------
+    table
+        Which table.
+    rows
+        All its rows, or those that changed.
+    is_whole
+        All rows; a row that is missing is gone.
+    age_s
+        Seconds since the owner's read of this state began.
+    was_away
+        The store has only just answered again.
+
+    """
+
+    table: Table
+    rows: Rows
+    is_whole: bool
+    age_s: float
+    was_away: bool
+
+
+@dataclass(frozen=True)
+class News:
+    """The owner's answer: one entry for each followed table."""
+
+    tables: tuple[TableChanges, ...]
+
+    def places(self) -> Places:
+        """Return the versions that who has taken the news knows."""
+        return {one.table: one.rows.version for one in self.tables}
+
+    def has_rows(self) -> bool:
+        """Return whether anything has changed."""
+        return any(one.rows.rows or one.is_whole for one in self.tables)
+
+
+class FollowLink(Protocol):
+    """Asks the owner for news; used by one task."""
+
+    def follow(
+        self,
+        address: Address,
+        places: Places,
+    ) -> Result[News, OwnerLinkError]:
+        """Wait for news beyond the known versions."""
--- a/pomelogauge/entry/knowledge.py
+++ b/pomelogauge/entry/knowledge.py
@@ -8,8 +8,9 @@
 
 from ..model.errors import FindingsError
 from ..model.fleet import Fleet, Target
-from ..model.ids import DataCentreName, TargetName
+from ..model.ids import ABSENT_ROW, DataCentreName, RowVersion, TargetName
 from ..model.log_parts import Part
+from ..model.rows import StoredRow
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
@@ -22,7 +23,7 @@
     TableRead,
     TableUnread,
 )
-from .store import StoredRow, Table
+from .store import Table
 
 #: Seconds for which an entry that lapsed while the store was away may come
 #: back: the platform says about two.
@@ -71,6 +72,7 @@
         self._drained: dict[str, DataCentreName] = {}
         self._lapses: deque[_Lapse] = deque()
         self._grace_until_s = float('-inf')
+        self._versions: dict[Table, RowVersion] = {}
 
     def on_start(self) -> None:
         """Own nothing that must be opened."""
@@ -116,8 +118,18 @@
     def on_stop(self) -> None:
         """Own nothing that must be closed."""
 
+    def _is_old(self, read: TableRead) -> bool:
+        """Return whether a newer state of the table has been taken in."""
+        known = self._versions.get(read.table, ABSENT_ROW)
+        self._versions[read.table] = max(known, read.rows.version)
+        return read.rows.version < known
+
     def _take_operator(self, read: TableRead) -> None:
-        fleet = replace(self._board.latest(), confirmed_s=read.began_s)
+        if self._is_old(read):
+            return
+        fleet = self._board.latest()
+        confirmed_s = max(fleet.confirmed_s, read.began_s)
+        fleet = replace(fleet, confirmed_s=confirmed_s)
         if read.is_whole:
             self._drained = {}
         for row in read.rows.rows:
@@ -162,6 +174,8 @@
             self._drained[row.key] = name
 
     def _take_targets(self, read: TableRead) -> None:
+        if self._is_old(read):
+            return
         now_s = self._clock.now_s()
         if read.was_away:
             self._grace_until_s = now_s + LAPSE_GRACE_S
@@ -175,7 +189,11 @@
         fleet = self._board.latest()
         since_s = min(fleet.listed_since_s, now_s)
         self._publish_targets(
-            replace(fleet, listed_s=read.began_s, listed_since_s=since_s)
+            replace(
+                fleet,
+                listed_s=max(fleet.listed_s, read.began_s),
+                listed_since_s=since_s,
+            )
         )
 
     def _take_target(self, row: StoredRow, now_s: float) -> None:
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -14,10 +14,12 @@
     ServiceName,
     TargetName,
 )
+from ..model.rows import Rows
 from ..tasks.mailbox import Outbox
 from ..tasks.messages import PhaseChanged, RunningAsked
+from .following import News, Places
 from .roll import EntryReport, Roll
-from .store import Rows, StoreError, Table
+from .store import StoreError, Table
 
 
 @dataclass(frozen=True)
@@ -54,6 +56,23 @@
     error: StoreError
 
 
+@dataclass(frozen=True)
+class FollowAsked:
+    """Another instance asks the owner for news of the followed tables.
+
+    Parameters
+    ----------
+    places
+        Versions that it knows.
+    reply
+        Gets the news; ``None`` where this instance has none to tell.
+
+    """
+
+    places: Places
+    reply: Outbox[News | None]
+
+
 @dataclass(frozen=True)
 class EntriesSeen:
     """The entry instances that live, this one among them."""
@@ -125,6 +144,7 @@
 
 
 RegisterMessage = ReportHeard | TargetsSuspected | EntryLeaves
+RelayMessage = TableRead | TableUnread | FollowAsked
 KnowledgeMessage = TableRead | TableUnread | EntriesSeen
 
 
--- a/pomelogauge/entry/store.py
+++ b/pomelogauge/entry/store.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 
 from ..model.ids import RowVersion
+from ..model.rows import Rows
 
 
 class Table(StrEnum):
@@ -42,43 +43,6 @@
     message: str
 
 
-@dataclass(frozen=True)
-class StoredRow:
-    """A row of a table.
-
-    Parameters
-    ----------
-    key
-        Name inside the table.
-    version
-        Rises with every write of the store.
-    body
-        Value; ``None`` for a row that was removed.
-
-    """
-
-    key: str
-    version: RowVersion
-    body: bytes | None
-
-
-@dataclass(frozen=True)
-class Rows:
-    """Rows as of one version of the store.
-
-    Parameters
-    ----------
-    rows
-        All rows of a table, or those that changed.
-    version
-        Newest version of the store; a feed goes on from here.
-
-    """
-
-    rows: tuple[StoredRow, ...]
-    version: RowVersion
-
-
 @dataclass(frozen=True)
 class RowExpected:
     """The row must have this version; zero means that it must be absent."""
--- a/pomelogauge/entry/table_reader.py
+++ b/pomelogauge/entry/table_reader.py
@@ -6,17 +6,23 @@
 
 from ..model.ids import RowVersion
 from ..model.log_parts import Part
+from ..model.rows import Rows
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
-from .messages import KnowledgeMessage, TableRead, TableUnread
-from .store import Rows, StoreError, StoreFault, StoreReads, Table
+from ..tasks.published import Published
+from .messages import TableRead, TableUnread
+from .store import StoreError, StoreFault, StoreReads, Table
 
 #: Seconds between two calls after one that brought changes; changes of one
 #: event come together.
 CHANGES_GAP_S = 0.08
-#: Seconds before a failed call is made again.
+#: Seconds before a failed call is made again: at first, and at most. Each
+#: failure doubles them.
 RETRY_S = 0.15
+MOST_RETRY_S = 0.6
+#: Longest seconds between two looks whether the owner still tells.
+COVERED_S = 0.25
 #: Seconds without an answer after which targets may have lapsed unseen; three
 #: reports of a target.
 AWAY_S = 2.5
@@ -50,8 +56,10 @@
         Which table, and how.
     store
         Connection of this task.
-    knowledge
+    listeners
         Who learns of what was read.
+    cover
+        Time of the own clock until which the owner tells of the table.
     clock
         Own clock, suspensions included.
 
@@ -61,17 +69,20 @@
         self,
         settings: ReaderSettings,
         store: StoreReads,
-        knowledge: Outbox[KnowledgeMessage],
+        listeners: tuple[Outbox[TableRead | TableUnread], ...],
+        cover: Published[float],
         clock: Clock,
     ) -> None:
         """Start without a place in the feed."""
         self._settings = settings
         self._store = store
-        self._knowledge = knowledge
+        self._listeners = listeners
+        self._cover = cover
         self._clock = clock
         self._version: RowVersion | None = None
         self._answered_s = clock.now_s()
         self._is_away = False
+        self._retry_s = RETRY_S
 
     def on_start(self) -> None:
         """Connect with the first read."""
@@ -89,6 +100,10 @@
 
         """
         began_s = self._clock.now_s()
+        covered_s = self._cover.latest() - began_s
+        if covered_s > 0:
+            self._answered_s = began_s
+            return min(covered_s, COVERED_S)
         if self._version is None:
             answer = self._store.read_all(self._settings.table)
         else:
@@ -109,7 +124,8 @@
         if self._is_away:
             self._is_away = False
             _log.info('%s is read again', self._settings.table)
-        self._knowledge.post(
+        self._retry_s = RETRY_S
+        self._tell(
             TableRead(
                 self._settings.table,
                 rows,
@@ -137,5 +153,11 @@
                 self._settings.table,
                 error.message,
             )
-        self._knowledge.post(TableUnread(self._settings.table, error))
-        return RETRY_S
+        self._tell(TableUnread(self._settings.table, error))
+        pause_s = self._retry_s
+        self._retry_s = min(2 * pause_s, MOST_RETRY_S)
+        return pause_s
+
+    def _tell(self, message: TableRead | TableUnread) -> None:
+        for listener in self._listeners:
+            listener.post(message)
--- a/pomelogauge/entry/tenure_keeper.py
+++ b/pomelogauge/entry/tenure_keeper.py
@@ -17,6 +17,7 @@
 from ..model.fleet import EntryInstance
 from ..model.ids import ABSENT_ROW, NodeName, RowVersion
 from ..model.log_parts import Part
+from ..model.rows import StoredRow
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
 from .codecs import OwnRows
@@ -25,7 +26,6 @@
 from .store import (
     RowExpected,
     RowWritten,
-    StoredRow,
     StoreFault,
     StoreWrites,
     Table,
--- a/pomelogauge/platform/store.py
+++ b/pomelogauge/platform/store.py
@@ -17,15 +17,14 @@
 
 from ..entry.store import (
     RowExpected,
-    Rows,
     RowWritten,
-    StoredRow,
     StoreError,
     StoreFault,
     Table,
 )
 from ..model.errors import FindingsError
 from ..model.ids import Address, RowVersion
+from ..model.rows import Rows, StoredRow
 from .fields import Fields, read_fields
 
 #: Names of the tables in the store; the first two belong to the platform.
--- a/pomelogauge/wire/entry_codec.py
+++ b/pomelogauge/wire/entry_codec.py
@@ -1,6 +1,10 @@
-"""Encodes and decodes reports and rolls."""
+"""Encodes and decodes what entry instances tell each other."""
 
+import math
+
+from ..entry.following import NO_PLACES, News, Places, TableChanges
 from ..entry.roll import EntryReport, Roll
+from ..entry.store import Table
 from ..model.fleet import EntryInstance
 from ..model.ids import (
     Address,
@@ -9,8 +13,11 @@
     RowVersion,
     TargetName,
 )
+from ..model.rows import Rows, StoredRow
 from . import entry_peer_pb2
 
+_MS_IN_S = 1000
+
 
 def encode_report(report: EntryReport) -> entry_peer_pb2.EntryReport:
     """Encode a report."""
@@ -50,6 +57,70 @@
     )
 
 
+def encode_places(places: Places) -> entry_peer_pb2.FollowQuestion:
+    """Encode a question."""
+    return entry_peer_pb2.FollowQuestion(
+        places=[
+            entry_peer_pb2.TablePlace(table=table, version=version)
+            for table, version in places.items()
+        ]
+    )
+
+
+def decode_places(message: entry_peer_pb2.FollowQuestion) -> Places:
+    """Decode a question."""
+    named = {
+        Table(one.table): RowVersion(one.version) for one in message.places
+    }
+    return {**NO_PLACES, **named}
+
+
+def encode_news(news: News) -> entry_peer_pb2.FollowAnswer:
+    """Encode an answer."""
+    return entry_peer_pb2.FollowAnswer(
+        tables=[_encode_changes(one) for one in news.tables]
+    )
+
+
+def decode_news(message: entry_peer_pb2.FollowAnswer) -> News:
+    """Decode an answer."""
+    return News(tuple(_decode_changes(one) for one in message.tables))
+
+
+def _encode_changes(changes: TableChanges) -> entry_peer_pb2.TableNews:
+    return entry_peer_pb2.TableNews(
+        table=changes.table,
+        version=changes.rows.version,
+        whole=changes.is_whole,
+        age_ms=math.ceil(changes.age_s * _MS_IN_S),
+        was_away=changes.was_away,
+        rows=[
+            entry_peer_pb2.TableRow(
+                key=row.key, version=row.version, body=row.body
+            )
+            for row in changes.rows.rows
+        ],
+    )
+
+
+def _decode_changes(message: entry_peer_pb2.TableNews) -> TableChanges:
+    rows = tuple(
+        StoredRow(
+            row.key,
+            RowVersion(row.version),
+            row.body if row.HasField('body') else None,
+        )
+        for row in message.rows
+    )
+    return TableChanges(
+        Table(message.table),
+        Rows(rows, RowVersion(message.version)),
+        message.whole,
+        message.age_ms / _MS_IN_S,
+        message.was_away,
+    )
+
+
 def _entry(message: entry_peer_pb2.EntryReport) -> EntryInstance:
     return EntryInstance(
         node=NodeName(message.node),
--- a/pomelogauge/wire/entry_link.py
+++ b/pomelogauge/wire/entry_link.py
@@ -1,17 +1,27 @@
-"""Reports to the owner over gRPC."""
+"""Reports to the owner, and questions to it, over gRPC."""
 
 import grpc
 from returns.result import Failure, Result, Success
 
+from ..entry.following import HOLD_S, News, Places
 from ..entry.roll import EntryReport, OwnerLinkError, Roll
 from ..model.ids import Address
 from . import entry_peer_pb2
-from .entry_codec import decode_roll, encode_report
+from .entry_codec import (
+    decode_news,
+    decode_roll,
+    encode_places,
+    encode_report,
+)
 
 #: Seconds for one report. Instances are a millisecond apart.
 REPORT_TIMEOUT_S = 0.4
 
-_METHOD = '/pomelogauge.EntryPeer/Report'
+#: Seconds for one question, which the owner holds while there is no news.
+FOLLOW_TIMEOUT_S = HOLD_S + REPORT_TIMEOUT_S
+
+_REPORT = '/pomelogauge.EntryPeer/Report'
+_FOLLOW = '/pomelogauge.EntryPeer/Follow'
 _OPTIONS = (
     ('grpc.enable_retries', 0),
     ('grpc.enable_http_proxy', 0),
@@ -40,20 +50,42 @@
     ) -> Result[Roll, OwnerLinkError]:
         """Report once."""
         call = self._open(address).unary_unary(
-            _METHOD,
+            _REPORT,
             request_serializer=entry_peer_pb2.EntryReport.SerializeToString,
             response_deserializer=entry_peer_pb2.EntryRoll.FromString,
         )
         try:
             answer = call(encode_report(report), timeout=REPORT_TIMEOUT_S)
         except grpc.RpcError as exc:
-            # A channel that went silent is not used again.
-            self._close()
-            return Failure(
-                OwnerLinkError(str(exc.details()), exc.code() in _REFUSED)
-            )
+            return self._failed(exc)
         return Success(decode_roll(answer))
 
+    def follow(
+        self,
+        address: Address,
+        places: Places,
+    ) -> Result[News, OwnerLinkError]:
+        """Wait for news beyond the known versions."""
+        call = self._open(address).unary_unary(
+            _FOLLOW,
+            request_serializer=(
+                entry_peer_pb2.FollowQuestion.SerializeToString
+            ),
+            response_deserializer=entry_peer_pb2.FollowAnswer.FromString,
+        )
+        try:
+            answer = call(encode_places(places), timeout=FOLLOW_TIMEOUT_S)
+        except grpc.RpcError as exc:
+            return self._failed(exc)
+        return Success(decode_news(answer))
+
+    def _failed(self, exc: grpc.RpcError) -> Failure[OwnerLinkError]:
+        # A channel that went silent is not used again.
+        self._close()
+        return Failure(
+            OwnerLinkError(str(exc.details()), exc.code() in _REFUSED)
+        )
+
     def _open(self, address: Address) -> grpc.Channel:
         if self._channel is None or address != self._address:
             self._close()
--- a/pomelogauge/wire/entry_server.py
+++ b/pomelogauge/wire/entry_server.py
@@ -4,20 +4,32 @@
 
 import grpc
 
-from ..entry.messages import RegisterMessage, ReportHeard
+from ..entry.following import HOLD_S, News
+from ..entry.messages import (
+    FollowAsked,
+    RegisterMessage,
+    RelayMessage,
+    ReportHeard,
+)
 from ..entry.roll import Roll
 from ..model.errors import UserError
 from ..model.ids import Address
 from ..tasks.mailbox import Mailbox, Outbox
 from . import entry_peer_pb2
-from .entry_codec import decode_report, encode_roll
+from .entry_codec import (
+    decode_places,
+    decode_report,
+    encode_news,
+    encode_roll,
+)
 from .entry_peer_pb2_grpc import (
     EntryPeerServicer,
     add_EntryPeerServicer_to_server,
 )
 
-#: Threads that serve reports; each waits for the register only.
-POOL_THREADS = 4
+#: Threads that serve reports and questions; started as they are needed. Each
+#: waits for the register or the relay only.
+POOL_THREADS = 512
 #: Seconds for which a report waits for the register.
 ANSWER_S = 0.3
 
@@ -27,8 +39,13 @@
 
 
 class _Servicer(EntryPeerServicer):
-    def __init__(self, register: Outbox[RegisterMessage]) -> None:
+    def __init__(
+        self,
+        register: Outbox[RegisterMessage],
+        relay: Outbox[RelayMessage],
+    ) -> None:
         self._register = register
+        self._relay = relay
 
     def Report(  # noqa: N802 - name of the generated base
         self,
@@ -44,9 +61,23 @@
         context.abort(grpc.StatusCode.FAILED_PRECONDITION, 'is not the owner')
         return entry_peer_pb2.EntryRoll()
 
+    def Follow(  # noqa: N802 - name of the generated base
+        self,
+        request: entry_peer_pb2.FollowQuestion,
+        context: grpc.ServicerContext,
+    ) -> entry_peer_pb2.FollowAnswer:
+        """Hand a question to the relay and answer with its news."""
+        replies: Mailbox[News | None] = Mailbox()
+        self._relay.post(FollowAsked(decode_places(request), replies))
+        news = replies.take(HOLD_S + ANSWER_S)
+        if news is not None:
+            return encode_news(news)
+        context.abort(grpc.StatusCode.FAILED_PRECONDITION, 'has no news')
+        return entry_peer_pb2.FollowAnswer()
+
 
 class EntryServer:
-    """Serves reports.
+    """Serves reports and questions.
 
     Parameters
     ----------
@@ -54,6 +85,8 @@
         ``host:port`` to listen on.
     register
         The task that keeps the roll.
+    relay
+        The task that tells of the followed tables.
 
     """
 
@@ -61,6 +94,7 @@
         self,
         address: Address,
         register: Outbox[RegisterMessage],
+        relay: Outbox[RelayMessage],
     ) -> None:
         """Bind the address.
 
@@ -76,7 +110,7 @@
         )
         # The generated function has no types.
         add_EntryPeerServicer_to_server(  # type: ignore[no-untyped-call]
-            _Servicer(register), self._server
+            _Servicer(register, relay), self._server
         )
         try:
             self._server.add_insecure_port(address)
--- /dev/null
+++ b/test/test_feed_relay.py
@@ -0,0 +1,210 @@
+"""The owner tells others of the tables; who follows reads them no more."""
+
+import unittest
+
+from returns.result import Failure, Result, Success
+
+from pomelogauge.decide.table_copy import MOST_REMOVED, TableCopy
+from pomelogauge.entry.feed_relay import FeedRelay
+from pomelogauge.entry.follower import FRESH_S, Follower
+from pomelogauge.entry.following import (
+    HOLD_S,
+    NO_PLACES,
+    News,
+    Places,
+    TableChanges,
+)
+from pomelogauge.entry.messages import FollowAsked, TableRead
+from pomelogauge.entry.ownership import Tenancy
+from pomelogauge.entry.roll import OwnerLinkError
+from pomelogauge.entry.store import Table
+from pomelogauge.model.ids import Address, RowVersion
+from pomelogauge.model.rows import Rows, StoredRow
+from pomelogauge.tasks.published import Published
+from pomelogauge.wire.entry_codec import (
+    decode_news,
+    decode_places,
+    encode_news,
+    encode_places,
+)
+
+from .entry_fakes import FakeClock, Outbox
+
+OWN = Tenancy(True, 3, Address('n1:2'))
+OTHER = Tenancy(False, 3, Address('n2:2'))
+
+
+def rows(version: int, *keys: str, body: bytes | None = b'{}') -> Rows:
+    at = RowVersion(version)
+    return Rows(tuple(StoredRow(key, at, body) for key in keys), at)
+
+
+class TableCopyTest(unittest.TestCase):
+    def test_changes_are_told_since_a_version(self) -> None:
+        copy = TableCopy().with_rows(rows(5, 'a'), is_whole=True)
+        copy = copy.with_rows(rows(7, 'b'), is_whole=False)
+        copy = copy.with_rows(rows(8, 'a', body=None), is_whole=False)
+        told = copy.changed_since(RowVersion(5))
+        self.assertEqual([one.key for one in told.rows], ['a', 'b'])
+        self.assertIsNone(told.rows[0].body)
+        self.assertEqual([one.key for one in copy.whole().rows], ['b'])
+
+    def test_who_knows_less_than_the_copy_is_told_all(self) -> None:
+        copy = TableCopy().with_rows(rows(5, 'a'), is_whole=True)
+        self.assertTrue(copy.can_tell_since(RowVersion(5)))
+        self.assertFalse(copy.can_tell_since(RowVersion(4)))
+        self.assertFalse(TableCopy().can_tell_since(RowVersion(0)))
+
+    def test_an_older_read_changes_nothing(self) -> None:
+        copy = TableCopy().with_rows(rows(5, 'a'), is_whole=True)
+        self.assertEqual(copy.with_rows(rows(4), is_whole=True), copy)
+
+    def test_removed_rows_are_not_kept_for_ever(self) -> None:
+        copy = TableCopy().with_rows(rows(1), is_whole=True)
+        gone = [f'k{index}' for index in range(MOST_REMOVED + 1)]
+        copy = copy.with_rows(rows(2, *gone, body=None), is_whole=False)
+        self.assertEqual(copy.rows, {})
+        self.assertFalse(copy.can_tell_since(RowVersion(1)))
+
+
+class FeedRelayTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.tenancy = Published(OWN)
+        self.relay = FeedRelay(self.tenancy, self.clock)
+        for table in (Table.OPERATOR, Table.TARGETS):
+            self.read(table, rows(5, 'a'), is_whole=True)
+
+    def read(self, table: Table, found: Rows, **fields: bool) -> None:
+        given = {'is_whole': False, 'was_away': False, **fields}
+        self.relay.on_message(
+            TableRead(table, found, began_s=self.clock.now_s(), **given)
+        )
+
+    def ask(self, places: Places) -> Outbox:
+        replies = Outbox()
+        self.relay.on_message(FollowAsked(places, replies))
+        return replies
+
+    def tick(self, seconds: float) -> None:
+        self.clock.at_s += seconds
+        self.relay.on_timer()
+
+    def known(self) -> Places:
+        return {table: RowVersion(5) for table in NO_PLACES}
+
+    def test_who_knows_nothing_is_told_all_at_once(self) -> None:
+        (news,) = self.ask(NO_PLACES).posted
+        self.assertTrue(all(one.is_whole for one in news.tables))
+        self.assertEqual(news.places(), self.known())
+
+    def test_a_question_is_held_until_there_is_news(self) -> None:
+        replies = self.ask(self.known())
+        self.tick(0.5)
+        self.assertEqual(replies.posted, [])
+        self.read(Table.TARGETS, rows(9, 'b'))
+        self.tick(0.01)
+        changes = {one.table: one for one in replies.posted[0].tables}
+        self.assertEqual(changes[Table.TARGETS].rows, rows(9, 'b'))
+        self.assertFalse(changes[Table.TARGETS].is_whole)
+        self.assertEqual(changes[Table.OPERATOR].rows.rows, ())
+
+    def test_a_held_question_is_answered_with_the_age_of_the_reads(
+        self,
+    ) -> None:
+        replies = self.ask(self.known())
+        self.tick(HOLD_S)
+        (news,) = replies.posted
+        self.assertFalse(news.has_rows())
+        self.assertEqual({one.age_s for one in news.tables}, {HOLD_S})
+
+    def test_who_is_not_the_owner_has_no_news(self) -> None:
+        replies = self.ask(self.known())
+        self.tenancy.publish(OTHER)
+        self.tick(0.1)
+        self.assertEqual(replies.posted, [None])
+
+    def test_an_outage_of_the_store_is_told(self) -> None:
+        self.read(Table.TARGETS, rows(9, 'b', body=None), was_away=True)
+        (news,) = self.ask(self.known()).posted
+        away = {one.table: one.was_away for one in news.tables}
+        self.assertEqual(away, {Table.OPERATOR: False, Table.TARGETS: True})
+
+
+class Link:
+    """Answers as tests say."""
+
+    def __init__(self) -> None:
+        self.answer: Result = Failure(OwnerLinkError('refused', True))
+        self.asked: list[Places] = []
+
+    def follow(self, address: Address, places: Places) -> Result:
+        self.asked.append(places)
+        return self.answer
+
+
+def news(version: int, age_s: float = 0.2) -> News:
+    return News(
+        tuple(
+            TableChanges(table, rows(version, 'a'), False, age_s, False)
+            for table in NO_PLACES
+        )
+    )
+
+
+class FollowerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.link = Link()
+        self.tenancy = Published(OTHER)
+        self.cover = Published(float('-inf'))
+        self.heard = Outbox()
+        self.follower = Follower(
+            self.link, self.tenancy, self.cover, (self.heard,), self.clock
+        )
+
+    def is_covered(self) -> bool:
+        return self.cover.latest() > self.clock.now_s()
+
+    def test_it_passes_on_what_the_owner_tells(self) -> None:
+        self.link.answer = Success(news(9))
+        self.follower.on_timer()
+        read = self.heard.posted[0]
+        self.assertEqual(read.rows, rows(9, 'a'))
+        self.assertAlmostEqual(read.began_s, self.clock.now_s() - 0.2)
+        self.assertTrue(self.is_covered())
+        self.follower.on_timer()
+        self.assertEqual(set(self.link.asked[-1].values()), {9})
+
+    def test_the_store_is_read_where_the_owner_does_not_answer(self) -> None:
+        self.link.answer = Success(news(9))
+        self.follower.on_timer()
+        self.link.answer = Failure(OwnerLinkError('refused', True))
+        self.follower.on_timer()
+        self.assertFalse(self.is_covered())
+
+    def test_an_owner_with_old_reads_covers_nothing(self) -> None:
+        self.link.answer = Success(news(9, FRESH_S + 0.1))
+        self.follower.on_timer()
+        self.assertFalse(self.is_covered())
+
+    def test_the_owner_reads_the_store(self) -> None:
+        self.tenancy.publish(OWN)
+        self.follower.on_timer()
+        self.assertEqual(self.link.asked, [])
+        self.assertFalse(self.is_covered())
+
+    def test_questions_and_news_are_decoded_as_they_were_encoded(
+        self,
+    ) -> None:
+        places = {table: RowVersion(7) for table in NO_PLACES}
+        self.assertEqual(decode_places(encode_places(places)), places)
+        gone = TableChanges(
+            Table.TARGETS, rows(9, 'b', body=None), True, 0.25, True
+        )
+        told = News((*news(9).tables, gone))
+        self.assertEqual(decode_news(encode_news(told)), told)
+
+
+if __name__ == '__main__':
+    unittest.main()
