--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -236,6 +236,7 @@
             ReaderSettings(table, FEED_WAIT_S),
             shared.store(),
             listeners,
+            shared.tenancy,
             cover,
             shared.clock,
         )
--- a/pomelogauge/decide/owner_watch.py
+++ b/pomelogauge/decide/owner_watch.py
@@ -16,8 +16,9 @@
 #: the owner does not answer reports.
 LOOK_S = 0.35
 LATE_LOOK_S = 1.5
-#: Seconds between two looks while it does.
-CALM_LOOK_S = 8.0
+#: Seconds between two looks while it does. Its answers tell of its term; a
+#: look finds an owner that answers though another has taken over.
+CALM_LOOK_S = 30.0
 #: Instances that look often.
 FIRST_IN_LINE = 3
 
--- a/pomelogauge/entry/table_reader.py
+++ b/pomelogauge/entry/table_reader.py
@@ -12,11 +12,14 @@
 from ..tasks.mailbox import Outbox
 from ..tasks.published import Published
 from .messages import TableRead, TableUnread
+from .ownership import Tenancy
 from .store import StoreError, StoreFault, StoreReads, Table
 
-#: Seconds between two calls after one that brought changes; changes of one
-#: event come together.
+#: Seconds between two calls after one that brought changes, at the owner and
+#: elsewhere. Changes of one event come together; all other instances read at
+#: the same time while there is no owner.
 CHANGES_GAP_S = 0.08
+OTHERS_GAP_S = 0.4
 #: Seconds before a failed call is made again: at first, and at most. Each
 #: failure doubles them.
 RETRY_S = 0.15
@@ -58,6 +61,8 @@
         Connection of this task.
     listeners
         Who learns of what was read.
+    tenancy
+        Who the owner is.
     cover
         Time of the own clock until which the owner tells of the table.
     clock
@@ -70,6 +75,7 @@
         settings: ReaderSettings,
         store: StoreReads,
         listeners: tuple[Outbox[TableRead | TableUnread], ...],
+        tenancy: Published[Tenancy],
         cover: Published[float],
         clock: Clock,
     ) -> None:
@@ -77,6 +83,7 @@
         self._settings = settings
         self._store = store
         self._listeners = listeners
+        self._tenancy = tenancy
         self._cover = cover
         self._clock = clock
         self._version: RowVersion | None = None
@@ -135,7 +142,10 @@
             )
         )
         self._version = rows.version
-        return CHANGES_GAP_S if rows.rows else 0
+        if not rows.rows:
+            return 0
+        is_own = self._tenancy.latest().is_own
+        return CHANGES_GAP_S if is_own else OTHERS_GAP_S
 
     def _on_failure(self, error: StoreError) -> float:
         if error.fault is StoreFault.FORGOTTEN:
--- a/pomelogauge/wire/entry_server.py
+++ b/pomelogauge/wire/entry_server.py
@@ -71,6 +71,8 @@
         self._relay.post(FollowAsked(decode_places(request), replies))
         news = replies.take(HOLD_S + ANSWER_S)
         if news is not None:
+            # Bytes between data centres are dear; rows repeat themselves.
+            context.set_compression(grpc.Compression.Gzip)
             return encode_news(news)
         context.abort(grpc.StatusCode.FAILED_PRECONDITION, 'has no news')
         return entry_peer_pb2.FollowAnswer()
--- /dev/null
+++ b/test/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of whole entry processes under faults from outside."""
--- /dev/null
+++ b/test/soak/__main__.py
@@ -0,0 +1,47 @@
+"""Plays seeds: ``python -m test.soak --seeds 50``."""
+
+import argparse
+import random
+import sys
+
+from .play import Played, play
+
+
+def main() -> int:
+    """Play the seeds one after the other."""
+    parser = argparse.ArgumentParser(prog='python -m test.soak')
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--first', type=int, help='first seed')
+    parser.add_argument('--seconds', type=float, default=20, help='of faults')
+    parser.add_argument('--log', action='store_true', help='show the logs')
+    args = parser.parse_args()
+    first = args.first
+    if first is None:
+        first = random.SystemRandom().randrange(1, 1_000_000)
+    failed = 0
+    for seed in range(first, first + args.seeds):
+        played = play(seed, args.seconds)
+        show(played, with_logs=args.log)
+        failed += bool(played.breaches)
+    print(f'{args.seeds - failed} passed, {failed} failed')
+    return int(bool(failed))
+
+
+def show(played: Played, *, with_logs: bool) -> None:
+    """Print what came of one seed."""
+    verdict = 'FAILED' if played.breaches else 'passed'
+    print(f'seed {played.seed}: {verdict} {sorted(played.counts.items())}')
+    if not played.breaches:
+        return
+    for breach in played.breaches[:10]:
+        print(f'  {breach}')
+    for fault in played.faults:
+        print(f'    {fault}')
+    if with_logs:
+        for name, log in played.logs.items():
+            print(f'--- {name}\n{log}')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/test/soak/clients.py
@@ -0,0 +1,127 @@
+"""Callers of the soak: they resolve, keep connections and check answers."""
+
+import json
+import random
+import threading
+import time
+from collections.abc import Callable
+from contextlib import suppress
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from .witness import Witness
+from .workers import EVENTS
+
+#: Seconds that a caller keeps a directory's answer.
+KEEP_S = 2.0
+PAUSE_S = 0.05
+ONCE = 'once-'
+STREAM = 'stream-'
+OK = 200
+REFUSALS = frozenset((429, 503))
+
+
+class Caller:
+    """One caller; it uses an open connection until the process is gone."""
+
+    def __init__(
+        self,
+        name: str,
+        seed: int,
+        directories: Callable[[], list[str]],
+        keys: Callable[[], list[str]],
+        witness: Witness,
+    ) -> None:
+        self.name = name
+        self.rng = random.Random(seed)
+        self.directories = directories
+        self.keys = keys
+        self.witness = witness
+        self.pool = urllib3.PoolManager(retries=False, maxsize=1)
+        self.addresses: list[str] = []
+        self.until_s = 0.0
+        self.number = 0
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self) -> None:
+        while not self.stopped.is_set():
+            address = self.resolve()
+            if address:
+                self.call(address)
+            self.stopped.wait(PAUSE_S)
+
+    def stop(self) -> None:
+        self.stopped.set()
+        self.thread.join(10)
+
+    def resolve(self) -> str | None:
+        if time.monotonic() >= self.until_s:
+            for directory in self.rng.sample(self.directories(), 2):
+                with suppress(HTTPError, ValueError, KeyError):
+                    answer = urllib3.request(
+                        'GET',
+                        f'http://{directory}/resolve?name=app&zone=a',
+                        retries=False,
+                        timeout=1,
+                    )
+                    self.addresses = answer.json()['addresses']
+                    self.until_s = time.monotonic() + KEEP_S
+                    break
+        return self.rng.choice(self.addresses) if self.addresses else None
+
+    def call(self, address: str) -> None:
+        self.number += 1
+        is_once = self.rng.random() < 0.4
+        prefix = ONCE if is_once else STREAM
+        attempt = f'{prefix}{self.name}-{self.number}'
+        key = self.rng.choice(self.keys())
+        self.witness.saw_sent(attempt, key)
+        try:
+            answer = self.pool.request(
+                'POST',
+                f'http://{address}/{"b" if is_once else "a"}/x',
+                body=b'{}',
+                timeout=urllib3.Timeout(connect=1, read=6),
+                headers={
+                    'Host': 'app',
+                    'X-Attempt-Id': attempt,
+                    'X-Model': 'm',
+                    'X-Deadline-Ms': '3000',
+                    'Authorization': f'Bearer {key}',
+                },
+            )
+        except HTTPError as exc:
+            self.witness.count(f'{prefix}{type(exc).__name__}')
+            return
+        self.witness.count(f'{prefix}{answer.status}')
+        self.check(attempt, answer, is_once)
+
+    def check(
+        self, attempt: str, answer: urllib3.BaseHTTPResponse, is_once: bool
+    ) -> None:
+        if answer.status in REFUSALS:
+            self.witness.saw_refusal(attempt, answer.status)
+        if answer.status != OK:
+            return
+        named = answer.headers.get('X-Attempt-Id')
+        if named != attempt:
+            self.witness.breach('own answer', f'{attempt} got {named}')
+        whole = once_body(attempt) if is_once else stream_body(attempt)
+        if answer.data != whole:
+            self.witness.breach(
+                'whole answer', f'{attempt} got {answer.data[-200:]!r}'
+            )
+
+
+def once_body(attempt: str) -> bytes:
+    return json.dumps({'attempt': attempt}).encode()
+
+
+def stream_body(attempt: str) -> bytes:
+    return b''.join(
+        b'id: %d\ndata: %s\n\n' % (number, attempt.encode())
+        for number in range(1, EVENTS + 1)
+    )
--- /dev/null
+++ b/test/soak/faults.py
@@ -0,0 +1,175 @@
+"""Faults of the soak, each with the way back."""
+
+import random
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .proxy import Mode, Proxy
+from .stage import Stage
+
+PROXY_MODES = (
+    Mode.SILENT,
+    Mode.NO_FORWARD,
+    Mode.NO_BACKWARD,
+    Mode.DELAY,
+)
+
+
+@dataclass(frozen=True)
+class Fault:
+    """A fault that has been made.
+
+    Parameters
+    ----------
+    what
+        For the record.
+    for_s
+        Seconds until it is mended.
+    mend
+        Mends it.
+
+    """
+
+    what: str
+    for_s: float
+    mend: Callable[[], None]
+
+
+def nothing() -> None:
+    """Leave it as it is."""
+
+
+class Faults:
+    """Draws faults; all from one seed."""
+
+    def __init__(self, stage: Stage, rng: random.Random) -> None:
+        self.stage = stage
+        self.rng = rng
+        self.kinds: tuple[Callable[[], Fault], ...] = (
+            self.kill_entry,
+            self.kill_all_entries,
+            self.pause_entry,
+            self.end_entry,
+            self.cut_store,
+            self.cut_back_end,
+            self.reset_connections,
+            self.store_down,
+            self.store_loses_answers,
+            self.crash_back_end,
+            self.drain_back_end,
+            self.change_keys,
+            self.change_settings,
+        )
+
+    def draw(self) -> Fault:
+        """Make one fault."""
+        return self.rng.choice(self.kinds)()
+
+    def span(self, least: float, most: float) -> float:
+        return self.rng.uniform(least, most)
+
+    def kill_entry(self) -> Fault:
+        entry = self.rng.choice(self.stage.entries)
+        self.stage.kill(entry)
+        return Fault(
+            f'kill {entry.name}',
+            self.span(0.1, 2),
+            lambda: self.stage.restart(entry),
+        )
+
+    def kill_all_entries(self) -> Fault:
+        for entry in self.stage.entries:
+            self.stage.kill(entry)
+        return Fault('kill all', self.span(0.1, 1), self.restart_all)
+
+    def restart_all(self) -> None:
+        for entry in self.stage.entries:
+            self.stage.restart(entry)
+
+    def pause_entry(self) -> Fault:
+        entry = self.rng.choice(self.stage.entries)
+        entry.signal(signal.SIGSTOP)
+        return Fault(
+            f'pause {entry.name}',
+            self.span(0.2, 4),
+            lambda: entry.signal(signal.SIGCONT),
+        )
+
+    def end_entry(self) -> Fault:
+        entry = self.rng.choice(self.stage.entries)
+        self.stage.end(entry)
+        return Fault(
+            f'end {entry.name}',
+            self.span(4, 9),
+            lambda: self.stage.restart(entry),
+        )
+
+    def cut_store(self) -> Fault:
+        name, proxy = self.rng.choice(sorted(self.stage.store_ways.items()))
+        return self.disturb(f'store of {name}', proxy)
+
+    def cut_back_end(self) -> Fault:
+        back_end = self.rng.choice(self.stage.back_ends())
+        return self.disturb(back_end.name, back_end.proxy)
+
+    def disturb(self, name: str, proxy: Proxy) -> Fault:
+        proxy.mode = self.rng.choice(PROXY_MODES)
+        proxy.delay_s = self.span(0.02, 0.4)
+        return Fault(
+            f'{proxy.mode} before {name}', self.span(0.5, 6), proxy.heal
+        )
+
+    def reset_connections(self) -> Fault:
+        ways = [*self.stage.store_ways.values()]
+        ways += [one.proxy for one in self.stage.back_ends()]
+        for proxy in self.rng.sample(ways, 2):
+            proxy.reset()
+        return Fault('reset connections of two', 0, nothing)
+
+    def store_down(self) -> Fault:
+        self.stage.store.is_down = True
+        return Fault('store down', self.span(0.5, 5), self.store_up)
+
+    def store_up(self) -> None:
+        self.stage.store.is_down = False
+
+    def store_loses_answers(self) -> Fault:
+        self.stage.store.lost_share = self.span(0.2, 0.8)
+        return Fault('store loses answers', self.span(1, 4), self.store_keeps)
+
+    def store_keeps(self) -> None:
+        self.stage.store.lost_share = 0
+
+    def crash_back_end(self) -> Fault:
+        back_end = self.rng.choice(self.stage.back_ends())
+        back_end.end()
+        return Fault(
+            f'crash {back_end.name}',
+            self.span(1, 5),
+            lambda: self.stage.replace(back_end),
+        )
+
+    def drain_back_end(self) -> Fault:
+        back_end = self.rng.choice(self.stage.back_ends())
+        back_end.state = 'draining'
+        back_end.tell()
+        return Fault(
+            f'drain {back_end.name}',
+            self.span(3, 5),
+            lambda: self.stage.replace(back_end),
+        )
+
+    def change_keys(self) -> Fault:
+        taken = self.rng.choice(self.stage.all_keys[1:])
+        self.stage.take_key(taken)
+        return Fault(
+            f'take {taken}',
+            self.span(2, 9),
+            lambda: self.stage.give_key(taken),
+        )
+
+    def change_settings(self) -> Fault:
+        entry = self.rng.choice(self.stage.entries)
+        entry.signal(signal.SIGHUP)
+        return Fault(f'SIGHUP to {entry.name}', 0, nothing)
--- /dev/null
+++ b/test/soak/stage.py
@@ -0,0 +1,171 @@
+"""The processes, stand-ins and proxies of one soak."""
+
+import os
+import random
+import signal
+from contextlib import suppress
+from pathlib import Path
+from subprocess import TimeoutExpired
+
+from ..entry_process import Entry
+from ..platform_standin import Handler, StoreStandin
+from .proxy import Proxy
+from .witness import Witness
+from .workers import Desk, SoakBackEnd, Worker, configuration
+
+ENTRIES = 3
+WORKERS = 5
+DESKS = 2
+KEYS = ('k0', 'k1', 'k2')
+#: Seconds that an instance may take to end: its grace, and a start.
+END_S = 10
+
+
+class SoakStore(StoreStandin):
+    """Loses answers to writes on demand; the writes are done."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.lost_share = 0.0
+        self.rng = rng
+        super().__init__()
+
+    def transact(self, conn: Handler, asked: dict) -> None:
+        if self.rng.random() < self.lost_share:
+            super().transact(_Mute(), asked)
+            conn.close_connection = True
+            return
+        super().transact(conn, asked)
+
+
+class _Mute:
+    """Takes the place of a connection whose answers are lost."""
+
+    def answer(self, status: int, body: object, **headers: str) -> None:
+        """Send nothing."""
+
+
+class SoakEntry(Entry):
+    """An entry process that signals reach at any time."""
+
+    def __init__(self, name: str, folder: Path, store: str) -> None:
+        self.name = name
+        self.is_wanted = True
+        super().__init__(name, folder, store)
+
+    def signal(self, number: int) -> None:
+        if self.process.poll() is None:
+            with suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
+
+
+class Stage:
+    """Starts all parts; ends the processes that it started by their ids."""
+
+    def __init__(self, folder: Path, seed: int, witness: Witness) -> None:
+        self.witness = witness
+        self.store = SoakStore(random.Random(seed))
+        self.all_keys = KEYS
+        self.taken: set[str] = set()
+        self.version = 0
+        self.configure()
+        self.peers: dict[str, Worker] = {}
+        self.desks: dict[str, Desk] = {}
+        self.count = 0
+        for _ in range(WORKERS):
+            self.add_worker()
+        for _ in range(DESKS):
+            self.add_desk()
+        self.store_ways = {
+            f'n{index}': Proxy(self.store.address) for index in range(ENTRIES)
+        }
+        self.entries = [
+            SoakEntry(name, folder, proxy.address)
+            for name, proxy in self.store_ways.items()
+        ]
+
+    def add_worker(self) -> None:
+        self.count += 1
+        Worker(f'w{self.count}', self.store, self.witness, self.peers)
+
+    def add_desk(self) -> None:
+        self.count += 1
+        name = f'd{self.count}'
+        self.desks[name] = Desk(name, self.store, self.witness)
+
+    def back_ends(self) -> list[SoakBackEnd]:
+        """Back ends that live and are listed as ready."""
+        known = [*self.peers.values(), *self.desks.values()]
+        return [one for one in known if one.state == 'ready']
+
+    def replace(self, gone: SoakBackEnd) -> None:
+        """Drop the entry of a back end; another one comes."""
+        self.store.put('servers', gone.name, None)
+        if gone.state != 'gone':
+            gone.end()
+        if isinstance(gone, Worker):
+            self.add_worker()
+        else:
+            self.add_desk()
+
+    def configure(self) -> None:
+        keys = [key for key in KEYS if key not in self.taken]
+        self.version += 1
+        self.store.put('op', 'config', configuration(self.version, keys))
+
+    def take_key(self, key: str) -> None:
+        if key not in self.taken:
+            self.taken.add(key)
+            self.configure()
+            self.witness.revoke(key)
+
+    def give_key(self, key: str) -> None:
+        if key in self.taken:
+            self.taken.discard(key)
+            self.witness.restore(key)
+            self.configure()
+
+    def kill(self, entry: SoakEntry) -> None:
+        entry.is_wanted = False
+        entry.end()
+
+    def end(self, entry: SoakEntry) -> None:
+        entry.is_wanted = False
+        entry.signal(signal.SIGCONT)
+        entry.signal(signal.SIGTERM)
+
+    def restart(self, entry: SoakEntry) -> None:
+        if entry.is_wanted:
+            return
+        # A paused process ends once it goes on.
+        entry.signal(signal.SIGCONT)
+        with suppress(TimeoutExpired):
+            entry.process.wait(END_S)
+        if entry.process.poll() is None:
+            self.witness.breach('shutdown', f'{entry.name} runs after {END_S} s')
+            entry.end()
+        entry.is_wanted = True
+        entry.start()
+
+    def check_alive(self) -> None:
+        """Check that processes end only when they are asked to."""
+        for entry in self.entries:
+            code = entry.process.poll()
+            if entry.is_wanted and code is not None:
+                self.witness.breach(
+                    'own end', f'{entry.name} ended with {code}'
+                )
+                entry.start()
+
+    def directories(self) -> list[str]:
+        return [entry.directory for entry in self.entries]
+
+    def close(self) -> None:
+        for entry in self.entries:
+            entry.signal(signal.SIGCONT)
+            entry.end()
+        for proxy in self.store_ways.values():
+            proxy.close()
+        for back_end in (*self.peers.values(), *self.desks.values()):
+            if back_end.state != 'gone':
+                back_end.end()
+        self.store.close()
--- /dev/null
+++ b/test/soak/workers.py
@@ -0,0 +1,237 @@
+"""Back ends of the soak; each is reached through a proxy of its own."""
+
+import json
+import time
+from contextlib import suppress
+
+from ..platform_standin import Handler, Service, StoreStandin
+from .proxy import Proxy
+from .witness import Witness
+
+EVENTS = 6
+EVENT_S = 0.04
+PLAIN_S = 0.03
+NOT_EXECUTED = {'X_Not_Executed': '1'}
+
+
+class SoakBackEnd(Service):
+    """A back end with an entry in the store."""
+
+    def __init__(
+        self, name: str, store: StoreStandin, witness: Witness
+    ) -> None:
+        self.name = name
+        self.store = store
+        self.witness = witness
+        self.state = 'ready'
+        self.born = int(time.time() * 1000)
+        super().__init__()
+        self.proxy = Proxy(self.address)
+        self.tell()
+
+    def entry(self) -> dict:
+        return {
+            'service': self.service,
+            'address': self.proxy.address,
+            'zone': 'a',
+            'slots': 8,
+            'state': self.state,
+            'cold_remaining_ms': 0,
+            'born': self.born,
+            'sequence': 1,
+        }
+
+    def tell(self) -> None:
+        if self.state != 'gone':
+            self.store.put('servers', self.name, self.entry())
+
+    def end(self) -> None:
+        """Crash: nothing is answered any more; the entry stays."""
+        self.state = 'gone'
+        self.close()
+        self.proxy.close()
+
+    def serve(self, conn: Handler, body: bytes) -> None:
+        if conn.headers.get('X-Expect-Instance') != self.name:
+            conn.answer(421, {}, **NOT_EXECUTED)
+        else:
+            self.work(conn, body)
+
+
+class Desk(SoakBackEnd):
+    """A plain service whose calls run at most once."""
+
+    service = 'desk'
+
+    def work(self, conn: Handler, body: bytes) -> None:
+        attempt = conn.headers['X-Attempt-Id']
+        self.witness.saw_run(attempt, self.name)
+        time.sleep(PLAIN_S)
+        conn.answer(
+            200,
+            {'attempt': attempt},
+            X_Attempt_Id=attempt,
+            X_Response_Stamp=self.name,
+        )
+
+
+class Worker(SoakBackEnd):
+    """A model worker: joins after a moment, streams while its group lives."""
+
+    service = 'llm'
+
+    def __init__(
+        self, name: str, store: StoreStandin, witness: Witness, peers: dict
+    ) -> None:
+        self.group: dict | None = None
+        self.epochs: dict[str, int] = {}
+        self.peers = peers
+        peers[name] = self
+        super().__init__(name, store, witness)
+
+    def entry(self) -> dict:
+        model = self.group['model'] if self.group else None
+        return {
+            **super().entry(),
+            'domain': 'd0',
+            'staged': ['m'],
+            'models': [{'name': model}] if model else [],
+            'group': self.group,
+        }
+
+    def work(self, conn: Handler, body: bytes) -> None:
+        if conn.path == '/order':
+            conn.answer(self.obey(json.loads(body)), {})
+            self.tell()
+        elif conn.path == '/report':
+            conn.answer(200, {'group': self.group, 'born': self.born})
+        else:
+            self.stream(conn)
+
+    def obey(self, order: dict) -> int:
+        if order['operation'] == 'join':
+            return self.join(order)
+        named = self.group and (
+            self.group['name'] == order.get('group')
+            and self.group['epoch'] == order.get('epoch')
+        )
+        if order['operation'] == 'stage':
+            return 200
+        if not named:
+            return 409
+        if order['operation'] == 'open':
+            self.group['state'] = 'open'
+        elif order['operation'] == 'close':
+            self.group['state'] = 'ready'
+        elif order['operation'] == 'leave':
+            self.group = None
+        return 202
+
+    def join(self, order: dict) -> int:
+        name, epoch = order['group'], order['epoch']
+        if epoch < max(self.epochs.values(), default=0):
+            return 412
+        self.check_free(name)
+        self.epochs[name] = epoch
+        self.group = {
+            'name': name,
+            'epoch': epoch,
+            'rank': order['members'].index(self.name),
+            'state': 'ready',
+            'model': order['model'],
+            'members': order['members'],
+        }
+        self.witness.saw_ready(self.group, self.name)
+        return 202
+
+    def check_free(self, name: str) -> None:
+        """Promise: no instance belongs to two groups at once."""
+        if not self.group or self.group['name'] == name:
+            return
+        head = self.peers[self.group['members'][0]]
+        same = head.group and head.group['name'] == self.group['name']
+        if same and head.state != 'gone' and head.group['state'] == 'open':
+            self.witness.breach(
+                'two groups',
+                f'{self.name} joins {name} while {self.group["name"]} '
+                f'is open at {head.name}',
+            )
+
+    def stream(self, conn: Handler) -> None:
+        group = self.group
+        if group is None or group['rank'] or group['state'] != 'open':
+            conn.answer(503, {}, **NOT_EXECUTED)
+            return
+        attempt = conn.headers['X-Attempt-Id']
+        self.witness.saw_run(attempt, self.name)
+        seen = self.witness.ready.get((group['name'], group['epoch']), set())
+        missing = set(group['members']) - seen
+        if missing:
+            self.witness.breach(
+                'whole group', f'{attempt} runs without {sorted(missing)}'
+            )
+        with suppress(OSError):
+            self.send_events(conn, attempt, group)
+
+    def send_events(self, conn: Handler, attempt: str, group: dict) -> None:
+        conn.send_response(200)
+        conn.send_header('X-Attempt-Id', attempt)
+        conn.send_header('X-Response-Stamp', self.name)
+        conn.send_header('Content-Type', 'text/event-stream')
+        conn.send_header('Transfer-Encoding', 'chunked')
+        conn.end_headers()
+        first = int(conn.headers.get('Last-Event-Id') or 0) + 1
+        for number in range(first, EVENTS + 1):
+            time.sleep(EVENT_S)
+            if self.is_broken(group):
+                conn.close_connection = True
+                return
+            event = b'id: %d\ndata: %s\n\n' % (number, attempt.encode())
+            conn.wfile.write(b'%x\r\n%s\r\n' % (len(event), event))
+        conn.wfile.write(b'0\r\n\r\n')
+
+    def is_broken(self, group: dict) -> bool:
+        """Return whether a member is gone, which stops the group's work."""
+        return any(
+            self.peers[name].state == 'gone' for name in group['members']
+        )
+
+
+def configuration(version: int, keys: list[str]) -> dict:
+    """One model of two workers, and a plain service."""
+    route = {'host': 'app', 'timeout_ms': 4000, 'target_latency_ms': 400}
+    return {
+        'version': version,
+        'routes': [
+            {
+                **route,
+                'name': 'r',
+                'prefix': '/a/',
+                'route_type': 'streaming',
+                'service': 'llm',
+                'max_attempts': 2,
+                'stream_resume': True,
+            },
+            {
+                **route,
+                'name': 'o',
+                'prefix': '/b/',
+                'route_type': 'non_idempotent',
+                'service': 'desk',
+                'max_attempts': 1,
+            },
+        ],
+        'services': [
+            {
+                'name': 'llm',
+                'max_connections': 99,
+                'engine': {
+                    'slots': 8,
+                    'loads_per_s': 4,
+                    'models': [{'name': 'm', 'size': 2}],
+                },
+            },
+            {'name': 'desk', 'max_connections': 99},
+        ],
+        'tenants': [{'name': 't', 'api_keys': keys}],
+    }
--- a/test/test_entry_process.py
+++ b/test/test_entry_process.py
@@ -2,19 +2,14 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import unittest
-from contextlib import suppress
 from pathlib import Path
 
-import urllib3
-from urllib3.exceptions import HTTPError
-
+from .entry_process import Entry
 from .platform_standin import (
     StoreStandin,
     WorkerStandin,
@@ -22,119 +17,10 @@
     wait_for,
 )
 
-BOUNDS = {
-    'revoke_ms': 5000,
-    'grace_s': 8,
-    'stall_ms': 500,
-    'retry_budget_ratio': 0.2,
-    'retry_budget_slack': 130,
-    'budget_window_s': 10,
-    'cold_overshoot': 1.5,
-    'cold_slack': 5,
-}
-
-
-#: Below the ports that connections of other tests are given.
-PORTS = range(15_000, 30_000)
-PORT_TRIES = 100
 #: Characters of an entry's log that are shown after a failure.
 LOG_SHOWN = 8000
 
 
-def free_port() -> int:
-    for _ in range(PORT_TRIES):
-        port = random.choice(PORTS)
-        with suppress(OSError), socket.create_server(('127.0.0.1', port)):
-            return port
-    raise OSError('no free port')
-
-
-class Entry:
-    """One entry process; ended by its id."""
-
-    def __init__(self, name: str, folder: Path, store: StoreStandin) -> None:
-        ports = [free_port() for _ in range(5)]
-        self.callers = f'127.0.0.1:{ports[0]}'
-        self.ready = f'127.0.0.1:{ports[1]}'
-        self.directory = f'127.0.0.1:{ports[2]}'
-        self.metrics = f'127.0.0.1:{ports[4]}'
-        self.settings = folder / f'{name}.json'
-        self.log = folder / f'{name}.log'
-        self.settings.write_text(
-            json.dumps(
-                {
-                    'node_name': name,
-                    'zone': 'a',
-                    'ip': '127.0.0.1',
-                    'internal_ports': [ports[3], ports[3]],
-                    'bootstrap': True,
-                    'listen_addrs': {
-                        'frontend': self.callers,
-                        'ready': self.ready,
-                        'directory': self.directory,
-                    },
-                    'platform': {'address': store.address},
-                    'bounds': BOUNDS,
-                }
-            )
-        )
-        self.metrics_port = ports[4]
-        self.start()
-
-    def start(self) -> None:
-        with self.log.open('ab') as log:
-            self.process = subprocess.Popen(
-                [
-                    *(sys.executable, '-m', 'pomelogauge', 'entry'),
-                    *('--settings', str(self.settings)),
-                    *('--metrics-port', str(self.metrics_port)),
-                ],
-                stdout=log,
-                stderr=log,
-            )
-
-    def end(self, number: int = signal.SIGKILL) -> int:
-        if self.process.poll() is None:
-            os.kill(self.process.pid, number)
-        return self.process.wait(15)
-
-    def is_ready(self) -> bool:
-        return self.get(self.ready, '/ready').status == 200
-
-    def get(self, address: str, path: str) -> urllib3.BaseHTTPResponse:
-        try:
-            return urllib3.request('GET', f'http://{address}{path}', retries=0)
-        except HTTPError as exc:
-            raise OSError(str(exc)) from exc
-
-    def ask(self, attempt: str, key: str = 'k') -> urllib3.BaseHTTPResponse:
-        try:
-            return urllib3.request(
-                'POST',
-                f'http://{self.callers}/a/b',
-                body=b'{}',
-                retries=0,
-                timeout=8,
-                headers={
-                    'Host': 'app',
-                    'X-Attempt-Id': attempt,
-                    'X-Model': 'm',
-                    'X-Deadline-Ms': '4000',
-                    'Authorization': f'Bearer {key}',
-                },
-            )
-        except HTTPError as exc:
-            raise OSError(str(exc)) from exc
-
-    def is_served(self) -> bool:
-        answer = self.ask('a1')
-        return answer.status == 200 and answer.data.count(b'id: ') == 3
-
-    def decisions(self) -> list[dict]:
-        lines = self.log.read_text().splitlines()
-        return [json.loads(line) for line in lines if line.startswith('{')]
-
-
 class EntryProcessTest(unittest.TestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory(prefix='pomelogauge-')
@@ -150,7 +36,7 @@
             self.addCleanup(worker.close)
 
     def entry(self, name: str) -> Entry:
-        entry = Entry(name, self.folder, self.store)
+        entry = Entry(name, self.folder, self.store.address)
         self.addCleanup(self.end, entry)
         return entry
 
--- a/test/test_knowledge.py
+++ b/test/test_knowledge.py
@@ -5,6 +5,7 @@
 
 from pomelogauge.entry.knowledge import Knowledge
 from pomelogauge.entry.messages import TableRead, TableUnread
+from pomelogauge.entry.ownership import Tenancy
 from pomelogauge.entry.store import (
     StoreError,
     StoreFault,
@@ -171,11 +172,13 @@
         self.store = MemoryStore()
         self.clock = FakeClock()
         self.heard = Outbox()
+        self.tenancy = Published(Tenancy())
         self.cover = Published(float('-inf'))
         self.reader = TableReader(
             ReaderSettings(Table.TARGETS, 1.5),
             self.store,
             (self.heard,),
+            self.tenancy,
             self.cover,
             self.clock,
         )
