--- a/test/entry_process.py
+++ b/test/entry_process.py
@@ -25,14 +25,18 @@
 }
 
 
-#: Below the ports that connections of other tests are given.
-PORTS = range(15_000, 30_000)
+#: Below the ports that connections of other tests are given. Each process
+#: draws from a block of its own: an entry that is down holds no port.
+FIRST_PORT = 15_000
+PORT_BLOCKS = 150
+BLOCK_PORTS = 100
 PORT_TRIES = 100
 
 
 def free_port() -> int:
+    block = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS
     for _ in range(PORT_TRIES):
-        port = random.choice(PORTS)
+        port = block + random.randrange(BLOCK_PORTS)
         with suppress(OSError), socket.create_server(('127.0.0.1', port)):
             return port
     raise OSError('no free port')
--- a/test/soak/stage.py
+++ b/test/soak/stage.py
@@ -141,7 +141,9 @@
         with suppress(TimeoutExpired):
             entry.process.wait(END_S)
         if entry.process.poll() is None:
-            self.witness.breach('shutdown', f'{entry.name} runs after {END_S} s')
+            self.witness.breach(
+                'shutdown', f'{entry.name} runs after {END_S} s'
+            )
             entry.end()
         entry.is_wanted = True
         entry.start()
--- a/test/test_entry_process.py
+++ b/test/test_entry_process.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
@@ -126,6 +127,13 @@
         self.assert_named(second, {second.callers})
         self.assertEqual(first.process.wait(9), 0)
 
+    def test_a_signal_during_the_start_ends_nothing(self) -> None:
+        for delay_s in (0.1, 0.2, 0.3):
+            entry = self.entry(f'n{delay_s}')
+            time.sleep(delay_s)
+            os.kill(entry.process.pid, signal.SIGHUP)
+            self.assertTrue(wait_for(entry.is_served))
+
     def test_changed_settings_end_nothing(self) -> None:
         entry = self.entry('n1')
         self.assertTrue(wait_for(entry.is_served))
