Take a target back on trial, and rest longer after each failure there

A target that loses requests again and again was trusted again after 1.5 s each time. The chart target_trust says how far a target is trusted: avoided, on trial with one request at a time, trusted after an answer; rests double up to 6 s. A new life or group is trusted at once.

--- a/pomelogauge/decide/target_choice.py
+++ b/pomelogauge/decide/target_choice.py
@@ -6,6 +6,7 @@
 from ..model.entry_request import TargetLoad
 from ..model.ids import TargetName
 from .offers import Offer
+from .target_trust import TRUSTED, Trust
 
 #: Seconds after which a stated load counts for nothing.
 LOAD_LIFE_S = 2.0
@@ -43,14 +44,14 @@
         Requests of this entry instance that it runs.
     stated
         Newest stated load; ``None`` before the first.
-    suspect_until_s
-        Time until which it is avoided.
+    trust
+        How far its answers let it be trusted.
 
     """
 
     own: int = 0
     stated: StatedLoad | None = None
-    suspect_until_s: float = 0
+    trust: Trust = TRUSTED
 
 
 NO_VIEW = TargetView()
@@ -123,11 +124,15 @@
     views: Mapping[TargetName, TargetView],
     now_s: float,
 ) -> list[Offer]:
-    """Leave out suspects, unless there is nothing else."""
+    """Leave out what is not trusted, unless there is nothing else."""
     found = list(offers)
     trusted = [
         one
         for one in found
-        if views.get(one.target.name, NO_VIEW).suspect_until_s <= now_s
+        if _is_trusted(views.get(one.target.name, NO_VIEW), now_s)
     ]
     return trusted or found
+
+
+def _is_trusted(view: TargetView, now_s: float) -> bool:
+    return view.trust.may_take(view.own, now_s)
--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -3,14 +3,17 @@
 from dataclasses import dataclass, replace
 from random import Random
 
+from ..charts.reader import load_chart
 from ..decide.cold_rate import ColdRate
 from ..decide.offers import NO_MODEL, Offer, Offers, list_offers
 from ..decide.repeat_budget import RepeatBudget
 from ..decide.serving_rules import Denial
 from ..decide.target_choice import NO_VIEW, StatedLoad, TargetView, choose
+from ..decide.target_trust import TRUSTED, take
+from ..decide.trust_chart import TRUST_WORDS, TrustAction, TrustEvent
 from ..model.entry_request import Spot, TargetLoad
-from ..model.fleet import Fleet
-from ..model.ids import ServiceName, TargetName
+from ..model.fleet import Fleet, Target
+from ..model.ids import NO_EPOCH, Epoch, ServiceName, TargetName
 from ..model.log_parts import Part
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
@@ -28,8 +31,6 @@
     TargetsSuspected,
 )
 
-#: Seconds for which a target that lost a request is avoided.
-SUSPECT_S = 1.5
 #: Seconds after which callers are told to come back: when nothing serves
 #: their model, and when all that does is full. A group is formed again in
 #: one to two seconds; a slot becomes free in a part of one.
@@ -42,7 +43,12 @@
 #: least; fewer may be listed than live while the owner changes.
 LEAST_SHARES = 10
 
-_BAD = frozenset((Outcome.LOST, Outcome.SILENT, Outcome.UNREACHED))
+_TRUST_EVENTS = {
+    Outcome.ANSWERED: TrustEvent.ANSWERED,
+    Outcome.LOST: TrustEvent.FAILED,
+    Outcome.SILENT: TrustEvent.FAILED,
+    Outcome.UNREACHED: TrustEvent.FAILED,
+}
 _log = part_logger(Part.CHOICE)
 
 
@@ -98,6 +104,7 @@
         self._budgets: dict[ServiceName, RepeatBudget] = {}
         self._cold = ColdRate()
         self._slack_shares = LEAST_SHARES
+        self._trust_chart = load_chart('target_trust', TRUST_WORDS)
         self._fleet = board.latest()
         self._offers: Offers = list_offers(self._fleet)
 
@@ -175,11 +182,12 @@
         fleet = self._board.latest()
         if fleet is self._fleet:
             return
+        before = self._fleet
         self._fleet = fleet
         self._slack_shares = max(self._slack_shares, len(fleet.entries))
         self._offers = list_offers(fleet)
         self._views = {
-            name: view
+            name: _renewed(view, before, fleet, name)
             for name, view in self._views.items()
             if view.own or name in fleet.targets
         }
@@ -234,12 +242,32 @@
         now_s = self._clock.now_s()
         view = self._views.get(ended.target, NO_VIEW)
         view = replace(view, own=max(0, view.own - 1))
-        if ended.outcome in _BAD:
-            view = replace(view, suspect_until_s=now_s + SUSPECT_S)
+        event = _TRUST_EVENTS.get(ended.outcome)
+        if event is not None:
+            view = self._trust(ended, view, event, now_s)
+        self._views[ended.target] = view
+
+    def _trust(
+        self,
+        ended: PlaceEnded,
+        view: TargetView,
+        event: TrustEvent,
+        now_s: float,
+    ) -> TargetView:
+        """Learn from an answer, or from its want, how far to trust."""
+        step = take(self._trust_chart, view.trust, event, now_s)
+        if step.trust.state is not view.trust.state:
+            _log.info(
+                'target %s is %s: %s',
+                ended.target,
+                step.trust.state,
+                ended.outcome,
+                extra={'target': ended.target, 'rest_s': step.trust.rest_s},
+            )
+        if step.action is TrustAction.TELL:
             suspects = frozenset((ended.target,))
             self._register.post(TargetsSuspected(suspects))
-            _log.info('target %s is avoided: %s', ended.target, ended.outcome)
-        self._views[ended.target] = view
+        return replace(view, trust=step.trust)
 
     def _slack(self) -> float:
         """Return this instance's part of the slack of all."""
@@ -252,3 +280,22 @@
                 self._settings.retry_window_s,
             )
         return self._budgets[service]
+
+
+def _renewed(
+    view: TargetView,
+    before: Fleet,
+    now: Fleet,
+    name: TargetName,
+) -> TargetView:
+    """Trust a target again that has started anew or joined another group."""
+    old, new = before.targets.get(name), now.targets.get(name)
+    if old is None or new is None:
+        return view
+    if (old.born_ms, _epoch(old)) == (new.born_ms, _epoch(new)):
+        return view
+    return replace(view, trust=TRUSTED)
+
+
+def _epoch(target: Target) -> Epoch:
+    return NO_EPOCH if target.seat is None else target.seat.epoch
--- a/test/entry_process.py
+++ b/test/entry_process.py
@@ -1,8 +1,8 @@
 """Entry processes that tests start and end by their ids."""
 
+import itertools
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -30,13 +30,12 @@
 FIRST_PORT = 15_000
 PORT_BLOCKS = 150
 BLOCK_PORTS = 100
-PORT_TRIES = 100
+BLOCK = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS
+PORTS = itertools.cycle(range(BLOCK, BLOCK + BLOCK_PORTS))
 
 
 def free_port() -> int:
-    block = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS
-    for _ in range(PORT_TRIES):
-        port = block + random.randrange(BLOCK_PORTS)
+    for port in itertools.islice(PORTS, BLOCK_PORTS):
         with suppress(OSError), socket.create_server(('127.0.0.1', port)):
             return port
     raise OSError('no free port')
--- a/test/test_entry_dispatcher.py
+++ b/test/test_entry_dispatcher.py
@@ -1,11 +1,17 @@
 """What one entry instance gives of the budgets that all share."""
 
 import unittest
+from dataclasses import replace
 from random import Random
 
 from pomelogauge.decide.serving_rules import AdmissionBounds, admit
 from pomelogauge.entry.dispatcher import Dispatcher, DispatchSettings
-from pomelogauge.entry.messages import PlaceAsked, PlaceGiven
+from pomelogauge.entry.messages import (
+    Outcome,
+    PlaceAsked,
+    PlaceEnded,
+    PlaceGiven,
+)
 from pomelogauge.model.fleet import EntryInstance, Fleet, SeatState
 from pomelogauge.model.ids import Address, NodeName
 from pomelogauge.tasks.published import Published
@@ -69,3 +75,16 @@
         self.place(is_repeat=False)
         self.publish(1)
         self.assertEqual(self.repeats(), 2)
+
+    def test_a_target_with_a_new_group_is_trusted_again(self) -> None:
+        self.publish(1)
+        for _ in range(2):
+            given = self.place(is_repeat=False)
+            self.dispatcher.on_message(
+                PlaceEnded(given.spot.target, Outcome.LOST)
+            )
+        opened = seat('t1', 0, SeatState.OPEN, epoch=2)
+        again = replace(head('t1'), seat=opened)
+        self.board.publish(fleet(again, head('t2'), entries=entries(1)))
+        names = {self.place(is_repeat=False).spot.target for _ in range(4)}
+        self.assertEqual(names, {'t1'})
--- a/test/test_target_choice.py
+++ b/test/test_target_choice.py
@@ -9,6 +9,8 @@
     choose,
     estimate_load,
 )
+from pomelogauge.decide.target_trust import Trust
+from pomelogauge.decide.trust_chart import TrustState
 from pomelogauge.model.entry_request import TargetLoad
 from pomelogauge.model.fleet import SeatState, TargetState
 
@@ -36,10 +38,18 @@
         self.assertEqual(estimate_load(view, 20.0), 1)
 
     def test_a_suspect_is_chosen_only_where_there_is_nothing_else(self) -> None:
-        views = {'a': TargetView(suspect_until_s=11), 'b': TargetView(own=3)}
+        avoided = Trust(TrustState.AVOIDED, 11, 1.5)
+        views = {'a': TargetView(trust=avoided), 'b': TargetView(own=3)}
         self.assertEqual(self.pick(views, 'a', 'b'), 'b')
         self.assertEqual(self.pick(views, 'a'), 'a')
 
+    def test_a_target_on_trial_gets_one_request_at_a_time(self) -> None:
+        rested = Trust(TrustState.AVOIDED, 9, 1.5)
+        views = {'a': TargetView(trust=rested), 'b': TargetView(own=3)}
+        self.assertEqual(self.pick(views, 'a', 'b'), 'a')
+        views['a'] = TargetView(own=1, trust=rested)
+        self.assertEqual(self.pick(views, 'a', 'b'), 'b')
+
     def test_full_targets_get_nothing(self) -> None:
         self.assertIsNone(self.pick({'a': TargetView(own=5)}, 'a'))
 
