Say where a table is learned from by a chart

The reader's flags (away, no place in the feed, told by the owner) are the states of the chart table_source, which also says which lines are logged.

--- a/pomelogauge/entry/table_reader.py
+++ b/pomelogauge/entry/table_reader.py
@@ -1,9 +1,17 @@
 """The task that reads one table of the store and follows its changes."""
 
+import logging
 from dataclasses import dataclass
 
 from returns.result import Failure
 
+from ..charts.reader import load_chart
+from ..decide.source_chart import (
+    SOURCE_WORDS,
+    SourceAction,
+    SourceEvent,
+    SourceFacts,
+)
 from ..model.ids import RowVersion
 from ..model.log_parts import Part
 from ..model.rows import Rows
@@ -30,6 +38,16 @@
 #: reports of a target.
 AWAY_S = 2.5
 
+_LEVELS = {
+    SourceAction.TELL_LOST: logging.WARNING,
+    SourceAction.TELL_REGAINED: logging.INFO,
+    SourceAction.TELL_FORGOTTEN: logging.INFO,
+}
+_SAYINGS = {
+    SourceAction.TELL_LOST: '%s can not be read',
+    SourceAction.TELL_REGAINED: '%s is read again',
+    SourceAction.TELL_FORGOTTEN: '%s: history is gone, it is read anew',
+}
 _log = part_logger(Part.STORE)
 
 
@@ -88,7 +106,8 @@
         self._clock = clock
         self._version: RowVersion | None = None
         self._answered_s = clock.now_s()
-        self._is_away = False
+        self._chart = load_chart('table_source', SOURCE_WORDS)
+        self._state = self._chart.initial
         self._retry_s = RETRY_S
 
     def on_start(self) -> None:
@@ -110,7 +129,9 @@
         covered_s = self._cover.latest() - began_s
         if covered_s > 0:
             self._answered_s = began_s
+            self._step(SourceEvent.TOLD)
             return min(covered_s, COVERED_S)
+        self._step(SourceEvent.UNTOLD)
         if self._version is None:
             answer = self._store.read_all(self._settings.table)
         else:
@@ -128,9 +149,7 @@
         now_s = self._clock.now_s()
         was_away = now_s - self._answered_s > AWAY_S + self._settings.wait_s
         self._answered_s = now_s
-        if self._is_away:
-            self._is_away = False
-            _log.info('%s is read again', self._settings.table)
+        self._step(SourceEvent.ANSWERED)
         self._retry_s = RETRY_S
         self._tell(
             TableRead(
@@ -149,25 +168,28 @@
 
     def _on_failure(self, error: StoreError) -> float:
         if error.fault is StoreFault.FORGOTTEN:
-            _log.info(
-                '%s: history is gone after version %s, it is read anew',
-                self._settings.table,
-                self._version,
-            )
+            self._step(SourceEvent.FORGOTTEN, error.message)
             self._version = None
             return 0
-        if not self._is_away:
-            self._is_away = True
-            _log.warning(
-                '%s can not be read: %s',
-                self._settings.table,
-                error.message,
-            )
+        self._step(SourceEvent.FAILED, error.message)
         self._tell(TableUnread(self._settings.table, error))
         pause_s = self._retry_s
         self._retry_s = min(2 * pause_s, MOST_RETRY_S)
         return pause_s
 
+    def _step(self, event: SourceEvent, reason: str = '') -> None:
+        """Apply an event, and say what has become of the table."""
+        facts = SourceFacts(self._version is not None)
+        move = self._chart.step(self._state, event, facts)
+        self._state = move.state
+        if move.action is not None:
+            _log.log(
+                _LEVELS[move.action],
+                _SAYINGS[move.action],
+                self._settings.table,
+                extra={'row_version': self._version, 'reason': reason},
+            )
+
     def _tell(self, message: TableRead | TableUnread) -> None:
         for listener in self._listeners:
             listener.post(message)
--- a/test/test_knowledge.py
+++ b/test/test_knowledge.py
@@ -195,6 +195,22 @@
         self.reader.on_timer()
         self.assertEqual(len(self.heard.posted), 1)
 
+    def test_an_outage_is_said_once_and_so_is_its_end(self) -> None:
+        self.reader.on_timer()
+        self.store.faults.extend([StoreFault.AWAY] * 3)
+        with self.assertLogs('pomelogauge.STORE', 'INFO') as logs:
+            for _ in range(4):
+                self.reader.on_timer()
+        said = [record.getMessage() for record in logs.records]
+        self.assertEqual(len(said), 2, said)
+        self.assertIn('can not be read', said[0])
+        self.assertIn('is read again', said[1])
+
+    def test_pauses_grow_while_the_store_is_away(self) -> None:
+        self.store.faults.extend([StoreFault.AWAY] * 5)
+        pauses = [self.reader.on_timer() for _ in range(5)]
+        self.assertEqual(pauses, [0.15, 0.3, 0.6, 0.6, 0.6])
+
     def test_a_rest_is_no_outage(self) -> None:
         self.reader.on_timer()
         for _ in range(20):
