Share a cold target's rate by all living instances, each at a time of its own

Each instance was allowed one request a second at least, so that 83 of them could send 83 to a target that bears 26 (bound 44). Where the part is below one a second the instance now sends one in a longer time, and begins at random in it.

--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -39,8 +39,8 @@
 #: Part of the time that is drawn at random, so that callers do not come back
 #: together.
 RETRY_SPREAD = 0.5
-#: Entry instances among which the slack of the budget is shared out at
-#: least; fewer may be listed than live while the owner changes.
+#: Entry instances among which bounds of all are shared out at least; fewer
+#: may be listed than live while the owner changes.
 LEAST_SHARES = 10
 
 _TRUST_EVENTS = {
@@ -102,8 +102,8 @@
         self._rng = rng
         self._views: dict[TargetName, TargetView] = {}
         self._budgets: dict[ServiceName, RepeatBudget] = {}
-        self._cold = ColdRate()
-        self._slack_shares = LEAST_SHARES
+        self._cold = ColdRate(rng.random)
+        self._shares = LEAST_SHARES
         self._trust_chart = load_chart('target_trust', TRUST_WORDS)
         self._fleet = board.latest()
         self._offers: Offers = list_offers(self._fleet)
@@ -184,7 +184,7 @@
             return
         before = self._fleet
         self._fleet = fleet
-        self._slack_shares = max(self._slack_shares, len(fleet.entries))
+        self._shares = max(self._shares, len(fleet.entries))
         self._offers = list_offers(fleet)
         self._views = {
             name: _renewed(view, before, fleet, name)
@@ -209,7 +209,7 @@
         if not service.cold_per_s:
             return True
         # All entry instances together must stay below the bound.
-        part = service.cold_per_s / max(1, len(self._fleet.entries))
+        part = service.cold_per_s / self._shares
         return self._cold.may_send(target.name, now_s, part)
 
     def _deny(
@@ -271,7 +271,7 @@
 
     def _slack(self) -> float:
         """Return this instance's part of the slack of all."""
-        return self._settings.retry_slack / self._slack_shares
+        return self._settings.retry_slack / self._shares
 
     def _budget(self, service: ServiceName) -> RepeatBudget:
         if service not in self._budgets:
