--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -200,12 +200,21 @@
 
     def test_operators_commands_start_without_servers(self) -> None:
         code = (
-            'import sys, pomelogauge.app.ui; '
+            'import sys, pomelogauge.app.operator_ui; '
             'sys.exit(len({"grpc", "cheroot"} & set(sys.modules)))'
         )
         ended = subprocess.run([sys.executable, '-c', code], check=False)
         self.assertEqual(ended.returncode, 0)
 
+    def test_daemons_start_without_the_operators_commands(self) -> None:
+        heavy = '{"grpc", "cheroot", "jsonschema", "urllib3"}'
+        code = (
+            'import sys, pomelogauge.app.ui; '
+            f'sys.exit(len({heavy} & set(sys.modules)))'
+        )
+        ended = subprocess.run([sys.executable, '-c', code], check=False)
+        self.assertEqual(ended.returncode, 0)
+
     def newest(self) -> Configuration:
         newest = self.store.newest().unwrap()
         assert newest is not None
