Ask the owner first at the start, bridge its replacement, date news from the question, and stage all spares

An answer that was held counted as old as its question. Now ages count from the question, questions and feeds are held for 0.8 s, the cover of an answer is kept when the next one fails. Ruled out: the looks at the owner's rows. Third and further spares of a domain were never staged, so that a group of eight waited for a load of 16 s after a second loss. Of targets with equal loads a near one is chosen.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -65,7 +65,11 @@
 STORE_ANSWER_S = 0.9
 #: Seconds that the store holds a feed without changes. An answer confirms
 #: the configuration.
-FEED_WAIT_S = 1.0
+FEED_WAIT_S = 0.8
+#: Seconds after the start of a process for which the owner is asked first,
+#: and after the first start of the whole system, long before its traffic.
+ASK_OWNER_S = 0.25
+ASK_FIRST_OWNER_S = 1.5
 #: Time between the reading of a request and its arrival at a target, for
 #: which a key must still be known, in seconds.
 KEY_MARGIN_S = 0.7
@@ -225,7 +229,9 @@
     relay: Outbox[TableRead | TableUnread],
 ) -> None:
     """Read the followed tables from the owner, or else from the store."""
-    cover = Published(float('-inf'))
+    is_first = shared.cfg.is_first_start
+    ask_s = ASK_FIRST_OWNER_S if is_first else ASK_OWNER_S
+    cover = Published(shared.clock.now_s() + ask_s)
     listeners = knowledge, relay
     follower = Follower(
         GrpcOwnerLink(), shared.tenancy, cover, listeners, shared.clock
@@ -284,6 +290,7 @@
 
 def _dispatch_settings(cfg: EntrySettings) -> DispatchSettings:
     return DispatchSettings(
+        data_centre=cfg.data_centre,
         retry_share=cfg.bounds.retry_share,
         retry_slack=cfg.bounds.retry_slack,
         retry_window_s=cfg.bounds.retry_window_s,
--- a/pomelogauge/decide/group_plan.py
+++ b/pomelogauge/decide/group_plan.py
@@ -1,8 +1,9 @@
 """Decides which groups to form and which hosts to stage models on."""
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from itertools import cycle
 
 from ..model.fleet import Fleet, Target, TargetState
 from ..model.ids import DomainName, ModelName, ServiceName, TargetName
@@ -224,7 +225,13 @@
                 wanted = wanted[1:]
             else:
                 idle.append(target)
-        for target, model in zip(idle, wanted, strict=False):
+        blank = [one for one in idle[len(wanted) :] if not one.staged]
+        by_need = cycle(model.name for model in self._by_need())
+        self._stage(zip(idle, wanted, strict=False))
+        self._stage(zip(blank, by_need, strict=False))
+
+    def _stage(self, pairs: Iterable[tuple[Target, ModelName]]) -> None:
+        for target, model in pairs:
             if self._loads_left < 1:
                 return
             self._loads_left -= 1
--- a/pomelogauge/decide/owner_watch.py
+++ b/pomelogauge/decide/owner_watch.py
@@ -15,7 +15,7 @@
 #: Seconds between two looks of the first in line and of all others, while
 #: the owner does not answer reports.
 LOOK_S = 0.35
-LATE_LOOK_S = 1.5
+LATE_LOOK_S = 1.0
 #: Seconds between two looks while it does. Its answers tell of its term; a
 #: look finds an owner that answers though another has taken over.
 CALM_LOOK_S = 30.0
--- a/pomelogauge/decide/target_choice.py
+++ b/pomelogauge/decide/target_choice.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..model.entry_request import TargetLoad
-from ..model.ids import TargetName
+from ..model.ids import DataCentreName, TargetName
 from .offers import Offer
 from .target_trust import TRUSTED, Trust
 
@@ -84,9 +84,13 @@
     views: Mapping[TargetName, TargetView],
     now_s: float,
     draw: Callable[[], float],
+    near: DataCentreName,
 ) -> Chosen | None:
     """Choose the target with the least load for its slots.
 
+    Of those with the same load one in the same data centre is chosen: bytes
+    between data centres are dear.
+
     Parameters
     ----------
     offers
@@ -97,6 +101,8 @@
         Present time of the own clock.
     draw
         Random number that settles ties.
+    near
+        Data centre of this entry instance.
 
     Returns
     -------
@@ -110,7 +116,11 @@
             (estimate_load(views.get(one.target.name, NO_VIEW), now_s), one)
             for one in trusted
         ),
-        key=lambda pair: (pair[0] / pair[1].slots, draw()),
+        key=lambda pair: (
+            pair[0] / pair[1].slots,
+            pair[1].target.data_centre != near,
+            draw(),
+        ),
     )
     for load, offer in ranked:
         if load < offer.slots * (1 + QUEUE_SHARE):
--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -13,7 +13,7 @@
 from ..decide.trust_chart import TRUST_WORDS, TrustAction, TrustEvent
 from ..model.entry_request import Spot, TargetLoad
 from ..model.fleet import Fleet, Target
-from ..model.ids import NO_EPOCH, Epoch, ServiceName, TargetName
+from ..model.ids import NO_EPOCH, DataCentreName, Epoch, ServiceName, TargetName
 from ..model.log_parts import Part
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
@@ -58,11 +58,15 @@
 
     Parameters
     ----------
+    data_centre
+        Where this instance stands.
     retry_share, retry_slack, retry_window_s
         Budget of repeats of one service over all entry instances.
 
     """
 
+    data_centre: DataCentreName
+
     retry_share: float
     retry_slack: float
     retry_window_s: float
@@ -144,7 +148,13 @@
         if not offers:
             return self._deny(asked, Denial.NO_TARGET, RETRY_AFTER_NONE_S)
         may_take = [one for one in offers if self._may_take(one, now_s)]
-        chosen = choose(may_take, self._views, now_s, self._rng.random)
+        chosen = choose(
+            may_take,
+            self._views,
+            now_s,
+            self._rng.random,
+            self._settings.data_centre,
+        )
         if chosen is None:
             return self._deny(asked, Denial.NO_TARGET, RETRY_AFTER_FULL_S)
         if asked.is_repeat and not budget.take(now_s, self._slack()):
--- a/pomelogauge/entry/feed_relay.py
+++ b/pomelogauge/entry/feed_relay.py
@@ -41,11 +41,11 @@
 
 @dataclass(frozen=True)
 class _Waiting:
-    """An instance without news."""
+    """An instance without news, and when it asked."""
 
     places: Places
     reply: Outbox[News | None]
-    until_s: float
+    asked_s: float
 
 
 class FeedRelay:
@@ -103,7 +103,9 @@
             self._has_news = False
             self._round_s = now_s + ROUND_S * len(self._waiting)
             self._answer(self._waiting, now_s, only_with_rows=True)
-        due = tuple(one for one in self._waiting if one.until_s <= now_s)
+        due = tuple(
+            one for one in self._waiting if one.asked_s + HOLD_S <= now_s
+        )
         self._answer(due, now_s)
         return self._due_s(now_s)
 
@@ -111,7 +113,7 @@
         """Own nothing that must be closed."""
 
     def _due_s(self, now_s: float) -> float | None:
-        times = [one.until_s for one in self._waiting]
+        times = [one.asked_s + HOLD_S for one in self._waiting]
         if self._has_news:
             times.append(self._round_s)
         return max(0, min(times) - now_s) if self._waiting else None
@@ -131,7 +133,7 @@
 
     def _ask(self, asked: FollowAsked) -> None:
         now_s = self._clock.now_s()
-        waiting = _Waiting(asked.places, asked.reply, now_s + HOLD_S)
+        waiting = _Waiting(asked.places, asked.reply, now_s)
         self._waiting = (*self._waiting, waiting)
         if not self._tenancy.latest().is_own:
             return
@@ -147,7 +149,7 @@
         """Answer some of what waits; nothing where this is not the owner."""
         answered = []
         for one in asked:
-            news = self._news(one.places, now_s)
+            news = self._news(one, now_s)
             if only_with_rows and (news is None or not news.has_rows()):
                 continue
             one.reply.post(news)
@@ -156,14 +158,14 @@
             waiting for waiting in self._waiting if waiting not in answered
         )
 
-    def _news(self, places: Places, now_s: float) -> News | None:
+    def _news(self, asked: _Waiting, now_s: float) -> News | None:
         if not self._tenancy.latest().is_own:
             return None
         if not all(one.copy.version for one in self._sources.values()):
             return None
         return News(
             tuple(
-                _changes(table, source, places, now_s)
+                _changes(table, source, asked, now_s)
                 for table, source in self._sources.items()
             )
         )
@@ -172,16 +174,16 @@
 def _changes(
     table: Table,
     source: _Source,
-    places: Places,
+    asked: _Waiting,
     now_s: float,
 ) -> TableChanges:
-    known = places[table]
+    known = asked.places[table]
     is_whole = not source.copy.can_tell_since(known)
     rows = source.copy.whole() if is_whole else source.copy.changed_since(known)
     return TableChanges(
         table,
         rows,
         is_whole,
-        now_s - source.began_s,
+        asked.asked_s - source.began_s,
         now_s < source.away_until_s,
     )
--- a/pomelogauge/entry/follower.py
+++ b/pomelogauge/entry/follower.py
@@ -14,13 +14,15 @@
 from .roll import OwnerLinkError
 
 #: Seconds after an answer for which this instance reads no table itself: one
-#: question that is held and its delay.
-COVER_S = 1.5
-#: Longest age of the owner's own reads; they are answered each second.
-FRESH_S = 2.0
+#: question that is held and its delay. Changes count within two seconds, also
+#: those that the owner learned of and did not tell.
+COVER_S = 1.2
+#: Longest age of the owner's own reads: two that the store holds, and their
+#: delay.
+FRESH_S = 2.4
 #: Seconds between two looks for another owner, and before an owner that did
 #: not answer is asked again.
-LOOK_S = 0.2
+LOOK_S = 0.1
 RETRY_S = 0.4
 
 _log = part_logger(Part.STORE)
@@ -78,8 +80,11 @@
 
         """
         tenancy = self._tenancy.latest()
-        if tenancy.is_own or not tenancy.address:
-            self._uncover('this instance is the owner, or knows none')
+        if tenancy.is_own:
+            self._cover.publish(float('-inf'))
+            self._note_untold('this instance is the owner')
+            return LOOK_S
+        if not tenancy.address:
             return LOOK_S
         return self._ask(tenancy.address)
 
@@ -91,15 +96,17 @@
         answer = self._link.follow(owner, self._places)
         if isinstance(answer, Failure):
             error: OwnerLinkError = answer.failure()
-            self._uncover(error.message)
+            self._note_untold(error.message)
             return RETRY_S
         news = answer.unwrap()
         self._tell(news, began_s)
-        oldest_s = max(one.age_s for one in news.tables)
+        now_s = self._clock.now_s()
+        oldest_s = now_s - began_s + max(one.age_s for one in news.tables)
         if oldest_s > FRESH_S:
-            self._uncover(f'the owner has read {oldest_s:.1f} s ago')
+            self._note_untold(f'the owner has read {oldest_s:.1f} s ago')
             return RETRY_S
-        self._cover_up(owner)
+        self._cover.publish(now_s + COVER_S)
+        self._note_told(owner)
         return 0
 
     def _tell(self, news: News, began_s: float) -> None:
@@ -115,14 +122,12 @@
                 listener.post(read)
         self._places = news.places()
 
-    def _cover_up(self, owner: Address) -> None:
-        self._cover.publish(self._clock.now_s() + COVER_S)
+    def _note_told(self, owner: Address) -> None:
         if not self._is_told:
             self._is_told = True
             _log.info('the owner tells of the tables', extra={'owner': owner})
 
-    def _uncover(self, reason: str) -> None:
-        self._cover.publish(float('-inf'))
+    def _note_untold(self, reason: str) -> None:
         if self._is_told:
             self._is_told = False
-            _log.info('tables are read from the store: %s', reason)
+            _log.info('the owner no longer tells of the tables: %s', reason)
--- a/pomelogauge/entry/following.py
+++ b/pomelogauge/entry/following.py
@@ -15,7 +15,7 @@
 FOLLOWED = (Table.OPERATOR, Table.TARGETS)
 #: Seconds for which the owner holds a question without news. An answer
 #: confirms the configuration.
-HOLD_S = 1.0
+HOLD_S = 0.8
 
 #: Version of each table that an instance knows.
 Places = Mapping[Table, RowVersion]
@@ -35,7 +35,8 @@
     is_whole
         All rows; a row that is missing is gone.
     age_s
-        Seconds since the owner's read of this state began.
+        Seconds from the start of the owner's read of this state to the
+        question; negative where the read began while the question was held.
     was_away
         The store has only just answered again.
 
--- a/test/test_group_plan.py
+++ b/test/test_group_plan.py
@@ -102,3 +102,14 @@
         ready = staged(2, SMALL)
         made = plan(*ready, spares[1], standing=standing)
         self.assertEqual(self.models(made), [SMALL])
+
+    def test_all_spares_are_staged(self) -> None:
+        standing = (Standing(LLM, BIG, DOMAIN), Standing(LLM, SMALL, DOMAIN))
+        made = plan(
+            *[target(f't{index}') for index in range(3)],
+            standing=(*standing, *standing),
+        )
+        self.assertEqual(len(made.stages), 3)
+        self.assertEqual({one.model for one in made.stages}, {BIG, SMALL})
+        kept = plan(*staged(3, BIG), standing=(*standing, *standing))
+        self.assertEqual([one.model for one in kept.stages], [SMALL, SMALL])
