Read without waiting after a rest or a failure

In the calm a follower's confirmation was up to 4 s old, and its first own read after the owner's silence was held by the store for another second.

--- a/pomelogauge/entry/table_reader.py
+++ b/pomelogauge/entry/table_reader.py
@@ -109,6 +109,8 @@
         self._chart = load_chart('table_source', SOURCE_WORDS)
         self._state = self._chart.initial
         self._retry_s = RETRY_S
+        #: After a rest or a failure an answer confirms the table at once.
+        self._may_wait = False
 
     def on_start(self) -> None:
         """Connect with the first read."""
@@ -129,14 +131,16 @@
         covered_s = self._cover.latest() - began_s
         if covered_s > 0:
             self._answered_s = began_s
+            self._may_wait = False
             self._step(SourceEvent.TOLD)
             return min(covered_s, COVERED_S)
         self._step(SourceEvent.UNTOLD)
         if self._version is None:
             answer = self._store.read_all(self._settings.table)
         else:
+            wait_s = self._settings.wait_s if self._may_wait else 0
             answer = self._store.changes(
-                self._settings.table, self._version, self._settings.wait_s
+                self._settings.table, self._version, wait_s
             )
         if isinstance(answer, Failure):
             return self._on_failure(answer.failure())
@@ -150,6 +154,7 @@
         was_away = now_s - self._answered_s > AWAY_S + self._settings.wait_s
         self._answered_s = now_s
         self._step(SourceEvent.ANSWERED)
+        self._may_wait = True
         self._retry_s = RETRY_S
         self._tell(
             TableRead(
@@ -171,6 +176,7 @@
             self._step(SourceEvent.FORGOTTEN, error.message)
             self._version = None
             return 0
+        self._may_wait = False
         self._step(SourceEvent.FAILED, error.message)
         self._tell(TableUnread(self._settings.table, error))
         pause_s = self._retry_s
--- a/test/entry_fakes.py
+++ b/test/entry_fakes.py
@@ -97,6 +97,7 @@
         self.changed: list[tuple[Table, StoredRow]] = []
         self.faults: deque[StoreFault | None] = deque()
         self.loses_answers = False
+        self.waits: list[float] = []
 
     def put(self, table: Table, key: str, body: bytes | None) -> RowVersion:
         self.version += 1
@@ -122,6 +123,7 @@
     def changes(
         self, table: Table, after: RowVersion, wait_s: float
     ) -> Result[Rows, StoreError]:
+        self.waits.append(wait_s)
         fault = self._fault()
         if fault:
             return Failure(StoreError(fault, 'fault'))
--- a/test/test_knowledge.py
+++ b/test/test_knowledge.py
@@ -211,6 +211,21 @@
         pauses = [self.reader.on_timer() for _ in range(5)]
         self.assertEqual(pauses, [0.15, 0.3, 0.6, 0.6, 0.6])
 
+    def test_the_first_read_after_a_rest_or_a_failure_does_not_wait(
+        self,
+    ) -> None:
+        self.reader.on_timer()
+        self.reader.on_timer()
+        self.cover.publish(self.clock.now_s() + 0.5)
+        self.reader.on_timer()
+        self.clock.at_s += 0.5
+        for _ in range(2):
+            self.reader.on_timer()
+        self.store.faults.append(StoreFault.AWAY)
+        for _ in range(3):
+            self.reader.on_timer()
+        self.assertEqual(self.store.waits, [1.5, 0, 1.5, 1.5, 0, 1.5])
+
     def test_a_rest_is_no_outage(self) -> None:
         self.reader.on_timer()
         for _ in range(20):
