--- a/pomelogauge/decide/target_choice.py
+++ b/pomelogauge/decide/target_choice.py
@@ -110,11 +110,25 @@
         ``None`` when all are full.
 
     """
-    trusted = _trusted(offers, views, now_s)
+    trusted, others = _by_trust(offers, views, now_s)
+    for group in (trusted, others):
+        chosen = _least_loaded(group, views, now_s, draw, near)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _least_loaded(
+    offers: Sequence[Offer],
+    views: Mapping[TargetName, TargetView],
+    now_s: float,
+    draw: Callable[[], float],
+    near: DataCentreName,
+) -> Chosen | None:
     ranked = sorted(
         (
             (estimate_load(views.get(one.target.name, NO_VIEW), now_s), one)
-            for one in trusted
+            for one in offers
         ),
         key=lambda pair: (
             pair[0] / pair[1].slots,
@@ -129,19 +143,18 @@
     return None
 
 
-def _trusted(
+def _by_trust(
     offers: Iterable[Offer],
     views: Mapping[TargetName, TargetView],
     now_s: float,
-) -> list[Offer]:
-    """Leave out what is not trusted, unless there is nothing else."""
-    found = list(offers)
-    trusted = [
-        one
-        for one in found
-        if _is_trusted(views.get(one.target.name, NO_VIEW), now_s)
-    ]
-    return trusted or found
+) -> tuple[list[Offer], list[Offer]]:
+    """Part the trusted from those that serve when all these are full."""
+    trusted: list[Offer] = []
+    others: list[Offer] = []
+    for one in offers:
+        view = views.get(one.target.name, NO_VIEW)
+        (trusted if _is_trusted(view, now_s) else others).append(one)
+    return trusted, others
 
 
 def _is_trusted(view: TargetView, now_s: float) -> bool:
--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -8,6 +8,7 @@
 from ..decide.offers import NO_MODEL, Offer, Offers, list_offers
 from ..decide.repeat_budget import RepeatBudget
 from ..decide.serving_rules import Denial
+from ..decide.sharers import Sharers
 from ..decide.target_choice import NO_VIEW, StatedLoad, TargetView, choose
 from ..decide.target_trust import TRUSTED, take
 from ..decide.trust_chart import TRUST_WORDS, TrustAction, TrustEvent
@@ -39,9 +40,6 @@
 #: Part of the time that is drawn at random, so that callers do not come back
 #: together.
 RETRY_SPREAD = 0.5
-#: Entry instances among which bounds of all are shared out at least; fewer
-#: may be listed than live while the owner changes.
-LEAST_SHARES = 10
 
 _TRUST_EVENTS = {
     Outcome.ANSWERED: TrustEvent.ANSWERED,
@@ -107,7 +105,7 @@
         self._views: dict[TargetName, TargetView] = {}
         self._budgets: dict[ServiceName, RepeatBudget] = {}
         self._cold = ColdRate(rng.random)
-        self._shares = LEAST_SHARES
+        self._sharers = Sharers()
         self._trust_chart = load_chart('target_trust', TRUST_WORDS)
         self._fleet = board.latest()
         self._offers: Offers = list_offers(self._fleet)
@@ -194,7 +192,7 @@
             return
         before = self._fleet
         self._fleet = fleet
-        self._shares = max(self._shares, len(fleet.entries))
+        self._sharers.see(len(fleet.entries))
         self._offers = list_offers(fleet)
         self._views = {
             name: _renewed(view, before, fleet, name)
@@ -219,7 +217,7 @@
         if not service.cold_per_s:
             return True
         # All entry instances together must stay below the bound.
-        part = service.cold_per_s / self._shares
+        part = service.cold_per_s / self._sharers.living()
         return self._cold.may_send(target.name, now_s, part)
 
     def _deny(
@@ -281,7 +279,7 @@
 
     def _slack(self) -> float:
         """Return this instance's part of the slack of all."""
-        return self._settings.retry_slack / self._shares
+        return self._settings.retry_slack / self._sharers.slack_shares()
 
     def _budget(self, service: ServiceName) -> RepeatBudget:
         if service not in self._budgets:
--- a/test/test_entry_dispatcher.py
+++ b/test/test_entry_dispatcher.py
@@ -39,12 +39,13 @@
 
 class EntryDispatcherTest(unittest.TestCase):
     def setUp(self) -> None:
+        self.clock = FakeClock()
         self.board: Published[Fleet] = Published(Fleet())
         self.dispatcher = Dispatcher(
             DispatchSettings(ZONE, 0, SLACK, 10),
             self.board,
             Outbox(),
-            FakeClock(),
+            self.clock,
             Random(1),
         )
 
@@ -88,3 +89,14 @@
         self.board.publish(fleet(again, head('t2'), entries=entries(1)))
         names = {self.place(is_repeat=False).spot.target for _ in range(4)}
         self.assertEqual(names, {'t1'})
+
+    def test_the_rate_of_a_cold_target_is_shared_by_those_that_live(
+        self,
+    ) -> None:
+        cold = replace(head('t1'), cold_until_s=1000.0)
+        for living, most in ((6, 4), (2, 8)):
+            self.board.publish(fleet(cold, entries=entries(living)))
+            given = [self.place(is_repeat=False) for _ in range(30)]
+            sent = sum(isinstance(one, PlaceGiven) for one in given)
+            self.assertEqual(sent, most)
+            self.clock.at_s += 1.1
--- a/test/test_target_choice.py
+++ b/test/test_target_choice.py
@@ -50,6 +50,11 @@
         views['a'] = TargetView(own=1, trust=rested)
         self.assertEqual(self.pick(views, 'a', 'b'), 'b')
 
+    def test_an_avoided_target_serves_where_all_others_are_full(self) -> None:
+        avoided = Trust(TrustState.AVOIDED, 11, 1.5)
+        views = {'a': TargetView(trust=avoided), 'b': TargetView(own=5)}
+        self.assertEqual(self.pick(views, 'a', 'b'), 'a')
+
     def test_a_near_target_is_chosen_among_equals(self) -> None:
         far = Offer(target('a', data_centre='zone-b'), BIG, 4)
         for draw in (0.1, 0.9):
