Succeed an owner that answers but can not renew, and renew at once after a taking

An owner that can not renew now refuses reports, looks come soon where the beat does not advance, and a taking is renewed after half a second.

--- a/pomelogauge/entry/ownership.py
+++ b/pomelogauge/entry/ownership.py
@@ -35,7 +35,7 @@
     Parameters
     ----------
     is_own
-        This instance is the owner.
+        This instance is the owner, and its last renewal is young enough.
     term
         Term of the owner.
     address
--- a/pomelogauge/entry/tenure_keeper.py
+++ b/pomelogauge/entry/tenure_keeper.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Success
 
 from ..charts.reader import load_chart
-from ..decide.owner_watch import OwnerWatch
+from ..decide.owner_watch import LOOK_S, OwnerWatch
 from ..decide.ownership_chart import (
     OWNERSHIP_WORDS,
     OwnershipAction,
@@ -88,7 +88,7 @@
     def tenancy(self) -> Tenancy:
         """Return who the owner is."""
         return Tenancy(
-            self._state is not OwnershipState.STANDBY,
+            self.is_held,
             self.tenure.term,
             self.tenure.address,
             self._watch.beat,
@@ -105,6 +105,9 @@
         now_s = self._clock.now_s()
         if self._watch.hear(heard.beat, now_s):
             self._next_s = now_s + self._watch.pause_s()
+        elif self._watch.is_silent(now_s):
+            # It answers, but its renewals do not reach the store.
+            self._next_s = min(self._next_s, now_s + LOOK_S)
 
     def miss(self, unheard: OwnerUnheard) -> None:
         """Take notice that the owner does not answer."""
@@ -173,6 +176,7 @@
         self._watch.see(version, now_s)
         if found.holder == self._own.holder:
             self._renewed_s = now_s
+            self._next_s = now_s + RENEW_S
             return self._step(OwnershipEvent.TAKEN)
         if found.term and not self._watch.is_silent(self._clock.now_s()):
             return None
@@ -203,6 +207,7 @@
         self.tenure = replace(taken, version=answer.unwrap())
         self._watch.see(self.tenure.version, now_s)
         self._renewed_s = now_s
+        self._next_s = now_s + RENEW_S
         _log.info(
             'term %s is taken',
             taken.term,
--- a/test/test_tenure_keeper.py
+++ b/test/test_tenure_keeper.py
@@ -87,6 +87,30 @@
         self.second.hear(OwnerHeard(term=1, beat=self.first.tenancy().beat))
         self.assertGreater(self.second.due_s(), 5)
 
+    def test_an_owner_that_answers_without_renewing_is_succeeded(self) -> None:
+        """The store turns the owner away, but others reach it."""
+        self.run_for(1, self.first, self.second)
+        beat = self.first.tenancy().beat
+        actions = []
+        for _ in range(5):
+            self.second.hear(OwnerHeard(term=1, beat=beat))
+            actions += self.run_for(0.5, self.second)
+        self.assertEqual(actions, [OwnershipAction.ADOPT])
+
+    def test_a_successor_renews_at_once(self) -> None:
+        self.run_for(1, self.first, self.second)
+        self.second.hear(OwnerHeard(term=1, beat=self.first.tenancy().beat))
+        self.clock.at_s += 3
+        self.second.hear(OwnerHeard(term=1, beat=self.first.tenancy().beat))
+        self.run_for(4, self.second)
+        self.assertTrue(self.second.is_held)
+
+    def test_an_owner_that_can_not_renew_says_so(self) -> None:
+        self.assertTrue(self.first.tenancy().is_own)
+        self.store.faults.extend([StoreFault.AWAY] * 10)
+        self.run_for(2, self.first)
+        self.assertFalse(self.first.tenancy().is_own)
+
     def test_a_malformed_row_is_taken_over(self) -> None:
         self.store.put(Table.OWNER, 'tenure', b'\xff')
         third = self.keeper('n3')
