--- a/pomelogauge/entry/tenure_keeper.py
+++ b/pomelogauge/entry/tenure_keeper.py
@@ -176,7 +176,7 @@
         self._watch.see(version, now_s)
         if found.holder == self._own.holder:
             self._renewed_s = now_s
-            self._next_s = now_s + RENEW_S
+            self._next_s = min(self._next_s, now_s + RENEW_S)
             return self._step(OwnershipEvent.TAKEN)
         if found.term and not self._watch.is_silent(self._clock.now_s()):
             return None
@@ -207,7 +207,7 @@
         self.tenure = replace(taken, version=answer.unwrap())
         self._watch.see(self.tenure.version, now_s)
         self._renewed_s = now_s
-        self._next_s = now_s + RENEW_S
+        self._next_s = min(self._next_s, now_s + RENEW_S)
         _log.info(
             'term %s is taken',
             taken.term,
