Drop answered questions by their reply, and name the time for lapsed targets once

The relay compared all waiting questions pairwise after each round; it now looks their replies up in a set. Its own copy of the grace for lapsed targets was the knowledge task's figure. No change in what is told; found while reading the change again.

--- a/pomelogauge/entry/feed_relay.py
+++ b/pomelogauge/entry/feed_relay.py
@@ -7,6 +7,7 @@
 from ..tasks.mailbox import Outbox
 from ..tasks.published import Published
 from .following import FOLLOWED, HOLD_S, News, Places, TableChanges
+from .knowledge import LAPSE_GRACE_S
 from .messages import FollowAsked, RelayMessage, TableRead, TableUnread
 from .ownership import Tenancy
 from .store import Table
@@ -14,9 +15,6 @@
 #: Seconds between two rounds of answers, for each instance that waits: the
 #: answers take a tenth of a core at most.
 ROUND_S = 0.003
-#: Seconds for which others are told that the store was away: targets that
-#: lapsed may be back within two.
-AWAY_S = 2.2
 
 
 @dataclass(frozen=True)
@@ -124,7 +122,7 @@
         copy = source.copy.with_rows(read.rows, read.is_whole)
         away_until_s = source.away_until_s
         if read.was_away:
-            away_until_s = self._clock.now_s() + AWAY_S
+            away_until_s = self._clock.now_s() + LAPSE_GRACE_S
         self._sources[read.table] = _Source(
             copy, max(read.began_s, source.began_s), away_until_s
         )
@@ -147,15 +145,17 @@
         only_with_rows: bool = False,
     ) -> None:
         """Answer some of what waits; nothing where this is not the owner."""
-        answered = []
+        answered: set[int] = set()
         for one in asked:
             news = self._news(one, now_s)
             if only_with_rows and (news is None or not news.has_rows()):
                 continue
             one.reply.post(news)
-            answered.append(one)
+            answered.add(id(one.reply))
         self._waiting = tuple(
-            waiting for waiting in self._waiting if waiting not in answered
+            waiting
+            for waiting in self._waiting
+            if id(waiting.reply) not in answered
         )
 
     def _news(self, asked: _Waiting, now_s: float) -> News | None:
