Bound the answers of targets and count events as progress

An event without end was searched from its start with each piece. A comment line or part of an event each 0.1 s kept a stalled stream alive until its deadline. An interim response (1xx) was taken for a closed connection.

--- a/pomelogauge/entry/caller_answer.py
+++ b/pomelogauge/entry/caller_answer.py
@@ -4,12 +4,23 @@
 from ..tasks.clock import Clock
 from ..tasks.published import Published
 from ..wire.caller_connection import CallerConnection
-from ..wire.event_stream import EventSplitter
+from ..wire.event_stream import (
+    EventSplitter,
+    EventTooLargeError,
+    has_event,
+)
 from .codecs import RequestCodec
 
+#: Largest body that is buffered, in bytes.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
 _UNAVAILABLE = 503
 
 
+class AnswerTooLargeError(Exception):
+    """A target's answer is larger than may be buffered."""
+
+
 class CallerAnswer:
     """Relays the answers of one or more targets, or sends an answer of its own.
 
@@ -70,22 +81,38 @@
         if not self.has_started:
             self._head = head
 
-    def add_piece(self, piece: bytes) -> None:
+    def add_piece(self, piece: bytes) -> bool:
         """Relay or buffer a piece of the body.
 
+        Returns
+        -------
+        bool
+            Whether the answer has made progress: a stream by an event, which
+            a comment is not.
+
         Raises
         ------
+        AnswerTooLargeError
+            The body, or an event of the stream, is too large.
         CallerLeftError
             The caller has closed its connection.
 
         """
         if not self._is_stream():
             self._body += piece
-            return
-        complete_events = self._splitter.complete_events(piece)
+            if len(self._body) > MAX_BODY_BYTES:
+                raise AnswerTooLargeError(
+                    f'the body has more than {MAX_BODY_BYTES} bytes'
+                )
+            return True
+        try:
+            complete_events = self._splitter.complete_events(piece)
+        except EventTooLargeError as exc:
+            raise AnswerTooLargeError(str(exc)) from exc
         if complete_events:
             self._start()
             self._conn.send_piece(complete_events)
+        return has_event(complete_events)
 
     def has_partial_event(self) -> bool:
         """Return whether the stream has ended in the middle of an event."""
--- a/pomelogauge/entry/request_run.py
+++ b/pomelogauge/entry/request_run.py
@@ -22,7 +22,7 @@
     LinkError,
     LinkEvent,
 )
-from .caller_answer import CallerAnswer
+from .caller_answer import AnswerTooLargeError, CallerAnswer
 from .messages import (
     LoadReceived,
     Outcome,
@@ -247,7 +247,8 @@
         )
 
     def _await_head(self, attempt: TargetAttempt) -> RequestEvent:
-        event = attempt.next_event(self._stall_timeout_s())
+        sent_s = self._ports.clock.now_s()
+        event = attempt.next_event(sent_s + self._stall_timeout_s())
         if isinstance(event, HeadRead):
             return self._judge(event, attempt)
         self._may_have_run = True
@@ -272,16 +273,25 @@
         return verdict.event
 
     def _relay(self, attempt: TargetAttempt) -> RequestEvent:
+        try:
+            event = self._relay_body(attempt)
+        except AnswerTooLargeError as exc:
+            return self._fail(str(exc))
+        if not isinstance(event, AnswerEnded):
+            return self._end_of_attempt(event)
+        if self._answer.has_partial_event():
+            return self._fail('the stream ends inside an event')
+        return RequestEvent.ANSWER_COMPLETED
+
+    def _relay_body(self, attempt: TargetAttempt) -> LinkEvent | Interruption:
+        """Relay the pieces of the body; return the event that follows them."""
+        progress_s = self._ports.clock.now_s()
         while True:
-            event = attempt.next_event(self._stall_timeout_s())
-            if isinstance(event, BodyRead):
-                self._answer.add_piece(event.piece)
-            elif isinstance(event, AnswerEnded):
-                if self._answer.has_partial_event():
-                    return self._fail('the stream ends inside an event')
-                return RequestEvent.ANSWER_COMPLETED
-            else:
-                return self._end_of_attempt(event)
+            event = attempt.next_event(progress_s + self._stall_timeout_s())
+            if not isinstance(event, BodyRead):
+                return event
+            if self._answer.add_piece(event.piece):
+                progress_s = self._ports.clock.now_s()
 
     def _stall_timeout_s(self) -> float:
         """Return the stall timeout at a target.
@@ -327,17 +337,18 @@
         elif action is RequestAction.CUT:
             self._answer.abort()
         elif action is not RequestAction.CANCEL:
-            status = self._refusal_status(action)
+            status = _refusal_status(action, may_have_run=self._may_have_run)
             self._answer.refuse(status, self._reason, self._retry_after_s)
 
-    def _refusal_status(self, action: RequestAction) -> int:
-        """Return the status of a refusal.
 
-        503 means that the request has not run. Callers may then send it
-        again even if it must not run twice.
-        """
-        if action is RequestAction.REFUSE or not self._may_have_run:
-            return _UNAVAILABLE
-        if action is RequestAction.TIME_OUT:
-            return _GATEWAY_TIMEOUT
-        return _BAD_GATEWAY
+def _refusal_status(action: RequestAction, *, may_have_run: bool) -> int:
+    """Return the status of a refusal.
+
+    503 means that the request has not run. Callers may then send it again
+    even if it must not run twice.
+    """
+    if action is RequestAction.REFUSE or not may_have_run:
+        return _UNAVAILABLE
+    if action is RequestAction.TIME_OUT:
+        return _GATEWAY_TIMEOUT
+    return _BAD_GATEWAY
--- a/pomelogauge/entry/target_attempt.py
+++ b/pomelogauge/entry/target_attempt.py
@@ -82,19 +82,18 @@
 
     def next_event(
         self,
-        stall_timeout_s: float,
+        stalled_at_s: float,
     ) -> LinkEvent | Interruption:
         """Wait for the target's next event, the deadline or a stall.
 
         Parameters
         ----------
-        stall_timeout_s
-            Seconds without a byte after which the target counts as stalled.
+        stalled_at_s
+            Time of the local clock from which the target counts as stalled.
 
         """
-        waiting_since_s = self._clock.now_s()
         while not self._pending:
-            interruption = self._wait(waiting_since_s + stall_timeout_s)
+            interruption = self._wait(stalled_at_s)
             if interruption is not None:
                 return interruption
         return self._pending.pop(0)
@@ -110,13 +109,14 @@
         now_s = self._clock.now_s()
         if now_s >= self._deadline_s:
             return Interruption.EXPIRED
-        if link is None or now_s > stalled_at_s:
+        if link is None or now_s >= stalled_at_s:
             return Interruption.STALLED
         watched: tuple[int, ...] = (link.fileno(),)
         if self._conn.may_have_left:
             watched = (link.fileno(), self._conn.fileno())
+        next_s = min(self._deadline_s, stalled_at_s)
         ready = wait_readable(
-            watched, min(self._deadline_s - now_s, CALLER_CHECK_INTERVAL_S)
+            watched, min(max(0, next_s - now_s), CALLER_CHECK_INTERVAL_S)
         )
         if self._conn.fileno() in ready and self._conn.has_left():
             return Interruption.CALLER_LEFT
--- a/pomelogauge/model/serving.py
+++ b/pomelogauge/model/serving.py
@@ -64,6 +64,9 @@
         Whether requests need no API key.
     may_resume
         Whether an interrupted stream may be resumed at another target.
+    gap_s
+        Longest pause between two events of a stream that is on time; zero if
+        not stated.
 
     """
 
@@ -78,6 +81,7 @@
     priority: int
     is_public: bool = False
     may_resume: bool = False
+    gap_s: float = 0
 
     def may_retry(self) -> bool:
         """Return whether a request that may have run may be sent again."""
--- a/pomelogauge/platform/configuration.py
+++ b/pomelogauge/platform/configuration.py
@@ -94,6 +94,7 @@
         priority=fields.integer('priority', _DEFAULT_PRIORITY),
         is_public=fields.flag('public'),
         may_resume=fields.flag('stream_resume'),
+        gap_s=fields.number('gap_target_ms', 0) / _MS_IN_S,
     )
 
 
--- a/pomelogauge/wire/event_stream.py
+++ b/pomelogauge/wire/event_stream.py
@@ -1,7 +1,18 @@
 """Splits a stream of server-sent events into complete events."""
 
+import re
+
+#: Largest event of a stream, in bytes.
+MAX_EVENT_BYTES = 262_144
+
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
+#: A line with a field; all others are comments or end an event.
+_FIELD_LINE = re.compile(rb'^[^:\r\n]', re.MULTILINE)
+
+
+class EventTooLargeError(Exception):
+    """An event of the stream has no end within ``MAX_EVENT_BYTES``."""
 
 
 class EventSplitter:
@@ -34,10 +45,19 @@
         bytes
             Complete events as they came; empty while none is complete.
 
+        Raises
+        ------
+        EventTooLargeError
+            The event that the piece goes on with is too large.
+
         """
         text = self._partial + piece
-        end = text.rfind(_EVENT_END)
+        end = text.rfind(_EVENT_END, max(0, len(self._partial) - 1))
         if end < 0:
+            if len(text) > MAX_EVENT_BYTES:
+                raise EventTooLargeError(
+                    f'an event has more than {MAX_EVENT_BYTES} bytes'
+                )
             self._partial = text
             return b''
         end += len(_EVENT_END)
@@ -57,3 +77,8 @@
         if start >= 0:
             line = events[start + len(_ID_FIELD) :].partition(b'\n')[0]
             self.last_id = line.strip().decode('latin-1')
+
+
+def has_event(events: bytes) -> bool:
+    """Return whether complete events hold more than comments."""
+    return _FIELD_LINE.search(events) is not None
--- a/pomelogauge/wire/target_link.py
+++ b/pomelogauge/wire/target_link.py
@@ -12,8 +12,10 @@
 
 #: Maximum number of bytes of one read.
 _READ_BYTES = 65536
-#: Largest head of a response, in bytes.
+#: Largest head of a response, in bytes; also the largest head of a chunk.
 _MAX_HEAD_BYTES = 32768
+#: Interim responses that may come before the response.
+_MAX_INTERIM_RESPONSES = 8
 
 
 @dataclass(frozen=True)
@@ -81,6 +83,7 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
+        self._interim_responses = 0
 
     @classmethod
     def connect(
@@ -190,22 +193,32 @@
                 return
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            yield _link_event(event)
-            if isinstance(event, _LAST_EVENTS):
+            link_event = self._link_event(event)
+            if link_event is None:
+                continue
+            yield link_event
+            if isinstance(link_event, _LAST_EVENTS):
                 return
 
-
-_LAST_EVENTS = (h11.EndOfMessage, h11.ConnectionClosed)
-
-
-def _link_event(event: object) -> LinkEvent:
-    match event:
-        case h11.Response():
-            headers = tuple(event.headers.raw_items())
-            return HeadRead(event.status_code, headers)
-        case h11.Data():
-            return BodyRead(bytes(event.data))
-        case h11.EndOfMessage():
-            return AnswerEnded()
-        case _:
-            return LinkError('target closed the connection without a response')
+    def _link_event(self, event: object) -> LinkEvent | None:
+        """Return the event of the link; ``None`` for an interim response."""
+        match event:
+            case h11.InformationalResponse():
+                self._interim_responses += 1
+                if self._interim_responses > _MAX_INTERIM_RESPONSES:
+                    return LinkError('too many interim responses')
+                return None
+            case h11.Response():
+                headers = tuple(event.headers.raw_items())
+                return HeadRead(event.status_code, headers)
+            case h11.Data():
+                return BodyRead(bytes(event.data))
+            case h11.EndOfMessage():
+                return AnswerEnded()
+            case _:
+                return LinkError(
+                    'target closed the connection without a response'
+                )
+
+
+_LAST_EVENTS = (AnswerEnded, LinkError)
