Spread callers over all instances of a large system

Cause: callers take 64 addresses of an answer, and all answers listed the same first 64 of 195 instances, the other 131 got callers only from their own answers. Change: each answer is another sample, half of it from the own data centre.

--- a/pomelogauge/app/entry_listeners.py
+++ b/pomelogauge/app/entry_listeners.py
@@ -2,6 +2,7 @@
 
 import socket
 from dataclasses import dataclass
+from random import Random
 
 from ..entry.caller_task import CallerTask
 from ..entry.listener import ConnectionTasks, Listener
@@ -59,7 +60,11 @@
             ports.clock,
         )
         directory = DirectoryPage(
-            self.own, ports.published_fleet, ports.leaving, PageTranslator()
+            self.own,
+            ports.published_fleet,
+            ports.leaving,
+            PageTranslator(),
+            Random(),
         )
         host = cfg.readiness.rpartition(':')[0]
         metrics = Address(f'{host}:{self.metrics_port}')
--- a/pomelogauge/entry/pages.py
+++ b/pomelogauge/entry/pages.py
@@ -3,8 +3,10 @@
 import socket
 import threading
 from dataclasses import dataclass
+from random import Random
 from typing import Protocol
 
+from ..decide.entry_directory import list_entries
 from ..model.entry_request import Headers
 from ..model.fleet import EntryInstance, Fleet
 from ..model.log_parts import Part
@@ -113,6 +115,8 @@
         Whether this instance is shutting down.
     codec
         Recognises requests and encodes the answer.
+    rng
+        Draws the instances of an answer in large systems.
 
     """
 
@@ -122,36 +126,31 @@
         published_fleet: Published[Fleet],
         leaving: Published[bool],
         codec: PageCodec,
+        rng: Random,
     ) -> None:
         """Keep what the answer depends on."""
+        self._rng = rng
         self._own = own
         self._published_fleet = published_fleet
         self._leaving = leaving
         self._codec = codec
 
     def page(self, request: RequestRead) -> Page:
-        """Return the instances that take callers, this one first.
+        """Return instances that take callers.
 
-        While this one is shutting down it is listed only if no other is
-        alive. For requests that don't name the directory the status is 404.
+        For requests that don't name the directory the status is 404.
         """
         if not self._codec.is_directory_request(request.target):
             return Page(_NOT_FOUND, _JSON, b'{}')
-        body = self._codec.encode_directory(
-            self._listed_instances(), DIRECTORY_TTL_S
+        listed = list_entries(
+            self._own,
+            self._published_fleet.latest().instances,
+            is_leaving=self._leaving.latest(),
+            rng=self._rng,
         )
+        body = self._codec.encode_directory(listed, DIRECTORY_TTL_S)
         return Page(_OK, _JSON, body)
 
-    def _listed_instances(self) -> tuple[EntryInstance, ...]:
-        others = tuple(
-            entry
-            for entry in self._published_fleet.latest().instances
-            if entry.node != self._own.node and not entry.is_leaving
-        )
-        if self._leaving.latest():
-            return others or (self._own,)
-        return (self._own, *others)
-
 
 class MetricsPage:
     """Counters and histograms in the text format of Prometheus.
