Wait at a planned stop for requests until they are answered

Cause: a shutdown ended the process once no request had a slot at a target. A buffered answer is written after its slot has been released, and a request that was just read has none yet; either was cut when the process ended then. Change: a task counts requests from their read to the end of their answers, and the shutdown waits for it. The wiring of the shutdown notice has its own module.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -22,7 +22,6 @@
 )
 from ..entry.messages import (
     DispatchMessage,
-    InstanceLeaving,
     SuspectsShared,
     TableRead,
     TableReadFailed,
@@ -32,6 +31,10 @@
 from ..entry.owner_lease_keeper import OwnerLeaseKeeper
 from ..entry.ownership import OwnerLease, OwnershipStatus
 from ..entry.request_ports import RequestPorts, load_request_chart
+from ..entry.requests_in_progress import (
+    InProgressMessage,
+    RequestsInProgress,
+)
 from ..entry.table_deltas import WATCHED_TABLES
 from ..entry.table_reader import ReaderSettings, TableReader
 from ..entry.table_watcher import TableWatcher, TableWatcherPorts
@@ -44,7 +47,6 @@
 from ..tasks.clock import BootClock, Clock
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Mailbox, Outbox
-from ..tasks.messages import PhaseChanged
 from ..tasks.metrics import MetricsActor, MetricsMessage
 from ..tasks.published import Published
 from ..tasks.shutdown import (
@@ -60,6 +62,7 @@
 from .entry_listeners import EntryListeners
 from .entry_reload import check_settings
 from .entry_settings import EntryOptions
+from .entry_shutdown import ShutdownNotifier
 from .identity import draw_incarnation
 from .logs import set_up_entry_logs
 from .task_set import TaskSet
@@ -104,26 +107,6 @@
         return StoreClient(self.cfg.store, STORE_ANSWER_S)
 
 
-class _ShutdownNotifier:
-    """Marks this instance as leaving once its shutdown begins."""
-
-    def __init__(
-        self,
-        leaving: Published[bool],
-        membership: Outbox[InstanceLeaving],
-    ) -> None:
-        self._leaving = leaving
-        self._membership = membership
-
-    def post(self, message: PhaseChanged) -> None:
-        """Mark this instance as leaving, on its pages and to the owner."""
-        _log.info(
-            'stop: instance is leaving, callers are directed to other instances'
-        )
-        self._leaving.publish(True)
-        self._membership.post(InstanceLeaving())
-
-
 def run_entry(options: EntryOptions) -> None:
     """Run an entry instance until it is asked to end.
 
@@ -203,6 +186,7 @@
     suspect_listeners = delta_server, dispatch_task
     register.share_suspects_with(*suspect_listeners)
     _wire_reads(shared, (fleet_publisher, delta_server), suspect_listeners)
+    in_progress = tasks.add('requests in progress', RequestsInProgress())
     shutdown = ShutdownActor(
         load_chart('router_shutdown', SHUTDOWN_WORDS),
         ShutdownTimes(
@@ -210,16 +194,16 @@
             shared.cfg.bounds.grace_s - shared.options.shutdown_margin_s,
         ),
         ShutdownPorts(
-            _ShutdownNotifier(shared.leaving, membership),
-            dispatch_task,
+            ShutdownNotifier(shared.leaving, membership),
             dispatch_task,
+            in_progress,
             ended,
         ),
         shared.clock,
     )
     shutdown_task = tasks.add('shutdown', shutdown)
     shutdown.listen_on(shutdown_task)
-    ports = _request_ports(shared, dispatch_task, metrics)
+    ports = _request_ports(shared, dispatch_task, in_progress, metrics)
     pages = EntryListeners(
         cfg=shared.cfg,
         own=shared.own,
@@ -301,6 +285,7 @@
 def _request_ports(
     shared: _Shared,
     dispatcher: Outbox[DispatchMessage],
+    in_progress: Outbox[InProgressMessage],
     metrics: Outbox[MetricsMessage],
 ) -> RequestPorts:
     key_age_s = shared.cfg.bounds.revoke_s - KEY_MARGIN_S
@@ -310,6 +295,7 @@
         published_fleet=shared.published_fleet,
         leaving=shared.leaving,
         dispatcher=dispatcher,
+        in_progress=in_progress,
         metrics=metrics,
         bounds=AdmissionBounds(key_age_s),
         clock=shared.clock,
--- a/pomelogauge/entry/caller_task.py
+++ b/pomelogauge/entry/caller_task.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+from contextlib import ExitStack
 from random import random
 
 from returns.result import Failure
@@ -19,10 +20,11 @@
     ReadEnded,
     ReadLimits,
     ReadRefused,
-    RequestRead,
 )
+from ..wire.caller_connection import RequestRead as CallerRequestRead
 from .request_ports import RequestPorts
 from .request_run import RequestEnd, RequestRun
+from .requests_in_progress import RequestFinished, RequestRead
 
 _BAD_REQUEST = 400
 _UNAUTHORIZED = 401
@@ -79,10 +81,14 @@
         if isinstance(outcome, ReadRefused):
             self._answer(outcome.status, outcome.message, 0, is_last=True)
             return False
-        self._serve(outcome)
+        in_progress = self._ports.in_progress
+        in_progress.post(RequestRead())
+        with ExitStack() as stack:
+            stack.callback(in_progress.post, RequestFinished())
+            self._serve(outcome)
         return self._conn.next_cycle()
 
-    def _serve(self, read: RequestRead) -> None:
+    def _serve(self, read: CallerRequestRead) -> None:
         now_s = self._ports.clock.now_s()
         decoded = self._ports.codec.decode_request(read, now_s)
         if isinstance(decoded, Failure):
--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -23,7 +23,7 @@
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
-from ..tasks.messages import PhaseChanged, RunningCount, RunningCountRequested
+from ..tasks.messages import PhaseChanged
 from ..tasks.published import Published
 from .messages import (
     DispatchMessage,
@@ -136,8 +136,6 @@
                 self._views.avoid(
                     message.targets, self._eligible, self._clock.now_s()
                 )
-            case RunningCountRequested():
-                message.reply.post(RunningCount(self._views.running()))
             case PhaseChanged():
                 _log.info('shutdown phase %s: no new callers', message.phase)
 
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -16,7 +16,7 @@
 )
 from ..model.rows import Rows
 from ..tasks.mailbox import Outbox
-from ..tasks.messages import PhaseChanged, RunningCountRequested
+from ..tasks.messages import PhaseChanged
 from .owner_link import EntryReport, MembershipSnapshot
 from .store import StoreError, Table
 from .table_deltas import TableDeltas, TableVersions
@@ -248,12 +248,7 @@
 
 
 DispatchMessage = (
-    SlotRequested
-    | LoadReceived
-    | SlotReleased
-    | SuspectsShared
-    | RunningCountRequested
-    | PhaseChanged
+    SlotRequested | LoadReceived | SlotReleased | SuspectsShared | PhaseChanged
 )
 
 
--- a/pomelogauge/entry/request_ports.py
+++ b/pomelogauge/entry/request_ports.py
@@ -19,6 +19,7 @@
 from ..tasks.published import Published
 from .codecs import RequestCodec
 from .messages import DispatchMessage
+from .requests_in_progress import InProgressMessage
 
 RequestChart = Chart[RequestState, RequestEvent, RequestAction, RequestFacts]
 
@@ -44,6 +45,8 @@
         Whether this instance is shutting down.
     dispatcher
         Grants slots at targets.
+    in_progress
+        Counts the requests that have not been answered wholly.
     metrics
         Collects counts and times.
     bounds
@@ -58,6 +61,7 @@
     published_fleet: Published[Fleet]
     leaving: Published[bool]
     dispatcher: Outbox[DispatchMessage]
+    in_progress: Outbox[InProgressMessage]
     metrics: Outbox[MetricsMessage]
     bounds: AdmissionBounds
     clock: Clock
--- a/pomelogauge/entry/target_views.py
+++ b/pomelogauge/entry/target_views.py
@@ -45,10 +45,6 @@
         """Return the views by target; read only."""
         return self._views
 
-    def running(self) -> int:
-        """Return the number of own requests at all targets."""
-        return sum(view.own_requests for view in self._views.values())
-
     def count_request(self, name: TargetName) -> int:
         """Count one more own request; return those that ran before."""
         view = self._views.get(name, NO_VIEW)
--- a/test/request_fixtures.py
+++ b/test/request_fixtures.py
@@ -10,11 +10,14 @@
 from pomelogauge.entry.caller_task import CallerTask
 from pomelogauge.entry.dispatcher import Dispatcher, DispatchSettings
 from pomelogauge.entry.request_ports import RequestPorts, load_request_chart
+from pomelogauge.entry.requests_in_progress import RequestsInProgress
 from pomelogauge.model.fleet import MembershipState, Target
 from pomelogauge.model.ids import Address
 from pomelogauge.model.serving import Share
 from pomelogauge.platform.translator import RequestTranslator
 from pomelogauge.tasks.clock import BootClock
+from pomelogauge.tasks.mailbox import Mailbox
+from pomelogauge.tasks.messages import RunningCount, RunningCountRequested
 from pomelogauge.tasks.published import Published
 from pomelogauge.tasks.task import Task
 
@@ -141,12 +144,16 @@
         dispatcher = Task('dispatcher', self.dispatcher)
         dispatcher.start()
         self.addCleanup(dispatcher.stop)
+        self.in_progress = Task('in progress', RequestsInProgress())
+        self.in_progress.start()
+        self.addCleanup(self.in_progress.stop)
         self.ports = RequestPorts(
             load_request_chart(),
             RequestTranslator(),
             published_fleet,
             Published(False),
             dispatcher,
+            self.in_progress,
             Outbox(),
             AdmissionBounds(4),
             clock,
@@ -199,6 +206,12 @@
         """Return the messages that the dispatcher has taken."""
         return self.dispatcher.taken
 
+    def running(self) -> int:
+        """Return the number of requests that a shutdown waits for."""
+        replies: Mailbox[RunningCount] = Mailbox()
+        self.in_progress.post(RunningCountRequested(replies))
+        return replies.take(1).running
+
     def received_count(self) -> int:
         """Return how many requests the targets have received."""
         return sum(len(stub.received) for stub in self.stubs)
