Check the owner lease right before each order is sent

Cause: the owner checks its lease before it issues an order, but the order may wait behind others to the same target (up to 1.2 s each), or the process may be paused in between. It was then sent without a further check, beside those of a successor; a late leave takes down a group that the successor has adopted. Change: the task that sends to a target asks lease and term before each order but probes, which change nothing. A withheld order says nothing about the target: its group goes on by its time-outs.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -26,7 +26,7 @@
     TableRead,
     TableReadFailed,
 )
-from ..entry.order_sender import OrderSenderPool
+from ..entry.order_sender import OrderPermit, OrderSenderPool
 from ..entry.owner import Owner, OwnerParts, OwnerSettings
 from ..entry.owner_lease_keeper import OwnerLeaseKeeper
 from ..entry.ownership import OwnerLease, OwnershipStatus
@@ -44,7 +44,7 @@
 from ..platform.settings import EntrySettings, read_settings
 from ..platform.store import StoreClient
 from ..platform.translator import RequestTranslator, RowTranslator
-from ..tasks.clock import BootClock, Clock
+from ..tasks.clock import BootClock
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Mailbox, Outbox
 from ..tasks.metrics import MetricsActor, MetricsMessage
@@ -99,7 +99,7 @@
     ownership: Published[OwnershipStatus]
     leaving: Published[bool]
     rows: RowTranslator
-    clock: Clock
+    clock: BootClock
     tasks: TaskSet
 
     def store(self) -> StoreClient:
@@ -266,7 +266,8 @@
         own, store, shared.rows, shared.clock, shared.own.cores
     )
     cfg = shared.cfg
-    orders = GroupOrders(OrderSenderPool(OrderClient()))
+    permit = OrderPermit(shared.ownership, shared.clock)
+    orders = GroupOrders(OrderSenderPool(OrderClient(), permit))
     startup_grace = StartupGrace(cfg.is_first_start, shared.clock.now_s())
     return Owner(
         OwnerSettings(cfg.bounds.stall_s),
--- a/pomelogauge/entry/group_orders.py
+++ b/pomelogauge/entry/group_orders.py
@@ -123,6 +123,8 @@
             return
         if order.kind is OrderKind.STAGE:
             self._staging.pop(order.target, None)
+        if settled.outcome is OrderOutcome.WITHHELD:
+            return
         if order.kind in {OrderKind.STAGE, OrderKind.JOIN}:
             self._quarantined_until_s[order.target] = now_s + QUARANTINE_S
 
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -287,6 +287,8 @@
         Model to load or to stage.
     members
         All members of the group, the head first; empty for ``STAGE``.
+    term
+        Term of the owner that has issued the order.
 
     """
 
@@ -297,6 +299,7 @@
     epoch: Epoch = Epoch(0)
     model: ModelName = ModelName('')
     members: tuple[TargetName, ...] = ()
+    term: int = 0
 
 
 class OrderOutcome(StrEnum):
@@ -306,7 +309,8 @@
     ``REPLACED``: another target, or a later incarnation of this one, listens
     at the address. ``CLOSED``: nothing listens at the address; a target that
     is leaving may still work on its requests. ``NO_ANSWER``: timed out; the
-    target may still carry out the order later.
+    target may still carry out the order later. ``WITHHELD``: not sent, as the
+    lease under which it was issued had ended.
     """
 
     TAKEN = 'taken'
@@ -314,6 +318,7 @@
     REPLACED = 'dead'
     CLOSED = 'closed'
     NO_ANSWER = 'silent'
+    WITHHELD = 'withheld'
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/entry/order_sender.py
+++ b/pomelogauge/entry/order_sender.py
@@ -1,13 +1,23 @@
 """Tasks that send orders to targets, one task for each target."""
 
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from ..model.ids import Address, TargetName
 from ..model.log_parts import Part
+from ..tasks.clock import Clock
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
+from ..tasks.published import Published
 from ..tasks.task import Task
-from .messages import Order, OrderOutcome, OrderSettled, OwnerMessage
+from .messages import (
+    Order,
+    OrderKind,
+    OrderOutcome,
+    OrderSettled,
+    OwnerMessage,
+)
+from .ownership import OwnershipStatus
 
 _log = part_logger(Part.GROUPS)
 
@@ -19,6 +29,39 @@
         """Send an order once, without retries, and return its outcome."""
 
 
+@dataclass(frozen=True)
+class OrderPermit:
+    """Whether this instance may send orders as the owner.
+
+    An order may have waited behind others, and the process may have been
+    paused, so each order is checked right before it is sent.
+
+    Parameters
+    ----------
+    ownership
+        Published by the owner's task.
+    clock
+        Local clock; it goes on during a suspension of the machine.
+
+    """
+
+    ownership: Published[OwnershipStatus]
+    clock: Clock
+
+    def term(self) -> int:
+        """Return the term under which orders are issued now."""
+        return self.ownership.latest().term
+
+    def may_send(self, order: Order) -> bool:
+        """Return whether an order may be sent now.
+
+        A ``PROBE`` changes nothing and is always allowed.
+        """
+        if order.kind is OrderKind.PROBE:
+            return True
+        return self.ownership.latest().may_act(order.term, self.clock.now_s())
+
+
 class OrderSender:
     """Sends the orders to one target, one after the other.
 
@@ -31,6 +74,8 @@
         ``host:port`` of the target.
     link
         Sends orders; owned by this task.
+    permit
+        Whether this instance may act as the owner.
     owner
         Where the outcomes are posted.
 
@@ -40,19 +85,23 @@
         self,
         address: Address,
         link: OrderLink,
+        permit: OrderPermit,
         owner: Outbox[OwnerMessage],
     ) -> None:
         """Start without a connection."""
         self._address = address
         self._link = link
+        self._permit = permit
         self._owner = owner
 
     def on_start(self) -> None:
         """Do nothing; the first order connects."""
 
     def on_message(self, message: Order) -> None:
-        """Send an order and post its outcome."""
-        outcome = self._link.send(self._address, message)
+        """Send an order, if that is still allowed, and post its outcome."""
+        outcome = OrderOutcome.WITHHELD
+        if self._permit.may_send(message):
+            outcome = self._link.send(self._address, message)
         _log.info(
             'order %s to target %s: %s',
             message.kind,
@@ -84,12 +133,15 @@
     ----------
     link
         Shared by all senders.
+    permit
+        Whether this instance may act as the owner.
 
     """
 
-    def __init__(self, link: OrderLink) -> None:
+    def __init__(self, link: OrderLink, permit: OrderPermit) -> None:
         """Start without senders; each starts with the first order."""
         self._link = link
+        self._permit = permit
         self._senders: dict[tuple[TargetName, Address], Task[Order]] = {}
 
     def send(
@@ -101,11 +153,11 @@
         """Queue an order; its outcome is posted to the owner's task."""
         key = order.target, address
         if key not in self._senders:
-            sender = OrderSender(address, self._link, owner)
+            sender = OrderSender(address, self._link, self._permit, owner)
             task: Task[Order] = Task(f'courier {order.target}', sender)
             task.start()
             self._senders[key] = task
-        self._senders[key].post(order)
+        self._senders[key].post(replace(order, term=self._permit.term()))
 
     def keep_only(self, names: frozenset[TargetName]) -> None:
         """Stop the senders of all targets but the named ones."""
--- a/pomelogauge/entry/owned_group.py
+++ b/pomelogauge/entry/owned_group.py
@@ -249,6 +249,8 @@
     ) -> OutcomeEffect:
         """Apply the outcome of an order to a member."""
         order = settled.order
+        if settled.outcome is OrderOutcome.WITHHELD:
+            return OutcomeEffect(self)
         is_taken = settled.outcome is OrderOutcome.TAKEN
         if order.kind in _LOST_UNLESS_TAKEN and not is_taken:
             return OutcomeEffect(replace(self, lost=self.lost | {order.target}))
--- a/pomelogauge/entry/owner_lease_keeper.py
+++ b/pomelogauge/entry/owner_lease_keeper.py
@@ -104,6 +104,7 @@
             self.owner_lease.term,
             self.owner_lease.address,
             self._watch.renewal_version,
+            self._renewed_s + LEASE_S,
         )
 
     def update_rank(self, instances: Sequence[EntryInstance]) -> None:
--- a/pomelogauge/entry/ownership.py
+++ b/pomelogauge/entry/ownership.py
@@ -44,6 +44,9 @@
         ``host:port`` for reports to the owner; empty where none is known.
     renewal_version
         Row version of the newest lease renewal that this instance knows of.
+    until_s
+        Time of the local clock until which this instance may act as the
+        owner, unless it renews the lease; in the past on other instances.
 
     """
 
@@ -51,3 +54,12 @@
     term: int = 0
     address: Address = Address('')
     renewal_version: RowVersion = ABSENT_ROW
+    until_s: float = float('-inf')
+
+    def may_act(self, term: int, now_s: float) -> bool:
+        """Return whether this instance may act as the owner of a term now.
+
+        Asked right before acting: the process may have been paused since the
+        status was published.
+        """
+        return self.is_own and self.term == term and now_s <= self.until_s
