--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -13,9 +13,7 @@
 from ..decide.instance_count import InstanceCount
 from ..decide.instance_retry_budget import InstanceRetryBudget
 from ..decide.serving_rules import Denial
-from ..decide.target_choice import (
-    choose_target,
-)
+from ..decide.target_choice import choose_target
 from ..model.entry_request import TargetAddress
 from ..model.fleet import Fleet
 from ..model.ids import DataCentreName, ServiceName
--- a/pomelogauge/entry/table_deltas.py
+++ b/pomelogauge/entry/table_deltas.py
@@ -70,10 +70,6 @@
         """Return the table versions of an instance that applied all deltas."""
         return {delta.table: delta.rows.version for delta in self.tables}
 
-    def has_rows(self) -> bool:
-        """Return whether any delta has changes to apply."""
-        return any(delta.rows.rows or delta.is_whole for delta in self.tables)
-
 
 class TableWatchLink(Protocol):
     """Long-polls an instance for table deltas; used by one task."""
--- a/test/request_fixtures.py
+++ b/test/request_fixtures.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 import unittest
 from collections.abc import Callable
 from random import Random
@@ -117,6 +118,16 @@
             self.left.set()
 
 
+def wait_until(condition: Callable[[], bool]) -> bool:
+    """Wait for a condition for three seconds at most."""
+    ends_s = time.monotonic() + 3
+    while not condition():
+        if time.monotonic() > ends_s:
+            return False
+        time.sleep(0.01)
+    return True
+
+
 class RequestCase(unittest.TestCase):
     """Serves requests of callers from stub targets."""
 
--- a/test/test_shutdown_requests.py
+++ b/test/test_shutdown_requests.py
@@ -3,13 +3,12 @@
 import socket
 import time
 import unittest
-from collections.abc import Callable
 
 from pomelogauge.entry.messages import SlotReleased
 from pomelogauge.model.serving import RouteKind, Share
 
 from .entry_fakes import DESK
-from .request_fixtures import EVENTS, RequestCase, stream
+from .request_fixtures import EVENTS, RequestCase, stream, wait_until
 
 ONCE = {
     'kind': RouteKind.NON_IDEMPOTENT,
@@ -20,16 +19,6 @@
 LARGE_BODY = b'x' * 7_000_000
 
 
-def wait_until(condition: Callable[[], bool]) -> bool:
-    """Wait for a condition for three seconds at most."""
-    ends_s = time.monotonic() + 3
-    while not condition():
-        if time.monotonic() > ends_s:
-            return False
-        time.sleep(0.01)
-    return True
-
-
 def large(sock: socket.socket, received: bytes) -> None:
     sock.sendall(
         b'HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\n'
