Soak: break a group whose member has left, as the platform does

Cause: the soak's worker never broke an open group without a member, while the platform breaks its head after stall_ms (0.5 s in the soak). The owner releases such a head stall_ms + 1 s after the first member has left, and the check 'single membership' then called its next join a violation. Ruled out: a join before stall_ms was over; the new tests report one. Change: the worker stands still for stall_ms once a member is away, then is broken, says so and serves nothing. The check stays as it was.

--- a/test/soak/workers.py
+++ b/test/soak/workers.py
@@ -1,9 +1,11 @@
 """Back ends of the soak test, each behind a proxy of its own."""
 
 import json
+import threading
 import time
 from contextlib import suppress
 
+from ..entry_process import BOUNDS
 from ..platform_standin import Handler, HttpStandin, StoreStandin
 from .observer import Observer
 from .proxy import Proxy
@@ -11,6 +13,9 @@
 EVENTS = 6
 EVENT_INTERVAL_S = 0.04
 CALL_DURATION_S = 0.03
+#: Seconds for which the head of an incomplete group stands still until the
+#: group is broken.
+STALL_S = BOUNDS['stall_ms'] / 1000
 NOT_EXECUTED = {'X_Not_Executed': '1'}
 
 
@@ -89,6 +94,10 @@
         peers[name] = self
         super().__init__(name, store, observer)
 
+    def end(self) -> None:
+        super().end()
+        self.start_stalls()
+
     def entry(self) -> dict:
         model = self.group['model'] if self.group else None
         return {
@@ -121,10 +130,12 @@
             return 409
         if order['operation'] == 'open':
             self.group['state'] = 'open'
+            self.stand_still()
         elif order['operation'] == 'close':
             self.group['state'] = 'ready'
         elif order['operation'] == 'leave':
             self.group = None
+            self.start_stalls()
         return 202
 
     def join(self, order: dict) -> int:
@@ -142,8 +153,44 @@
             'members': order['members'],
         }
         self.observer.record_ready(self.group, self.name)
+        self.start_stalls()
         return 202
 
+    def start_stalls(self) -> None:
+        """Tell the open heads that a member may have left their groups."""
+        for worker in tuple(self.peers.values()):
+            worker.stand_still()
+
+    def stand_still(self) -> None:
+        """Start the time to the break of an open group without a member."""
+        group = self.group
+        if group and group['state'] == 'open' and not self.is_complete(group):
+            timer = threading.Timer(STALL_S, self.break_group, (group,))
+            timer.daemon = True
+            timer.start()
+
+    def break_group(self, group: dict) -> None:
+        """Break a group that is still open without a member."""
+        if self.group is not group or group['state'] != 'open':
+            return
+        if not self.is_complete(group):
+            group['state'] = 'broken'
+            self.publish_entry()
+
+    def is_complete(self, group: dict) -> bool:
+        """Return whether all members run and belong to a group."""
+        return all(
+            self.peers[name].belongs_to(group) for name in group['members']
+        )
+
+    def belongs_to(self, group: dict) -> bool:
+        own = self.group
+        is_same = own and (own['name'], own['epoch']) == (
+            group['name'],
+            group['epoch'],
+        )
+        return bool(is_same) and self.state != 'gone'
+
     def check_free(self, name: str) -> None:
         """Check that the worker does not leave an open group for another."""
         if not self.group or self.group['name'] == name:
@@ -154,7 +201,7 @@
             self.observer.report_violation(
                 'single membership',
                 f'{self.name} joins {name} while {self.group["name"]} '
-                f'is open at {head.name}',
+                f'of {self.group["members"]} is open at {head.name}',
             )
 
     def stream(self, conn: Handler) -> None:
@@ -183,16 +230,16 @@
         first = int(conn.headers.get('Last-Event-Id') or 0) + 1
         for number in range(first, EVENTS + 1):
             time.sleep(EVENT_INTERVAL_S)
-            if self.is_broken(group):
+            if self.must_cut(group):
                 conn.close_connection = True
                 return
             event = b'id: %d\ndata: %s\n\n' % (number, attempt.encode())
             conn.wfile.write(b'%x\r\n%s\r\n' % (len(event), event))
         conn.wfile.write(b'0\r\n\r\n')
 
-    def is_broken(self, group: dict) -> bool:
-        """Return whether a member has crashed, which ends all streams."""
-        return any(
+    def must_cut(self, group: dict) -> bool:
+        """Return whether a crash or the break of the group ends all streams."""
+        return group['state'] == 'broken' or any(
             self.peers[name].state == 'gone' for name in group['members']
         )
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -6,10 +6,12 @@
 import unittest
 from contextlib import suppress
 
+from .platform_standin import StoreStandin
 from .soak.observer import Observer
 from .soak.proxy import Mode, Proxy
 from .soak.regression import read_seeds
 from .soak.runner import SeedResult, run_seed
+from .soak.workers import STALL_S, Worker
 
 SEED = 7
 SECONDS = 8
@@ -121,6 +123,71 @@
         self.assertEqual(self.violated_invariants(), ['revoked'])
 
 
+class WorkerTest(unittest.TestCase):
+    """Guards that a group without a member breaks as on the platform."""
+
+    def setUp(self) -> None:
+        self.observer = Observer()
+        store = StoreStandin()
+        self.addCleanup(store.close)
+        self.peers: dict[str, Worker] = {}
+        for name in ('w1', 'w2', 'w3'):
+            worker = Worker(name, store, self.observer, self.peers)
+            self.addCleanup(worker.end)
+        self.order_join('g1', 1, ['w1', 'w2'])
+        self.order('w1', 'open', 'g1', 1)
+
+    def order(self, name: str, operation: str, group: str, epoch: int) -> int:
+        order = {'operation': operation, 'group': group, 'epoch': epoch}
+        return self.peers[name].carry_out_order(order)
+
+    def order_join(self, group: str, epoch: int, members: list[str]) -> None:
+        order = {
+            'operation': 'join',
+            'group': group,
+            'epoch': epoch,
+            'model': 'm',
+            'members': members,
+        }
+        for name in members:
+            self.peers[name].carry_out_order(order)
+
+    def violations(self) -> list[str]:
+        return [violation.invariant for violation in self.observer.violations]
+
+    def state_of_head(self) -> str:
+        return self.peers['w1'].entry()['group']['state']
+
+    def test_reports_a_head_that_joins_another_group_while_open(self) -> None:
+        self.order_join('g2', 2, ['w1', 'w3'])
+        self.assertEqual(self.violations(), ['single membership'])
+
+    def test_reports_a_head_that_stands_still_and_joins(self) -> None:
+        self.order('w2', 'leave', 'g1', 1)
+        self.order_join('g2', 2, ['w1', 'w3'])
+        self.assertEqual(self.violations(), ['single membership'])
+
+    def test_a_head_whose_member_has_left_breaks_and_may_join(self) -> None:
+        self.order('w2', 'leave', 'g1', 1)
+        self.assertEqual(self.state_of_head(), 'open')
+        time.sleep(2 * STALL_S)
+        self.assertEqual(self.state_of_head(), 'broken')
+        self.order_join('g2', 2, ['w1', 'w3'])
+        self.assertEqual(self.violations(), [])
+
+    def test_a_head_whose_member_has_crashed_breaks(self) -> None:
+        self.peers['w2'].end()
+        time.sleep(2 * STALL_S)
+        self.assertEqual(self.state_of_head(), 'broken')
+
+    def test_a_head_opened_without_its_member_breaks(self) -> None:
+        self.order('w1', 'close', 'g1', 1)
+        self.order('w2', 'leave', 'g1', 1)
+        self.order('w1', 'open', 'g1', 1)
+        time.sleep(2 * STALL_S)
+        self.assertEqual(self.state_of_head(), 'broken')
+
+
 class SoakTest(unittest.TestCase):
     """Guards the invariants of entry processes under random faults."""
 
