Check a key again before a request that was held up is sent

Cause: a key was checked when the request had been read only. A process that is suspended after that sends the request with a key that has been withdrawn meanwhile, as long as the caller's deadline allows; so does a repeat after a slow failure. Change: recheck in decide/serving_rules, event admission_lapsed of the chart: 4.3 s after it was read, a request whose answer has not begun is sent only if a configuration confirmed within 4.3 s still has its key; otherwise 503 with Retry-After, as it has not run, else 502. Result: test_a_key_withdrawn_during_a_suspension_is_not_used fails without the check; the request with a key that is still valid is served.

--- a/pomelogauge/decide/entry_request_chart.py
+++ b/pomelogauge/decide/entry_request_chart.py
@@ -26,6 +26,7 @@
     """Events of a request.
 
     ``CONNECT_FAILED``: no connection to the target; nothing was sent.
+    ``ADMISSION_LAPSED``: the request must not be sent any more.
     ``REJECTED``: the target says that it has not run the request.
     ``ATTEMPT_FAILED``: no usable answer, or the end of one is missing; the
     target may have run the request. ``EXPIRED``: the caller's time is over.
@@ -34,6 +35,7 @@
     SLOT_GRANTED = 'slot_granted'
     SLOT_DENIED = 'slot_denied'
     CONNECT_FAILED = 'connect_failed'
+    ADMISSION_LAPSED = 'admission_lapsed'
     REJECTED = 'rejected'
     ATTEMPT_FAILED = 'attempt_failed'
     HEAD_RECEIVED = 'head_received'
--- a/pomelogauge/decide/serving_rules.py
+++ b/pomelogauge/decide/serving_rules.py
@@ -97,6 +97,42 @@
     )
 
 
+def recheck(
+    admitted: AdmittedRequest,
+    fleet: Fleet,
+    bounds: AdmissionBounds,
+    now_s: float,
+) -> Denial | None:
+    """Return why an admitted request must not be sent to a target any more.
+
+    An admission holds for as long as a confirmed configuration does. After
+    that, because the process was suspended or the request had to wait, the
+    newest configuration decides.
+
+    Parameters
+    ----------
+    admitted
+        The request with the organisation that its key had.
+    fleet
+        Newest configuration and the time at which it was confirmed.
+    bounds
+        Longest age of the configuration.
+    now_s
+        Present time of the local clock.
+
+    """
+    age_s = now_s - admitted.req.received_at_s
+    if admitted.organisation is None or age_s <= bounds.key_age_s:
+        return None
+    if fleet.config is None:
+        return Denial.NO_CONFIGURATION
+    if now_s - fleet.confirmed_s > bounds.key_age_s:
+        return Denial.UNCONFIRMED
+    if admitted.req.key not in fleet.config.keys:
+        return Denial.NO_KEY
+    return None
+
+
 def find_route(config: ServingConfig, host: str, path: str) -> Route | None:
     """Return the route of a path; ``None`` if no prefix matches.
 
--- a/pomelogauge/entry/request_run.py
+++ b/pomelogauge/entry/request_run.py
@@ -10,6 +10,7 @@
     RequestFacts,
     RequestState,
 )
+from ..decide.serving_rules import recheck
 from ..decide.stall_timeout import stall_timeout_s
 from ..model.entry_request import AdmittedRequest, TargetRequest
 from ..model.ids import OrganisationName, TargetName
@@ -37,6 +38,9 @@
 #: Seconds after which a caller is told to try again if the last target rejected
 #: its request: some slots become free in this time.
 REJECTED_RETRY_AFTER_S = 0.6
+#: The same if its admission has lapsed, mostly for want of a confirmed
+#: configuration.
+LAPSED_RETRY_AFTER_S = 1.0
 
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -221,8 +225,15 @@
             return RequestEvent.EXPIRED
         if self._conn.has_left():
             return RequestEvent.CALLER_LEFT
+        if self._has_lapsed():
+            return RequestEvent.ADMISSION_LAPSED
         self._sent = (*self._sent, attempt.destination.target)
-        sent = self._target_request(attempt.destination.target, remaining_s)
+        sent = _target_request(
+            self._admitted,
+            attempt.destination.target,
+            remaining_s,
+            self._answer.last_event,
+        )
         head = self._ports.codec.encode_request(sent)
         error = attempt.send(head, self._admitted.req.body)
         if error is not None:
@@ -230,21 +241,22 @@
             return self._fail(error.message)
         return self._await_head(attempt)
 
-    def _target_request(
-        self, target: TargetName, remaining_s: float
-    ) -> TargetRequest:
-        admitted = self._admitted
-        organisation = OrganisationName('')
-        if admitted.organisation is not None:
-            organisation = admitted.organisation.name
-        return TargetRequest(
-            req=admitted.req,
-            expected=target,
-            organisation=organisation,
-            priority=admitted.priority,
-            remaining_s=remaining_s,
-            last_event=self._answer.last_event or admitted.req.last_event,
+    def _has_lapsed(self) -> bool:
+        """Return whether the admission has lapsed before an answer began."""
+        if self._answer.has_started:
+            return False
+        denial = recheck(
+            self._admitted,
+            self._ports.published_fleet.latest(),
+            self._ports.bounds,
+            self._ports.clock.now_s(),
         )
+        if denial is None:
+            return False
+        self._outcome = Outcome.LEFT
+        self._reason = denial
+        self._retry_after_s = LAPSED_RETRY_AFTER_S
+        return True
 
     def _await_head(self, attempt: TargetAttempt) -> RequestEvent:
         sent_s = self._ports.clock.now_s()
@@ -341,6 +353,25 @@
             self._answer.refuse(status, self._reason, self._retry_after_s)
 
 
+def _target_request(
+    admitted: AdmittedRequest,
+    target: TargetName,
+    remaining_s: float,
+    last_event: str,
+) -> TargetRequest:
+    organisation = OrganisationName('')
+    if admitted.organisation is not None:
+        organisation = admitted.organisation.name
+    return TargetRequest(
+        req=admitted.req,
+        expected=target,
+        organisation=organisation,
+        priority=admitted.priority,
+        remaining_s=remaining_s,
+        last_event=last_event or admitted.req.last_event,
+    )
+
+
 def _refusal_status(action: RequestAction, *, may_have_run: bool) -> int:
     """Return the status of a refusal.
 
--- a/test/request_fixtures.py
+++ b/test/request_fixtures.py
@@ -131,6 +131,15 @@
     return True
 
 
+class SuspendableClock(BootClock):
+    """A clock on which suspensions of the process can be simulated."""
+
+    suspended_s = 0.0
+
+    def now_s(self) -> float:
+        return super().now_s() + self.suspended_s
+
+
 class RequestCase(unittest.TestCase):
     """Serves requests of callers from stub targets."""
 
@@ -142,8 +151,9 @@
             stub.script = script or stub.hang
         shares = fields.pop('shares', (Share(LLM, 1),))
         self.service = shares[0].service
-        known = config(route(is_public=True, shares=shares, **fields))
-        clock = BootClock()
+        fields.setdefault('is_public', True)
+        known = config(route(shares=shares, **fields))
+        clock = self.clock = SuspendableClock()
         targets = [
             self.target(f't{index}', stub)
             for index, stub in enumerate(self.stubs)
@@ -151,6 +161,7 @@
         published_fleet = Published(
             fleet(*targets, config=known, confirmed_s=clock.now_s())
         )
+        self.published_fleet = published_fleet
         settings = DispatchSettings(ZONE, 0.2, 100, 10)
         self.dispatcher = NameOrderDispatcher(
             settings, published_fleet, Outbox(), clock, Random(1)
@@ -198,6 +209,7 @@
         """Send a request that allows this time."""
         sock.sendall(
             b'POST /a/b HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: a1\r\n'
+            b'Authorization: Bearer good\r\n'
             b'X-Model: big\r\nX-Deadline-Ms: %d\r\nContent-Length: 2\r\n'
             b'Connection: close\r\n\r\n{}' % (HOST.encode(), budget_ms)
         )
--- a/test/test_request_run.py
+++ b/test/test_request_run.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+from dataclasses import replace
 
 from pomelogauge.model.serving import RouteKind, Share
 
@@ -83,6 +84,42 @@
         self.start(reject, stream(*EVENTS))
         self.assertTrue(self.call().startswith(b'HTTP/1.1 200'))
 
+    def test_a_key_withdrawn_during_a_suspension_is_not_used(self) -> None:
+        """Guards against a process that acts on a key after waking."""
+
+        def suspend(sock: socket.socket, received: bytes) -> None:
+            self.clock.suspended_s = 5
+            known = self.published_fleet.latest()
+            self.published_fleet.publish(
+                replace(
+                    known,
+                    config=replace(known.config, keys={}),
+                    confirmed_s=self.clock.now_s(),
+                )
+            )
+            reject(sock, received)
+
+        self.start(suspend, stream(*EVENTS), is_public=False)
+        answer = self.call(budget_ms=9000)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 503'))
+        self.assertIn(b'Retry-After', answer)
+        self.assertEqual(self.stubs[1].received, [])
+
+    def test_a_key_that_is_still_valid_after_a_suspension_is_used(
+        self,
+    ) -> None:
+        def suspend(sock: socket.socket, received: bytes) -> None:
+            self.clock.suspended_s = 5
+            known = self.published_fleet.latest()
+            self.published_fleet.publish(
+                replace(known, confirmed_s=self.clock.now_s())
+            )
+            reject(sock, received)
+
+        self.start(suspend, stream(*EVENTS), is_public=False)
+        answer = self.call(budget_ms=9000)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'))
+
     def test_no_more_targets_are_tried_than_the_route_allows(self) -> None:
         self.start(reject, reject, reject, max_targets=2)
         self.assertTrue(self.call().startswith(b'HTTP/1.1 503'))
--- a/test/test_serving_rules.py
+++ b/test/test_serving_rules.py
@@ -1,6 +1,7 @@
 """Admission of requests by the configuration."""
 
 import unittest
+from dataclasses import replace
 
 from pomelogauge.decide.serving_rules import (
     AdmissionBounds,
@@ -8,6 +9,7 @@
     admit,
     find_route,
     pick_share,
+    recheck,
 )
 from pomelogauge.model.entry_request import AdmittedRequest
 from pomelogauge.model.fleet import Fleet
@@ -74,3 +76,30 @@
         self.assertEqual(pick_share(shares, 0.89).service, LLM)
         self.assertEqual(pick_share(shares, 0.91).service, DESK)
         self.assertEqual(pick_share(shares, 1.0).service, DESK)
+
+
+class RecheckTest(unittest.TestCase):
+    """Guards against requests sent long after they were allowed."""
+
+    def recheck(self, now_s: float, known: Fleet, **fields: object) -> object:
+        """Check a request again that was admitted at time 100."""
+        admitted = admit(request(), fleet(**fields), BOUNDS, 0.5)
+        return recheck(admitted, known, BOUNDS, now_s)
+
+    def test_an_admission_holds_for_as_long_as_its_configuration(self) -> None:
+        self.assertIsNone(self.recheck(104.2, Fleet()))
+
+    def test_a_key_that_is_still_confirmed_may_be_used(self) -> None:
+        self.assertIsNone(self.recheck(106, fleet(confirmed_s=105)))
+
+    def test_a_key_withdrawn_meanwhile_is_not_used(self) -> None:
+        known = fleet(config=replace(config(), keys={}), confirmed_s=105)
+        self.assertIs(self.recheck(106, known), Denial.NO_KEY)
+
+    def test_an_unconfirmed_configuration_is_not_used(self) -> None:
+        known = fleet(confirmed_s=101)
+        self.assertIs(self.recheck(106, known), Denial.UNCONFIRMED)
+
+    def test_a_public_route_needs_no_key_later_either(self) -> None:
+        public = config(route(is_public=True))
+        self.assertIsNone(self.recheck(106, Fleet(), config=public))
