Spread repeated reads of the store over the instances, and read only changes

An instance that had only watched others read all rows of 925 targets once it read the store, so that all do so at once when the owner is lost. Change: read_backoff_s stretches the pause with the number of instances to 150 failed reads a second in all; the owner and the relays, for which the others wait, keep their pace, and a new owner reads at once. The watcher publishes the versions that it got, from which a reader goes on; not from one that the store has forgotten. The reads are wired in a module of their own.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -3,7 +3,6 @@
 import os
 import signal
 import threading
-from dataclasses import dataclass
 from random import Random
 
 from ..charts.reader import load_chart
@@ -22,9 +21,6 @@
 )
 from ..entry.messages import (
     DispatchMessage,
-    SuspectsShared,
-    TableRead,
-    TableReadFailed,
 )
 from ..entry.order_sender import OrderPermit, OrderSenderPool
 from ..entry.owner import Owner, OwnerParts, OwnerSettings
@@ -32,14 +28,10 @@
 from ..entry.ownership import OwnerLease, OwnershipStatus
 from ..entry.request_ports import RequestPorts, load_request_chart
 from ..entry.requests_in_progress import InProgressMessage, RequestsInProgress
-from ..entry.table_deltas import WATCHED_TABLES
-from ..entry.table_reader import ReaderSettings, TableReader
-from ..entry.table_watcher import TableWatcher, TableWatcherPorts
 from ..model.fleet import EntryInstance, Fleet
 from ..model.log_parts import Part
 from ..platform.orders import OrderClient
 from ..platform.settings import EntrySettings, read_settings
-from ..platform.store import StoreClient
 from ..platform.translator import RequestTranslator, RowTranslator
 from ..tasks.clock import BootClock
 from ..tasks.log import part_logger
@@ -57,24 +49,15 @@
 from ..wire.entry_server import EntryServer
 from .end_wait import await_end
 from .entry_listeners import EntryListeners
+from .entry_reads import wire_reads
 from .entry_reload import check_settings
 from .entry_settings import EntryOptions
+from .entry_shared import EntryShared
 from .entry_shutdown import ShutdownNotifier
 from .incarnation import draw_incarnation
 from .logs import set_up_entry_logs
 from .task_set import TaskSet
 
-#: Deadline of a call to the store in seconds, beyond the wait of a feed. The
-#: store answers in a few milliseconds, and sixty times slower under load.
-STORE_ANSWER_S = 0.9
-#: Seconds that the store holds a feed request open without changes. Each
-#: answer confirms that the known configuration is current.
-FEED_WAIT_S = 0.8
-#: Seconds after the start of a process in which tables are read from another
-#: instance only; the second value holds for the first start of the system,
-#: when no traffic is expected yet.
-OWNER_ONLY_S = 0.25
-FIRST_START_OWNER_ONLY_S = 1.5
 #: Seconds subtracted from the time in which a revoked key must stop working:
 #: the longest time from reading a request to its arrival at a target.
 KEY_MARGIN_S = 0.7
@@ -84,26 +67,6 @@
 _log = part_logger(Part.ENTRY)
 
 
-@dataclass(frozen=True)
-class _Shared:
-    """Objects that most tasks of the process share."""
-
-    cfg: EntrySettings
-    options: EntryOptions
-    own: EntryInstance
-    incarnation: str
-    published_fleet: Published[Fleet]
-    ownership: Published[OwnershipStatus]
-    leaving: Published[bool]
-    rows: RowTranslator
-    clock: BootClock
-    tasks: TaskSet
-
-    def store(self) -> StoreClient:
-        """Return a new connection to the store for one task."""
-        return StoreClient(self.cfg.store, STORE_ANSWER_S)
-
-
 def run_entry(options: EntryOptions) -> None:
     """Run an entry instance until it is asked to end.
 
@@ -116,7 +79,7 @@
     threading.stack_size(_STACK_BYTES)
     cfg = read_settings(options.settings)
     writer = set_up_entry_logs(cfg.node, options.log_level)
-    shared = _Shared(
+    shared = EntryShared(
         cfg=cfg,
         options=options,
         own=EntryInstance(
@@ -147,7 +110,7 @@
     os._exit(0)
 
 
-def _wire(shared: _Shared, ended: Mailbox[ProcessEnd]) -> None:
+def _wire(shared: EntryShared, ended: Mailbox[ProcessEnd]) -> None:
     tasks = shared.tasks
     metrics = tasks.add('metrics', MetricsActor())
     owner = _owner(shared)
@@ -182,7 +145,7 @@
     dispatch_task = tasks.add('dispatcher', dispatcher)
     suspect_listeners = delta_server, dispatch_task
     register.share_suspects_with(*suspect_listeners)
-    _wire_reads(shared, (fleet_publisher, delta_server), suspect_listeners)
+    wire_reads(shared, (fleet_publisher, delta_server), suspect_listeners)
     in_progress = tasks.add('requests in progress', RequestsInProgress())
     shutdown = ShutdownActor(
         load_chart('router_shutdown', SHUTDOWN_WORDS),
@@ -221,42 +184,7 @@
     )
 
 
-def _wire_reads(
-    shared: _Shared,
-    listeners: tuple[Outbox[TableRead | TableReadFailed], ...],
-    suspect_listeners: tuple[Outbox[SuspectsShared], ...],
-) -> None:
-    """Read the watched tables from another instance, else from the store."""
-    is_first = shared.cfg.is_first_start
-    owner_only_s = FIRST_START_OWNER_ONLY_S if is_first else OWNER_ONLY_S
-    reads_paused_until = Published(shared.clock.now_s() + owner_only_s)
-    watcher = TableWatcher(
-        shared.own,
-        shared.cfg.bounds.apply_s,
-        GrpcOwnerLink(),
-        TableWatcherPorts(
-            shared.ownership,
-            shared.published_fleet,
-            reads_paused_until,
-            listeners,
-            suspect_listeners,
-        ),
-        shared.clock,
-    )
-    shared.tasks.add('follower', watcher)
-    for table in WATCHED_TABLES:
-        reader = TableReader(
-            ReaderSettings(table, FEED_WAIT_S),
-            shared.store(),
-            listeners,
-            shared.ownership,
-            reads_paused_until,
-            shared.clock,
-        )
-        shared.tasks.add(f'{table} reader', reader)
-
-
-def _owner(shared: _Shared) -> Owner:
+def _owner(shared: EntryShared) -> Owner:
     store = shared.store()
     own = OwnerLease(shared.incarnation, address=shared.cfg.peers)
     keeper = OwnerLeaseKeeper(
@@ -281,7 +209,7 @@
 
 
 def _request_ports(
-    shared: _Shared,
+    shared: EntryShared,
     dispatcher: Outbox[DispatchMessage],
     in_progress: Outbox[InProgressMessage],
     metrics: Outbox[MetricsMessage],
--- a/pomelogauge/entry/table_reader.py
+++ b/pomelogauge/entry/table_reader.py
@@ -6,13 +6,16 @@
 from returns.result import Failure
 
 from ..charts.reader import load_chart
+from ..decide.read_backoff import MAX_BACKOFF_S, read_backoff_s
 from ..decide.source_chart import (
     SOURCE_WORDS,
     SourceAction,
     SourceEvent,
     SourceFacts,
 )
-from ..model.ids import RowVersion
+from ..decide.watch_source import watch_sources
+from ..model.fleet import EntryInstance, Fleet
+from ..model.ids import ABSENT_ROW, RowVersion
 from ..model.log_parts import Part
 from ..model.rows import Rows
 from ..tasks.clock import Clock
@@ -22,6 +25,7 @@
 from .messages import TableRead, TableReadFailed
 from .ownership import OwnershipStatus
 from .store import StoreError, StoreFault, StoreReads, Table
+from .table_deltas import TableVersions
 
 #: Seconds until the next call after one that brought changes, on the owner
 #: and on other instances. The pause collects changes of one event into one
@@ -29,11 +33,8 @@
 #: same time while there is no owner.
 OWNER_READ_GAP_S = 0.08
 READ_GAP_S = 0.4
-#: Back-off in seconds after the first failed call, and its upper limit. Each
-#: further failure doubles it.
-FIRST_BACKOFF_S = 0.15
-MAX_BACKOFF_S = 0.6
-#: Seconds between two checks whether reads are still paused.
+#: Seconds between two checks whether reads are still paused, or whether this
+#: instance has become the owner.
 PAUSE_CHECK_INTERVAL_S = 0.25
 #: Seconds without an answer of the store after which targets may have expired
 #: only because their reports failed too: three reports of a target.
@@ -66,31 +67,57 @@
         The table to read.
     wait_s
         Seconds for which the store may hold a call while nothing changes.
+    own
+        This instance.
 
     """
 
     table: Table
     wait_s: float
+    own: EntryInstance
 
 
-class TableReader:
-    """Reads all rows once and then long-polls the store for changes.
-
-    While reads are paused it makes no calls.
+@dataclass(frozen=True)
+class TableReaderPorts:
+    """Other tasks and values that a table reader uses.
 
     Parameters
     ----------
-    settings
-        The table and the hold time of a call.
-    store
-        Connection to the store; owned by this task.
     listeners
         Tasks to which reads and failures are posted.
     ownership
         Who the owner is.
+    published_fleet
+        Names the living instances; read only.
     reads_paused_until
         Time of the local clock until which the deltas of another instance are
         current, so that the store needs not be read.
+    watched_versions
+        Versions of the tables that the listeners have from other instances.
+
+    """
+
+    listeners: tuple[Outbox[TableRead | TableReadFailed], ...]
+    ownership: Published[OwnershipStatus]
+    published_fleet: Published[Fleet]
+    reads_paused_until: Published[float]
+    watched_versions: Published[TableVersions]
+
+
+class TableReader:
+    """Reads all rows once and then long-polls the store for changes.
+
+    While reads are paused it makes no calls. After a pause it reads the
+    changes since the version that came from another instance.
+
+    Parameters
+    ----------
+    settings
+        The table and the hold time of a call.
+    store
+        Connection to the store; owned by this task.
+    ports
+        Other tasks and values.
     clock
         Local clock; it goes on during a suspension of the machine.
 
@@ -100,23 +127,21 @@
         self,
         settings: ReaderSettings,
         store: StoreReads,
-        listeners: tuple[Outbox[TableRead | TableReadFailed], ...],
-        ownership: Published[OwnershipStatus],
-        reads_paused_until: Published[float],
+        ports: TableReaderPorts,
         clock: Clock,
     ) -> None:
         """Start without a known version; the first read gets all rows."""
         self._settings = settings
         self._store = store
-        self._listeners = listeners
-        self._ownership = ownership
-        self._reads_paused_until = reads_paused_until
+        self._ports = ports
         self._clock = clock
         self._version: RowVersion | None = None
         self._answered_s = clock.now_s()
         self._chart = load_chart('table_source', SOURCE_WORDS)
         self._state = self._chart.initial
-        self._backoff_s = FIRST_BACKOFF_S
+        self._failures = 0
+        self._retry_at_s = float('-inf')
+        self._forgotten = ABSENT_ROW
         #: Whether the store may hold the next call. Not after a pause or a
         #: failure: an answer must confirm the table at once.
         self._may_wait = False
@@ -137,18 +162,36 @@
 
         """
         began_s = self._clock.now_s()
-        paused_s = self._reads_paused_until.latest() - began_s
+        paused_s = self._ports.reads_paused_until.latest() - began_s
         if paused_s > 0:
             self._answered_s = began_s
             self._may_wait = False
+            self._failures = 0
+            self._retry_at_s = began_s
             self._step(SourceEvent.READS_PAUSED, 'deltas of another instance')
             return min(paused_s, PAUSE_CHECK_INTERVAL_S)
-        self._step(
-            SourceEvent.READS_RESUMED,
+        is_own = self._ports.ownership.latest().is_own
+        backoff_s = self._retry_at_s - began_s
+        if backoff_s > 0 and not is_own:
+            return min(backoff_s, PAUSE_CHECK_INTERVAL_S)
+        self._resume(
             'this instance is the owner'
-            if self._ownership.latest().is_own
-            else f'no deltas since {-paused_s:.1f} s',
+            if is_own
+            else f'no deltas since {-paused_s:.1f} s'
         )
+        return self._read(began_s)
+
+    def on_stop(self) -> None:
+        """Do nothing; the connection ends with the process."""
+
+    def _resume(self, reason: str) -> None:
+        """Go on from the newest version that the listeners have."""
+        watched = self._ports.watched_versions.latest()[self._settings.table]
+        if watched > max(self._version or ABSENT_ROW, self._forgotten):
+            self._version = watched
+        self._step(SourceEvent.READS_RESUMED, reason)
+
+    def _read(self, began_s: float) -> float:
         if self._version is None:
             answer = self._store.read_all(self._settings.table)
         else:
@@ -160,16 +203,13 @@
             return self._on_failure(answer.failure())
         return self._on_rows(answer.unwrap(), began_s)
 
-    def on_stop(self) -> None:
-        """Do nothing; the connection ends with the process."""
-
     def _on_rows(self, rows: Rows, began_s: float) -> float:
         now_s = self._clock.now_s()
         was_away = now_s - self._answered_s > OUTAGE_S + self._settings.wait_s
         self._answered_s = now_s
         self._step(SourceEvent.READ_SUCCEEDED)
         self._may_wait = True
-        self._backoff_s = FIRST_BACKOFF_S
+        self._failures = 0
         self._post(
             TableRead(
                 self._settings.table,
@@ -182,20 +222,34 @@
         self._version = rows.version
         if not rows.rows:
             return 0
-        is_own = self._ownership.latest().is_own
+        is_own = self._ports.ownership.latest().is_own
         return OWNER_READ_GAP_S if is_own else READ_GAP_S
 
     def _on_failure(self, error: StoreError) -> float:
         if error.fault is StoreFault.FORGOTTEN:
             self._step(SourceEvent.HISTORY_LOST, error.message)
+            self._forgotten = self._version or ABSENT_ROW
             self._version = None
             return 0
         self._may_wait = False
         self._step(SourceEvent.READ_FAILED, error.message)
         self._post(TableReadFailed(self._settings.table, error))
-        backoff_s = self._backoff_s
-        self._backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
-        return backoff_s
+        self._failures += 1
+        backoff_s = read_backoff_s(self._failures, self._readers())
+        if backoff_s <= MAX_BACKOFF_S:
+            return backoff_s
+        self._retry_at_s = self._clock.now_s() + backoff_s
+        return PAUSE_CHECK_INTERVAL_S
+
+    def _readers(self) -> int:
+        """Return how many instances read the store as this one does."""
+        ownership = self._ports.ownership.latest()
+        instances = self._ports.published_fleet.latest().instances
+        sources = watch_sources(
+            self._settings.own, instances, ownership.address
+        )
+        is_source = ownership.is_own or sources.is_relay
+        return 1 if is_source else len(instances)
 
     def _step(self, event: SourceEvent, reason: str = '') -> None:
         """Apply an event to the chart and log what the chart asks for."""
@@ -211,5 +265,5 @@
             )
 
     def _post(self, message: TableRead | TableReadFailed) -> None:
-        for listener in self._listeners:
+        for listener in self._ports.listeners:
             listener.post(message)
--- a/pomelogauge/entry/table_watcher.py
+++ b/pomelogauge/entry/table_watcher.py
@@ -16,7 +16,12 @@
 from .messages import SuspectsShared, TableRead
 from .owner_link import OwnerLinkError
 from .ownership import OwnershipStatus
-from .table_deltas import NO_TABLE_VERSIONS, TableDeltas, TableWatchLink
+from .table_deltas import (
+    NO_TABLE_VERSIONS,
+    TableDeltas,
+    TableVersions,
+    TableWatchLink,
+)
 
 #: Least seconds after an answer for which this instance does not read the
 #: store: one watch request that is held, and its delay.
@@ -47,6 +52,9 @@
     reads_paused_until
         Published by the watcher: time of the local clock until which the
         deltas are current and the table readers don't read the store.
+    watched_versions
+        Published by the watcher: versions of the tables that its listeners
+        have.
     listeners
         Tasks to which the deltas are posted as table reads.
     suspect_listeners
@@ -57,6 +65,7 @@
     ownership: Published[OwnershipStatus]
     published_fleet: Published[Fleet]
     reads_paused_until: Published[float]
+    watched_versions: Published[TableVersions]
     listeners: tuple[Outbox[TableRead], ...]
     suspect_listeners: tuple[Outbox[SuspectsShared], ...]
 
@@ -189,6 +198,7 @@
             for suspect_listener in self._ports.suspect_listeners:
                 suspect_listener.post(SuspectsShared(deltas.suspects))
         self._known_versions = deltas.versions()
+        self._ports.watched_versions.publish(self._known_versions)
 
     def _log_start(self, source: Address) -> None:
         if self._watched != source:
--- a/test/entry_fakes.py
+++ b/test/entry_fakes.py
@@ -14,6 +14,7 @@
 )
 from pomelogauge.model.entry_request import CallerRequest
 from pomelogauge.model.fleet import (
+    EntryInstance,
     Fleet,
     GroupRecord,
     Member,
@@ -31,6 +32,7 @@
     Epoch,
     GroupName,
     ModelName,
+    NodeName,
     OrganisationName,
     RouteName,
     RowVersion,
@@ -67,6 +69,11 @@
     formation_s=0.3,
 )
 
+#: Data centres of a large system, and cores of its instances.
+DATA_CENTRES = 5
+LARGE_CORES = 2.15
+SMALL_CORES = 0.516
+
 
 class FakeClock:
     """A clock that only moves when a test sets ``at_s``."""
@@ -260,3 +267,19 @@
 def owner_lease(holder: str) -> OwnerLease:
     """Return the lease that an instance of this node would take."""
     return OwnerLease(f'{holder} life', address=Address(f'{holder}:7340'))
+
+
+def entry_instance(index: int) -> EntryInstance:
+    """Return an instance; three of each data centre are large."""
+    return EntryInstance(
+        NodeName(f'n{index}'),
+        Address(f'n{index}:1'),
+        DataCentreName('abcde'[index % DATA_CENTRES]),
+        peers=Address(f'n{index}:2'),
+        cores=LARGE_CORES if index < 3 * DATA_CENTRES else SMALL_CORES,
+    )
+
+
+def system(size: int) -> tuple[EntryInstance, ...]:
+    """Return the instances of a system; the first one is the owner."""
+    return tuple(entry_instance(index) for index in range(size))
--- a/test/test_delta_server.py
+++ b/test/test_delta_server.py
@@ -248,6 +248,7 @@
         self.ownership = Published(OTHER)
         self.fleet = Published(Fleet())
         self.reads_paused_until = Published(float('-inf'))
+        self.watched_versions = Published(NO_TABLE_VERSIONS)
         self.posted_reads = Outbox()
         self.posted_suspects = Outbox()
         self.watcher = self.watcher_of(0)
@@ -261,6 +262,7 @@
                 self.ownership,
                 self.fleet,
                 self.reads_paused_until,
+                self.watched_versions,
                 (self.posted_reads,),
                 (self.posted_suspects,),
             ),
@@ -277,6 +279,7 @@
         self.assertEqual(read.rows, rows(9, 'a'))
         self.assertAlmostEqual(read.began_s, self.clock.now_s() - 0.2)
         self.assertTrue(self.are_reads_paused())
+        self.assertEqual(set(self.watched_versions.latest().values()), {9})
         self.watcher.on_timer()
         self.assertEqual(set(self.link.requested[-1].values()), {9})
 
--- a/test/test_fleet_publisher.py
+++ b/test/test_fleet_publisher.py
@@ -5,20 +5,18 @@
 
 from pomelogauge.entry.fleet_publisher import FleetPublisher
 from pomelogauge.entry.messages import TableRead, TableReadFailed
-from pomelogauge.entry.ownership import OwnershipStatus
 from pomelogauge.entry.store import (
     StoreError,
     StoreFault,
     Table,
 )
-from pomelogauge.entry.table_reader import ReaderSettings, TableReader
 from pomelogauge.model.fleet import Fleet
 from pomelogauge.model.ids import RowVersion
 from pomelogauge.model.rows import Rows, StoredRow
 from pomelogauge.platform.translator import RowTranslator
 from pomelogauge.tasks.published import Published
 
-from .entry_fakes import FakeClock, MemoryStore, Outbox
+from .entry_fakes import FakeClock, Outbox
 from .platform_standin import configuration
 
 TARGET_FIELDS = {
@@ -173,109 +171,3 @@
         self.clock.at_s += 5
         fleet = self.read(Table.TARGETS)
         self.assertEqual(fleet.listed_since_s, 105.0)
-
-
-class TableReaderTest(unittest.TestCase):
-    def setUp(self) -> None:
-        self.store = MemoryStore()
-        self.clock = FakeClock()
-        self.outbox = Outbox()
-        self.ownership = Published(OwnershipStatus())
-        self.reads_paused_until = Published(float('-inf'))
-        self.reader = TableReader(
-            ReaderSettings(Table.TARGETS, 1.5),
-            self.store,
-            (self.outbox,),
-            self.ownership,
-            self.reads_paused_until,
-            self.clock,
-        )
-
-    def keys(self) -> list[str]:
-        """Return the keys of the last posted read."""
-        read = self.outbox.posted[-1]
-        return [row.key for row in read.rows.rows]
-
-    def test_it_makes_no_calls_while_reads_are_paused(self) -> None:
-        self.reads_paused_until.publish(self.clock.now_s() + 0.1)
-        self.assertAlmostEqual(self.reader.on_timer(), 0.1)
-        self.assertEqual(self.outbox.posted, [])
-        self.clock.at_s += 0.1
-        self.reader.on_timer()
-        self.assertEqual(len(self.outbox.posted), 1)
-
-    def test_an_outage_and_its_end_are_logged_once_each(self) -> None:
-        self.reader.on_timer()
-        self.store.faults.extend([StoreFault.UNAVAILABLE] * 3)
-        with self.assertLogs('pomelogauge.STORE', 'INFO') as logs:
-            for _ in range(4):
-                self.reader.on_timer()
-        messages = [record.getMessage() for record in logs.records]
-        self.assertEqual(len(messages), 2, messages)
-        self.assertIn('can not be read', messages[0])
-        self.assertIn('is read again', messages[1])
-
-    def test_the_backoff_doubles_up_to_its_limit(self) -> None:
-        self.store.faults.extend([StoreFault.UNAVAILABLE] * 5)
-        pauses = [self.reader.on_timer() for _ in range(5)]
-        self.assertEqual(pauses, [0.15, 0.3, 0.6, 0.6, 0.6])
-
-    def test_the_first_read_after_a_pause_or_a_failure_is_not_held(
-        self,
-    ) -> None:
-        self.reader.on_timer()
-        self.reader.on_timer()
-        self.reads_paused_until.publish(self.clock.now_s() + 0.5)
-        self.reader.on_timer()
-        self.clock.at_s += 0.5
-        for _ in range(2):
-            self.reader.on_timer()
-        self.store.faults.append(StoreFault.UNAVAILABLE)
-        for _ in range(3):
-            self.reader.on_timer()
-        self.assertEqual(self.store.waits, [1.5, 0, 1.5, 1.5, 0, 1.5])
-
-    def test_a_pause_does_not_count_as_an_outage(self) -> None:
-        self.reader.on_timer()
-        for _ in range(20):
-            self.clock.at_s += 0.5
-            self.reads_paused_until.publish(self.clock.now_s() + 0.5)
-            self.reader.on_timer()
-        self.clock.at_s += 0.5
-        self.reader.on_timer()
-        self.assertFalse(self.outbox.posted[-1].was_away)
-
-    def test_it_reads_all_rows_and_then_changes(self) -> None:
-        self.store.put(Table.TARGETS, 'a', b'{}')
-        self.reader.on_timer()
-        self.assertTrue(self.outbox.posted[-1].is_whole)
-        self.store.put(Table.TARGETS, 'b', b'{}')
-        self.reader.on_timer()
-        self.assertEqual(self.keys(), ['b'])
-        self.assertFalse(self.outbox.posted[-1].is_whole)
-        self.reader.on_timer()
-        self.assertEqual(self.keys(), [])
-
-    def test_a_whole_read_follows_a_lost_history(self) -> None:
-        self.store.put(Table.TARGETS, 'a', b'{}')
-        self.reader.on_timer()
-        self.store.faults.append(StoreFault.FORGOTTEN)
-        self.reader.on_timer()
-        self.reader.on_timer()
-        self.assertTrue(self.outbox.posted[-1].is_whole)
-        self.assertEqual(self.keys(), ['a'])
-
-    def test_an_outage_is_posted_and_marks_the_next_read(self) -> None:
-        self.reader.on_timer()
-        self.store.faults.append(StoreFault.UNAVAILABLE)
-        self.assertGreater(
-            self.reader.on_timer(),
-            0,
-            'a failed read must not be repeated at once',
-        )
-        self.assertIsInstance(self.outbox.posted[-1], TableReadFailed)
-        self.clock.at_s += 5
-        self.reader.on_timer()
-        self.assertTrue(self.outbox.posted[-1].was_away)
-        self.reader.on_timer()
-        self.assertFalse(self.outbox.posted[-1].was_away)
--- a/test/test_large_membership.py
+++ b/test/test_large_membership.py
@@ -36,7 +36,6 @@
 from pomelogauge.model.fleet import EntryInstance
 from pomelogauge.model.ids import (
     Address,
-    DataCentreName,
     NodeName,
     RowVersion,
 )
@@ -47,12 +46,17 @@
     encode_membership_snapshot,
 )
 
-from .entry_fakes import FakeClock, Outbox
+from .entry_fakes import (
+    DATA_CENTRES,
+    LARGE_CORES,
+    SMALL_CORES,
+    FakeClock,
+    Outbox,
+    entry_instance,
+    system,
+)
 
 SIZES = (30, 195, 420)
-DATA_CENTRES = 5
-LARGE_CORES = 2.15
-SMALL_CORES = 0.516
 #: Bytes a second on the link of a small instance, of which control may use a
 #: tenth.
 LINK_BYTES_S = 10_000_000 / 8
@@ -62,17 +66,6 @@
 FEED_S = 0.8
 
 
-def entry_instance(index: int) -> EntryInstance:
-    """Return an instance; three of each data centre are large."""
-    return EntryInstance(
-        NodeName(f'n{index}'),
-        Address(f'n{index}:1'),
-        DataCentreName('abcde'[index % DATA_CENTRES]),
-        peers=Address(f'n{index}:2'),
-        cores=LARGE_CORES if index < 3 * DATA_CENTRES else SMALL_CORES,
-    )
-
-
 def choose_source(
     own: EntryInstance, instances: tuple[EntryInstance, ...], owner: Address
 ) -> Address:
@@ -80,11 +73,6 @@
     return watch_sources(own, instances, owner).addresses[0]
 
 
-def system(size: int) -> tuple[EntryInstance, ...]:
-    """Return the instances of a system; the first one is the owner."""
-    return tuple(entry_instance(index) for index in range(size))
-
-
 def target_rows(version: int, count: int) -> Rows:
     """Return rows of targets that differ as much as real ones do."""
     at = RowVersion(version)
