--- a/test/test_request_run.py
+++ b/test/test_request_run.py
@@ -2,11 +2,12 @@
 
 import socket
 import time
+from contextlib import suppress
 from dataclasses import replace
 
 from pomelogauge.model.serving import RouteKind, Share
 
-from .entry_fakes import DESK
+from .entry_fakes import DESK, HOST
 from .request_fixtures import (
     EVENTS,
     HEAD,
@@ -103,7 +104,7 @@
         answer = self.call(budget_ms=9000)
         self.assertTrue(answer.startswith(b'HTTP/1.1 503'))
         self.assertIn(b'Retry-After', answer)
-        self.assertEqual(self.stubs[1].received, [])
+        self.assertEqual(b''.join(self.stubs[1].received), b'')
 
     def test_a_key_that_is_still_valid_after_a_suspension_is_used(
         self,
@@ -170,6 +171,42 @@
         self.assertTrue(self.call().startswith(b'HTTP/1.1 500'))
         self.assertEqual(self.received_count(), 1)
 
+    def keep_alive(self, sock: socket.socket, attempt: bytes) -> bytes:
+        """Send a request that keeps the connection; return its answer."""
+        sock.sendall(
+            b'POST /a/b HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\n'
+            b'X-Model: big\r\nX-Deadline-Ms: 4000\r\nContent-Length: 2\r\n'
+            b'\r\n{}' % (HOST.encode(), attempt)
+        )
+        answer = b''
+        while not answer.endswith(b'0\r\n\r\n'):
+            answer += sock.recv(65536)
+        return answer
+
+    def test_a_late_second_copy_of_an_answer_reaches_nobody(self) -> None:
+        """Guards against answers on a connection that is in use again."""
+        sent = []
+
+        def twice(sock: socket.socket, received: bytes) -> None:
+            sent.append(received)
+            attempt = b'a%d' % len(sent)
+            answer = HEAD.replace(b': a1', b': ' + attempt)
+            answer += chunk(b'id: 1\ndata: %s\n\n' % attempt) + b'0\r\n\r\n'
+            sock.sendall(answer)
+            for late in (b'HTTP/1.1 100 Continue\r\n\r\n', b'x', answer):
+                time.sleep(0.05)
+                with suppress(OSError):
+                    sock.sendall(late)
+
+        self.start(twice)
+        sock = self.connect()
+        for attempt, other in ((b'a1', b'a2'), (b'a2', b'a1')):
+            answer = self.keep_alive(sock, attempt)
+            self.assertEqual(answer.count(b'data: ' + attempt), 1)
+            self.assertNotIn(other, answer)
+        sock.settimeout(0.3)
+        self.assertRaises(TimeoutError, sock.recv, 1)
+
     def test_an_answer_to_another_request_is_not_relayed(self) -> None:
         def other(sock: socket.socket, received: bytes) -> None:
             sock.sendall(HEAD.replace(b': a1', b': a2') + chunk(EVENTS[0]))
