Renew a lease that was taken without an answer before acting on it

Cause: an exhaustive walk over two instances that share the owner's lease found both holding it after five steps. An instance that takes the lease and gets no answer finds its own name in the row later; it took that read for a renewal and acted for 0.5 s. Others wait from the last renewal that they saw, so that one could take over at the same moment, and orders could go out twice. Change: it renews first, on the condition that the row is unchanged.

--- a/pomelogauge/entry/owner_lease_keeper.py
+++ b/pomelogauge/entry/owner_lease_keeper.py
@@ -203,20 +203,34 @@
         version = ABSENT_ROW if renewal is None else renewal.version
         self._watch.record_renewal(version, now_s)
         if stored.holder == self._own.holder:
-            self._renewed_s = now_s
-            self._next_s = min(self._next_s, now_s + RENEWAL_INTERVAL_S)
-            return self._step(OwnershipEvent.TAKEN)
-        if not self._may_take(stored):
+            return self._renew_own(now_s)
+        polled_s = self._clock.now_s()
+        may_take = (
+            self._watch.has_timed_out(polled_s)
+            if stored.term
+            else self._watch.may_take_free(polled_s)
+        )
+        if not may_take:
             return None
         if self._step(OwnershipEvent.OWNER_TIMED_OUT) is OwnershipAction.TAKE:
             return self._take_over(now_s, version)
         return None
 
-    def _may_take(self, stored: OwnerLease) -> bool:
-        now_s = self._clock.now_s()
-        if stored.term:
-            return self._watch.has_timed_out(now_s)
-        return self._watch.may_take_free(now_s)
+    def _renew_own(self, now_s: float) -> OwnershipAction | None:
+        """Renew a lease that this instance took without an answer.
+
+        Others wait from the last renewal on, so that the lease in the row
+        alone does not allow to act.
+        """
+        written = (RowWritten(Table.OWNER, RENEWAL_KEY, b'{}'),)
+        answer = self._store.commit((self.write_condition(),), written)
+        if isinstance(answer, Failure):
+            self._next_s = now_s + POLL_INTERVAL_S
+            return None
+        self._renewed_s = now_s
+        self._next_s = now_s + RENEWAL_INTERVAL_S
+        self._watch.record_renewal(answer.unwrap(), now_s)
+        return self._step(OwnershipEvent.TAKEN)
 
     def _take_over(
         self,
--- a/test/test_owner_lease_keeper.py
+++ b/test/test_owner_lease_keeper.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from returns.result import Result
+
 from pomelogauge.decide.ownership_chart import OwnershipAction
 from pomelogauge.entry.messages import OwnerAnswerMissed, OwnerAnswerReceived
 from pomelogauge.entry.owner_lease_keeper import OwnerLeaseKeeper
@@ -19,6 +21,12 @@
         self.second = self.keeper('n2')
         self.first.tick()
 
+    def start_without_owner(self) -> None:
+        """Start again with a lease that nobody has taken."""
+        self.store = MemoryStore()
+        self.first = self.keeper('n1')
+        self.second = self.keeper('n2')
+
     def keeper(self, node: str) -> OwnerLeaseKeeper:
         rows = RowTranslator()
         return OwnerLeaseKeeper(owner_lease(node), self.store, rows, self.clock)
@@ -45,6 +53,43 @@
         actions = self.run_for(3, self.second)
         self.assertEqual(actions, [OwnershipAction.ADOPT])
 
+    def test_a_lease_in_the_row_alone_does_not_allow_to_act(self) -> None:
+        """Guards against two owners after a taking without an answer.
+
+        The first instance takes the lease, gets no answer and is suspended.
+        After that it reads its lease in the row just before the second one
+        takes over.
+        """
+        self.start_without_owner()
+        self.store.loses_answers = True
+        self.first.tick()
+        self.store.loses_answers = False
+        self.second.tick()
+        self.clock.at_s += 3
+        read = self.store.read_all
+        taken = []
+
+        def read_before_the_takeover(table: Table) -> Result:
+            rows = read(table)
+            if not taken:
+                taken.append(table)
+                self.second.tick()
+            return rows
+
+        self.store.read_all = read_before_the_takeover
+        self.first.tick()
+        self.assertTrue(self.second.is_held)
+        self.assertFalse(self.first.is_held)
+
+    def test_a_taking_without_an_answer_is_acted_on_once_renewed(self) -> None:
+        self.start_without_owner()
+        self.store.loses_answers = True
+        self.first.tick()
+        self.store.loses_answers = False
+        self.run_for(1, self.first, self.second)
+        self.assertTrue(self.first.is_held)
+        self.assertFalse(self.second.is_held)
+
     def test_a_holder_that_refuses_connections_is_replaced_sooner(self) -> None:
         self.run_for(1, self.first, self.second)
         self.second.record_missed_answer(
--- /dev/null
+++ b/test/test_state_walks.py
@@ -0,0 +1,181 @@
+"""Exhaustive walks over the request chart and the hand-over of ownership."""
+
+import copy
+import itertools
+import unittest
+from collections import deque
+from collections.abc import Iterator
+
+from pomelogauge.decide.entry_request_chart import (
+    RequestAction,
+    RequestEvent,
+    RequestFacts,
+    RequestState,
+)
+from pomelogauge.entry.owner_lease_keeper import OwnerLeaseKeeper
+from pomelogauge.entry.request_ports import load_request_chart
+from pomelogauge.entry.store import StoreFault
+from pomelogauge.platform.translator import RowTranslator
+
+from .entry_fakes import FakeClock, MemoryStore, owner_lease
+
+#: Actions that send a status line to the caller, and those that may follow
+#: once the caller has one.
+REFUSALS = frozenset(
+    (RequestAction.REFUSE, RequestAction.FAIL, RequestAction.TIME_OUT)
+)
+ONCE_STARTED = frozenset(RequestAction) - REFUSALS
+
+
+def all_facts() -> Iterator[RequestFacts]:
+    """Yield all facts; a caller has a head only if a target has run."""
+    flags = (False, True)
+    for started, retryable, left, may_have_run in itertools.product(
+        flags, flags, (0, 1), flags
+    ):
+        if may_have_run or not started:
+            yield RequestFacts(started, retryable, left, may_have_run)
+
+
+class RequestWalkTest(unittest.TestCase):
+    """Guards what callers are told, in all states with all events."""
+
+    def setUp(self) -> None:
+        self.chart = load_request_chart()
+
+    def moves(self) -> Iterator[tuple]:
+        for state, event, facts in itertools.product(
+            RequestState, RequestEvent, all_facts()
+        ):
+            if state not in self.chart.final:
+                move = self.chart.step(state, event, facts)
+                yield state, event, facts, move
+
+    def test_a_request_that_may_have_run_is_never_called_not_run(self) -> None:
+        for state, event, facts, move in self.moves():
+            if move.action is RequestAction.REFUSE:
+                self.assertFalse(facts.may_have_run, (state, event, facts))
+
+    def test_an_answer_that_has_begun_gets_no_second_status(self) -> None:
+        for state, event, facts, move in self.moves():
+            if facts.started and move.action is not None:
+                self.assertIn(move.action, ONCE_STARTED, (state, event, facts))
+
+    def test_a_request_is_sent_again_only_if_it_may_run_twice(self) -> None:
+        for state, event, facts, move in self.moves():
+            if (
+                event is RequestEvent.ATTEMPT_FAILED
+                and move.action is RequestAction.REQUEST_SLOT
+            ):
+                self.assertTrue(facts.may_retry(), (state, event, facts))
+
+    def test_a_final_state_ends_all_work(self) -> None:
+        for state, event, facts in itertools.product(
+            self.chart.final, RequestEvent, all_facts()
+        ):
+            move = self.chart.step(state, event, facts)
+            self.assertIn(move.state, self.chart.final)
+
+    def test_each_state_leads_to_an_end(self) -> None:
+        leads_on = {state: {state} for state in RequestState}
+        for state, _, _, move in self.moves():
+            leads_on[state].add(move.state)
+        for state in RequestState:
+            reached = {state}
+            while any(leads_on[at] - reached for at in reached):
+                reached |= set().union(*(leads_on[at] for at in reached))
+            self.assertTrue(reached & self.chart.final, state)
+
+
+class World:
+    """Two instances, the store and the time, at one moment."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        self.store = MemoryStore()
+        self.keepers = tuple(
+            OwnerLeaseKeeper(
+                owner_lease(node), self.store, RowTranslator(), self.clock
+            )
+            for node in ('n1', 'n2')
+        )
+
+    def after(self, step: str) -> 'World':
+        """Return the world after one step."""
+        constant = [vars(keeper)['_chart'] for keeper in self.keepers]
+        world = copy.deepcopy(self, {id(part): part for part in constant})
+        match step:
+            case 'short' | 'long':
+                world.clock.at_s += 0.4 if step == 'short' else 1.8
+            case 'n1' | 'n2':
+                world.keepers[step == 'n2'].tick()
+            case 'n1 away' | 'n2 away':
+                world.store.faults.append(StoreFault.UNAVAILABLE)
+                world.keepers[step == 'n2 away'].tick()
+                world.store.faults.clear()
+            case 'n1 lost' | 'n2 lost':
+                world.store.loses_answers = True
+                world.keepers[step == 'n2 lost'].tick()
+                world.store.loses_answers = False
+        return world
+
+    def state(self) -> tuple:
+        """Return what decides on all further steps; times are relative."""
+        now_s = self.clock.at_s
+        return (
+            tuple(self.store.rows.values()),
+            *(comparable(keeper, now_s) for keeper in self.keepers),
+        )
+
+
+#: Parts that no step changes, or that both instances share.
+CONSTANT = ('_chart', '_rows', '_store', '_clock', '_own')
+
+
+def comparable(part: object, now_s: float) -> object:
+    """Return the values of a part, with its times relative to the clock."""
+    if isinstance(part, float):
+        return round(part - now_s, 3)
+    if hasattr(part, '__dict__') and not isinstance(part, str):
+        return tuple(
+            comparable(value, now_s)
+            for name, value in vars(part).items()
+            if name not in CONSTANT
+        )
+    return part
+
+
+STEPS = (
+    'short',
+    'long',
+    *('n1', 'n2'),
+    *('n1 away', 'n2 away'),
+    *('n1 lost', 'n2 lost'),
+)
+DEPTH = 6
+
+
+class OwnershipWalkTest(unittest.TestCase):
+    """Guards against two owners at the same moment."""
+
+    def test_two_instances_never_own_at_the_same_time(self) -> None:
+        """Steps come in every order; an instance without steps is paused."""
+        seen = set()
+        worlds = deque([(World(), 0)])
+        owners = set()
+        while worlds:
+            world, depth = worlds.popleft()
+            held = [keeper.is_held for keeper in world.keepers]
+            self.assertLess(sum(held), 2, world.state())
+            owners.add(tuple(held))
+            for step in STEPS if depth < DEPTH else ():
+                after = world.after(step)
+                if after.state() not in seen:
+                    seen.add(after.state())
+                    worlds.append((after, depth + 1))
+        self.assertEqual(owners, {(False, False), (True, False), (False, True)})
+        print(f'states of the hand-over visited: {len(seen)}')
+
+
+if __name__ == '__main__':
+    unittest.main()
