Answer reports only until the published end of the owner's lease

Cause: an owner that had been paused answered reports by its last published status, until its owner task had looked at the lease again; its successor may answer by then. Change: each answer asks the end of the lease that is published with it. Result: test_a_lease_that_ended_during_a_suspension_answers_nothing fails before.

--- a/pomelogauge/entry/instance_membership.py
+++ b/pomelogauge/entry/instance_membership.py
@@ -165,7 +165,7 @@
 
     def _answer(self, report: EntryReport) -> MembershipSnapshot | None:
         ownership = self._ports.ownership.latest()
-        if not ownership.is_own:
+        if not ownership.may_act(ownership.term, self._clock.now_s()):
             return None
         self._record(report)
         if self._version.term != ownership.term:
--- a/test/test_instance_membership.py
+++ b/test/test_instance_membership.py
@@ -64,10 +64,11 @@
         self.membership = InstanceMembership(instance('n1'), ports, self.clock)
         self.membership.on_start()
 
-    def become_owner(self) -> None:
+    def become_owner(self, for_s: float = 100) -> None:
         """Publish that this instance is the owner in term 3."""
+        until_s = self.clock.now_s() + for_s
         self.ownership.publish(
-            OwnershipStatus(True, 3, Address('n1:2'), RowVersion(8))
+            OwnershipStatus(True, 3, Address('n1:2'), RowVersion(8), until_s)
         )
 
     def become_standby(self) -> None:
@@ -95,6 +96,14 @@
         snapshot = self.report(EntryReport(instance('n2')))
         self.assertEqual((snapshot.term, snapshot.renewal_version), (3, 8))
 
+    def test_a_lease_that_ended_during_a_suspension_answers_nothing(
+        self,
+    ) -> None:
+        """Guards against a paused owner whose successor answers too."""
+        self.become_owner(for_s=1.3)
+        self.clock.at_s += 3
+        self.assertIsNone(self.report(EntryReport(instance('n2'))))
+
     def test_instances_without_heartbeat_are_removed(self) -> None:
         self.become_owner()
         self.report(EntryReport(instance('n2')))
--- a/test/test_large_membership.py
+++ b/test/test_large_membership.py
@@ -273,7 +273,9 @@
 class LargeReportTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = FakeClock()
-        ownership = OwnershipStatus(True, 3, Address('n0:2'), RowVersion(8))
+        ownership = OwnershipStatus(
+            True, 3, Address('n0:2'), RowVersion(8), float('inf')
+        )
         ports = InstanceMembershipPorts(
             Outbox(), Published(ownership), Outbox(), (Outbox(),)
         )
