Test that nothing withdrawn is used again after a restart

One instance or all are killed; meanwhile the key is withdrawn and the head of the group leaves the list but runs on; the store is slow at the restart and has dropped its history, or another instance serves the tables.

--- a/test/platform_standin.py
+++ b/test/platform_standin.py
@@ -67,7 +67,8 @@
 class StoreStandin(HttpStandin):
     """The platform's store: reads, transactions and feeds of rows.
 
-    While ``is_down`` is set, every call gets status 503.
+    While ``is_down`` is set, every call gets status 503. Each call takes
+    ``delay_s`` longer, and changes up to the version ``forgotten`` are gone.
     """
 
     def __init__(self) -> None:
@@ -75,6 +76,8 @@
         self.history: list[dict] = []
         self.version = 0
         self.is_down = False
+        self.delay_s = 0.0
+        self.forgotten = 0
         self.lock = threading.Lock()
         super().__init__()
 
@@ -100,6 +103,7 @@
         if self.is_down:
             conn.answer(503, {})
             return
+        time.sleep(self.delay_s)
         parts = urlsplit(conn.path)
         query = {
             key: values[0] for key, values in parse_qs(parts.query).items()
@@ -122,6 +126,9 @@
     def feed(self, conn: Handler, query: dict[str, str]) -> None:
         """Send the rows that changed; hold the call while there are none."""
         deadline_s = time.monotonic() + int(query['wait_ms']) / 1000
+        if int(query['after_rev']) < self.forgotten:
+            conn.answer(410, {})
+            return
         while True:
             with self.lock:
                 rows = [
--- a/test/test_entry_process.py
+++ b/test/test_entry_process.py
@@ -125,6 +125,64 @@
             orders_after, orders, 'the existing group was formed again'
         )
 
+    def withdraw(self) -> WorkerStandin:
+        """Withdraw the key and remove the group's head, which still runs."""
+        self.store.put('op', 'config', configuration(2, 'other'))
+        gone = next(
+            worker
+            for worker in self.workers
+            if worker.group and not worker.group['rank']
+        )
+        self.store.put('servers', gone.name, None)
+        return gone
+
+    def assert_unused(
+        self, gone: WorkerStandin, *entries: EntryProcess
+    ) -> None:
+        """Check that neither the key nor the target is used again."""
+        served = len(gone.served)
+        ends_s = time.monotonic() + 2
+        while time.monotonic() < ends_s:
+            for entry in entries:
+                status = entry.send_request('a6').status
+                self.assertIn(status, {401, 503})
+        for entry in entries:
+            self.assertTrue(
+                wait_for(
+                    lambda entry=entry: (
+                        entry.send_request('a7', 'other').status == 200
+                    )
+                )
+            )
+        self.assertEqual(len(gone.served), served)
+
+    def test_what_went_during_a_stop_of_all_is_not_used_again(self) -> None:
+        """The store is slow at the restart, or has dropped its history."""
+        first, second = self.entry('n1'), self.entry('n2')
+        self.assertTrue(wait_for(first.serves_requests))
+        self.assertTrue(wait_for(second.serves_requests))
+        for entry in (first, second):
+            entry.end()
+        gone = self.withdraw()
+        self.store.forgotten = self.store.version
+        self.store.delay_s = 0.3
+        for entry in (first, second):
+            entry.start()
+        for entry in (first, second):
+            self.assertTrue(wait_for(entry.is_ready))
+        self.assert_unused(gone, first, second)
+
+    def test_what_went_while_one_was_away_is_not_used_again(self) -> None:
+        """The instance may get its tables from the other one."""
+        first, second = self.entry('n1'), self.entry('n2')
+        self.assertTrue(wait_for(first.serves_requests))
+        self.assertTrue(wait_for(second.serves_requests))
+        first.end()
+        gone = self.withdraw()
+        first.start()
+        self.assertTrue(wait_for(first.is_ready))
+        self.assert_unused(gone, first)
+
     def test_keys_are_refused_once_the_configuration_is_too_old(self) -> None:
         entry = self.entry('n1')
         self.assertTrue(wait_for(entry.serves_requests))
