Read tables of several pages without a gap

Cause: a read of all rows took the version of its last page. The store answers 500 rows at most, each page as of its own moment, so that a row of the first page that changed or was removed before the last one was read is in no later answer: a target that had left stayed listed (sites with more than 500 targets, after a start or a lost history). Change: the version of the first page; changes since then come again. The stand-in of the store answers in pages now, as the platform does.

--- a/pomelogauge/platform/store.py
+++ b/pomelogauge/platform/store.py
@@ -75,9 +75,12 @@
     def read_all(self, table: Table) -> Result[Rows, StoreError]:
         """Return all rows of a table, read page by page.
 
-        The version is that of the last page.
+        The version is that of the first page: a row of an earlier page may
+        change while a later one is read, which only the changes since then
+        show.
         """
         rows: tuple[StoredRow, ...] = ()
+        version: RowVersion | None = None
         start = ''
         while True:
             query = {'table': _TABLES[table], 'part': '', 'limit': _PAGE_ROWS}
@@ -88,8 +91,9 @@
                 return page
             fields, read = page.unwrap()
             rows = (*rows, *read.rows)
+            version = read.version if version is None else version
             if not fields.flag('truncated') or not read.rows:
-                return Success(Rows(rows, read.version))
+                return Success(Rows(rows, version))
             start = f'{read.rows[-1].key}\0'
 
     def changes(
--- a/test/platform_standin.py
+++ b/test/platform_standin.py
@@ -14,6 +14,10 @@
 TRIES = 5000
 
 
+#: Rows of one answer of the store at most.
+MAX_PAGE_ROWS = 500
+
+
 class QuietServer(ThreadingHTTPServer):
     """Serves each connection in a daemon thread."""
 
@@ -112,15 +116,30 @@
             self.transact(conn, json.loads(body))
         elif parts.path == '/rows-get':
             with self.lock:
-                self.answer_rows(conn, list(self.rows_of(query['table'])))
+                self.answer_page(conn, query)
         else:
             self.feed(conn, query)
 
     def rows_of(self, table: str) -> Iterator[dict]:
         return (row for key, row in self.rows.items() if key[0] == table)
 
-    def answer_rows(self, conn: Handler, rows: list[dict]) -> None:
-        page = {'rows': rows, 'truncated': False, 'ver': self.version}
+    def answer_page(self, conn: Handler, query: dict[str, str]) -> None:
+        """Send rows from a key on, at most the limit, in the order of keys."""
+        rows = sorted(
+            (
+                row
+                for row in self.rows_of(query['table'])
+                if row['key'] >= query.get('from', '')
+            ),
+            key=lambda row: row['key'],
+        )
+        limit = min(int(query['limit']), MAX_PAGE_ROWS)
+        self.answer_rows(conn, rows[:limit], is_cut=len(rows) > limit)
+
+    def answer_rows(
+        self, conn: Handler, rows: list[dict], *, is_cut: bool = False
+    ) -> None:
+        page = {'rows': rows, 'truncated': is_cut, 'ver': self.version}
         conn.answer(200, page)
 
     def feed(self, conn: Handler, query: dict[str, str]) -> None:
