Bound the time of a caller's whole head and body

Cause: the times of the configuration bounded each read, so that a caller that sends a byte now and then held a connection and its thread without an end. Change: the head must be complete within the header time of its first byte, the body within the idle time; a caller that is late gets 408.

--- a/pomelogauge/wire/caller_connection.py
+++ b/pomelogauge/wire/caller_connection.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 from dataclasses import dataclass
+from time import monotonic
 
 import h11
 
@@ -78,11 +79,10 @@
     head_bytes, body_bytes
         Largest head and body, in bytes.
     head_s
-        Seconds for each read after the head.
+        Seconds from the first byte of a request to the end of its head.
     idle_s
-        Seconds for each read until the head is complete. A request that has
-        begun is then refused with status 408; a connection without a request
-        ends.
+        Seconds without a request after which the connection ends, and seconds
+        from the end of a head to the end of the body.
 
     """
 
@@ -299,14 +299,16 @@
         self._sock.close()
 
     def _read(self, limits: ReadLimits) -> ReadOutcome:
-        self._sock.settimeout(limits.idle_s)
-        head = self._next_part()
-        self._sock.settimeout(limits.head_s)
+        has_begun = bool(self._http.trailing_data[0])
+        if not has_begun and not wait_readable((self.fileno(),), limits.idle_s):
+            return ReadEnded()
+        head = self._next_part(monotonic() + limits.head_s)
         if not isinstance(head, h11.Request):
             return ReadEnded()
+        ends_s = monotonic() + limits.idle_s
         body = bytearray()
         while True:
-            part = self._next_part()
+            part = self._next_part(ends_s)
             if not isinstance(part, h11.Data):
                 break
             body += part.data
@@ -324,14 +326,19 @@
             bytes(body),
         )
 
-    def _next_part(self) -> object:
+    def _next_part(self, ends_s: float) -> object:
+        """Read the next part of a request, until a time at most."""
         while True:
             part = self._http.next_event()
             if part is not h11.NEED_DATA:
                 return part
-            self._fill()
+            self._fill(ends_s)
 
-    def _fill(self) -> None:
+    def _fill(self, ends_s: float) -> None:
+        remaining_s = ends_s - monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError
+        self._sock.settimeout(remaining_s)
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._sock.sendall(self._http.send(interim) or b'')
