--- a/pomelogauge/app/entry_reads.py
+++ b/pomelogauge/app/entry_reads.py
@@ -2,11 +2,7 @@
 
 from ..entry.messages import SuspectsShared, TableRead, TableReadFailed
 from ..entry.table_deltas import NO_TABLE_VERSIONS, WATCHED_TABLES
-from ..entry.table_reader import (
-    ReaderSettings,
-    TableReader,
-    TableReaderPorts,
-)
+from ..entry.table_reader import ReaderSettings, TableReader, TableReaderPorts
 from ..entry.table_watcher import TableWatcher, TableWatcherPorts
 from ..tasks.mailbox import Outbox
 from ..tasks.published import Published
--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -19,9 +19,7 @@
     InstanceMembership,
     InstanceMembershipPorts,
 )
-from ..entry.messages import (
-    DispatchMessage,
-)
+from ..entry.messages import DispatchMessage
 from ..entry.order_sender import OrderPermit, OrderSenderPool
 from ..entry.owner import Owner, OwnerParts, OwnerSettings
 from ..entry.owner_lease_keeper import OwnerLeaseKeeper
--- a/pomelogauge/app/settings_page.py
+++ b/pomelogauge/app/settings_page.py
@@ -7,11 +7,7 @@
 from .setting_fields import Definition, definitions
 from .setting_options import bounds_text
 from .setting_rules import ORDERINGS, ordering_message
-from .settings import (
-    CommonSettings,
-    ControllerSettings,
-    RouterSettings,
-)
+from .settings import CommonSettings, ControllerSettings, RouterSettings
 
 _INTRODUCTION = """\
 # Settings
--- a/pomelogauge/decide/heartbeats.py
+++ b/pomelogauge/decide/heartbeats.py
@@ -7,11 +7,7 @@
 from functools import lru_cache
 
 from ..model.ids import Address, ConfigVersion, Incarnation, NodeName
-from ..model.peers import (
-    Heartbeat,
-    Heartbeats,
-    PeerView,
-)
+from ..model.peers import Heartbeat, Heartbeats, PeerView
 from ..model.phase import NodePhase
 from .membership import KnownPeer, KnownPeers
 
--- a/pomelogauge/decide/read_backoff.py
+++ b/pomelogauge/decide/read_backoff.py
@@ -30,7 +30,4 @@
     """
     doubled_s = math.ldexp(FIRST_BACKOFF_S, failures - 1)
     spread_s = _TABLES * readers / FAILED_READS_PER_S
-    return max(
-        min(doubled_s, MAX_BACKOFF_S),
-        min(spread_s, MAX_SPREAD_S) if readers > 1 else 0,
-    )
+    return max(min(doubled_s, MAX_BACKOFF_S), min(spread_s, MAX_SPREAD_S))
--- a/pomelogauge/entry/delta_server.py
+++ b/pomelogauge/entry/delta_server.py
@@ -38,7 +38,7 @@
     requested_s
         Time of the local clock at which it came.
     confirmed_s
-        When the read began that had confirmed the configuration by then.
+        As of when the configuration had been confirmed by then.
 
     """
 
--- a/pomelogauge/entry/owner_lease_keeper.py
+++ b/pomelogauge/entry/owner_lease_keeper.py
@@ -41,6 +41,7 @@
 #: and an empty row whose version changes with each renewal.
 OWNER_LEASE_KEY = 'tenure'
 RENEWAL_KEY = 'beat'
+_RENEWAL = RowWritten(Table.OWNER, RENEWAL_KEY, b'{}')
 
 _FACTS = OwnershipFacts()
 _log = part_logger(Part.LEASE)
@@ -171,8 +172,7 @@
 
     def _renew(self, now_s: float) -> OwnershipAction | None:
         self._next_s = now_s + RENEWAL_INTERVAL_S
-        written = (RowWritten(Table.OWNER, RENEWAL_KEY, b'{}'),)
-        answer = self._store.commit((self.write_condition(),), written)
+        answer = self._store.commit((self.write_condition(),), (_RENEWAL,))
         if isinstance(answer, Success):
             self._renewed_s = now_s
             self._watch.record_renewal(answer.unwrap(), now_s)
@@ -222,8 +222,7 @@
         Others wait from the last renewal on, so that the lease in the row
         alone does not allow to act.
         """
-        written = (RowWritten(Table.OWNER, RENEWAL_KEY, b'{}'),)
-        answer = self._store.commit((self.write_condition(),), written)
+        answer = self._store.commit((self.write_condition(),), (_RENEWAL,))
         if isinstance(answer, Failure):
             self._next_s = now_s + POLL_INTERVAL_S
             return None
@@ -245,7 +244,7 @@
         )
         written = (
             RowWritten(Table.OWNER, OWNER_LEASE_KEY, body),
-            RowWritten(Table.OWNER, RENEWAL_KEY, b'{}'),
+            _RENEWAL,
         )
         answer = self._store.commit(expected, written)
         if isinstance(answer, Failure):
--- a/pomelogauge/entry/table_deltas.py
+++ b/pomelogauge/entry/table_deltas.py
@@ -35,8 +35,8 @@
     is_whole
         Whether rows that are missing here have been removed.
     age_s
-        Seconds from the start of the owner's read of this state to the
-        watch request; negative if the read began while the request was held.
+        Seconds to the watch request from the time as of which the rows were
+        read; negative if they were read while the request was held.
     was_away
         Whether the store has answered again only shortly before. Targets
         that are missing may then come back within a grace period.
--- a/pomelogauge/entry/table_watcher.py
+++ b/pomelogauge/entry/table_watcher.py
@@ -16,12 +16,7 @@
 from .messages import SuspectsShared, TableRead
 from .owner_link import OwnerLinkError
 from .ownership import OwnershipStatus
-from .table_deltas import (
-    NO_TABLE_VERSIONS,
-    TableDeltas,
-    TableVersions,
-    TableWatchLink,
-)
+from .table_deltas import TableDeltas, TableVersions, TableWatchLink
 
 #: Most seconds after an answer after which a relay reads the store: one watch
 #: request that is held, and its delay.
@@ -98,13 +93,12 @@
         ports: TableWatcherPorts,
         clock: Clock,
     ) -> None:
-        """Start without table versions."""
+        """Start without a source."""
         self._own = own
         self._apply_s = apply_s
         self._link = link
         self._ports = ports
         self._clock = clock
-        self._known_versions = NO_TABLE_VERSIONS
         self._watched = Address('')
         self._is_relay = False
         self._avoided_until: dict[Address, float] = {}
@@ -156,7 +150,8 @@
 
     def _watch(self, source: Address) -> float:
         began_s = self._clock.now_s()
-        answer = self._link.watch(source, self._known_versions)
+        known = self._ports.watched_versions.latest()
+        answer = self._link.watch(source, known)
         now_s = self._clock.now_s()
         if isinstance(answer, Failure):
             error: OwnerLinkError = answer.failure()
@@ -197,8 +192,7 @@
         if deltas.suspects:
             for suspect_listener in self._ports.suspect_listeners:
                 suspect_listener.post(SuspectsShared(deltas.suspects))
-        self._known_versions = deltas.versions()
-        self._ports.watched_versions.publish(self._known_versions)
+        self._ports.watched_versions.publish(deltas.versions())
 
     def _log_start(self, source: Address) -> None:
         if self._watched != source:
--- a/pomelogauge/entry/target_views.py
+++ b/pomelogauge/entry/target_views.py
@@ -10,11 +10,7 @@
     EjectionEvent,
 )
 from ..decide.eligible_targets import EligibleTargets
-from ..decide.outlier_ejection import (
-    NOT_EJECTED,
-    apply_event,
-    apply_suspicion,
-)
+from ..decide.outlier_ejection import NOT_EJECTED, apply_event, apply_suspicion
 from ..decide.shared_suspicion import may_avoid
 from ..decide.target_choice import NO_VIEW, ReportedLoad, TargetView
 from ..model.entry_request import TargetLoad
@@ -94,13 +90,13 @@
         now_s: float,
     ) -> None:
         """Eject targets that other instances suspect, if enough remain."""
+        ejected = self._ejected(now_s)
         for candidates in eligible.by_model.values():
             for candidate in candidates:
                 name = candidate.target.name
-                if name in suspects and may_avoid(
-                    candidates, self._ejected(now_s)
-                ):
+                if name in suspects and may_avoid(candidates, ejected):
                     self._eject(name, now_s)
+                    ejected = self._ejected(now_s)
 
     def change_fleet(self, before: Fleet, now: Fleet) -> None:
         """Drop views of targets that are gone or not the same any more."""
--- a/pomelogauge/wire/entry_codec.py
+++ b/pomelogauge/wire/entry_codec.py
@@ -6,11 +6,7 @@
 
 from google.protobuf.message import DecodeError
 
-from ..entry.owner_link import (
-    EntryReport,
-    MembershipSnapshot,
-    SnapshotVersion,
-)
+from ..entry.owner_link import EntryReport, MembershipSnapshot, SnapshotVersion
 from ..entry.store import Table
 from ..entry.table_deltas import (
     NO_TABLE_VERSIONS,
--- a/pomelogauge/wire/report_codec.py
+++ b/pomelogauge/wire/report_codec.py
@@ -10,12 +10,7 @@
     Incarnation,
     NodeName,
 )
-from ..model.peers import (
-    Heartbeat,
-    Heartbeats,
-    NodeReport,
-    PeerView,
-)
+from ..model.peers import Heartbeat, Heartbeats, NodeReport, PeerView
 from ..model.phase import NodePhase
 from ..model.topology import InstanceRole
 from ..tasks.messages import ConfigurationDocument, Gossip
--- a/test/test_delta_server.py
+++ b/test/test_delta_server.py
@@ -8,11 +8,7 @@
 from pomelogauge.decide.shared_suspicion import SUSPECT_S
 from pomelogauge.decide.table_copy import MAX_TOMBSTONES, TableCopy
 from pomelogauge.entry.delta_server import MAX_READ_AGE_S, DeltaServer
-from pomelogauge.entry.messages import (
-    SuspectsShared,
-    TableRead,
-    WatchRequested,
-)
+from pomelogauge.entry.messages import SuspectsShared, TableRead, WatchRequested
 from pomelogauge.entry.owner_link import OwnerLinkError
 from pomelogauge.entry.ownership import OwnershipStatus
 from pomelogauge.entry.store import Table
--- a/test/test_large_membership.py
+++ b/test/test_large_membership.py
@@ -14,11 +14,7 @@
     InstanceMembership,
     InstanceMembershipPorts,
 )
-from pomelogauge.entry.messages import (
-    ReportReceived,
-    TableRead,
-    WatchRequested,
-)
+from pomelogauge.entry.messages import ReportReceived, TableRead, WatchRequested
 from pomelogauge.entry.owner_link import (
     NO_SNAPSHOT,
     EntryReport,
@@ -34,11 +30,7 @@
     TableVersions,
 )
 from pomelogauge.model.fleet import EntryInstance
-from pomelogauge.model.ids import (
-    Address,
-    NodeName,
-    RowVersion,
-)
+from pomelogauge.model.ids import Address, NodeName, RowVersion
 from pomelogauge.model.rows import Rows, StoredRow
 from pomelogauge.tasks.published import Published
 from pomelogauge.wire.entry_codec import (
--- a/test/test_table_reader.py
+++ b/test/test_table_reader.py
@@ -19,13 +19,7 @@
 from pomelogauge.model.ids import Address, RowVersion
 from pomelogauge.tasks.published import Published
 
-from .entry_fakes import (
-    FakeClock,
-    MemoryStore,
-    Outbox,
-    entry_instance,
-    system,
-)
+from .entry_fakes import FakeClock, MemoryStore, Outbox, entry_instance, system
 
 
 class HoldingStore(MemoryStore):
