Log by which outcome the owner takes a target for free

The record of the incident shows the orders' outcomes and the release of the groups, but not which target was taken for free by which outcome, nor how old the owner's list was at that moment.

One line for each target that counts as having left; test_owned_group passes.

--- a/pomelogauge/entry/owned_group.py
+++ b/pomelogauge/entry/owned_group.py
@@ -260,6 +260,18 @@
             settled.outcome is OrderOutcome.CLOSED
             and has_crashed(order.target, fleet, now_s)
         )
+        if has_left:
+            _log.info(
+                'target %s has left group %s: order to leave was %s',
+                order.target,
+                order.group,
+                settled.outcome,
+                extra={
+                    'target': order.target,
+                    'group': order.group,
+                    'listed_age_s': round(now_s - fleet.listed_s, 2),
+                },
+            )
         if order.target == self.record.head.target:
             silent = GroupEvent.HEAD_SILENT
             return OutcomeEffect(
