Tests that fail: targets behind a refusing path are taken for free

An exhaustive walk over a group, its two members and its owner: orders are answered, late, dropped, refused or lose their answer; members report, lapse, crash, start again, drain and stop to listen; owners follow each other. After six steps both members are free under their open head.

--- /dev/null
+++ b/test/group_world.py
@@ -0,0 +1,376 @@
+"""A group, its members and its owner as one value, for exhaustive walks."""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from enum import Enum, auto
+
+from pomelogauge.decide.group_chart import GroupAction, GroupEvent, GroupState
+from pomelogauge.entry.messages import (
+    Order,
+    OrderKind,
+    OrderOutcome,
+    OrderSettled,
+)
+from pomelogauge.entry.owned_group import (
+    OwnedGroup,
+    load_group_chart,
+    state_timeouts,
+)
+from pomelogauge.model.fleet import Fleet, MembershipState, Target, TargetState
+
+from .entry_fakes import ENGINE, LLM, SMALL, fleet, membership, record, target
+
+CHART = load_group_chart()
+#: Seconds after which a head without one of its members breaks.
+STALL_S = 3.0
+#: Seconds of one step of time; longer than the owner waits before it repeats
+#: an order.
+TICK_S = 1.6
+#: Times are told apart up to this age in seconds.
+LONGEST_AGE_S = 12.0
+NAMES = ('head', 'tail')
+RECORD = record('g', list(NAMES), SMALL)
+TIMEOUTS = state_timeouts(RECORD, ENGINE, STALL_S)
+SERVES = frozenset((MembershipState.OPEN, MembershipState.CLOSING))
+
+
+class Path(Enum):
+    """What becomes of the owner's connections to a member.
+
+    ``CLEAR``: they reach it. ``SILENT``: their packets are dropped.
+    ``REFUSED``: something on the way refuses them.
+    """
+
+    CLEAR = auto()
+    SILENT = auto()
+    REFUSED = auto()
+
+
+@dataclass(frozen=True)
+class WorldMember:
+    """One member as it is, and as the owner sees it.
+
+    Parameters
+    ----------
+    state
+        State of its membership of the group; ``None`` for none.
+    incarnation
+        Number of its start.
+    runs, listens, drains
+        Whether its process runs, takes connections and is about to end.
+    path
+        What becomes of the owner's connections.
+    listed
+        Its row as the owner has last read it; ``None`` if it has lapsed.
+    queued
+        Orders of the owner that wait to be sent.
+    late
+        Orders without an answer that it may still carry out.
+
+    """
+
+    state: MembershipState | None = None
+    incarnation: int = 1
+    runs: bool = True
+    listens: bool = True
+    drains: bool = False
+    path: Path = Path.CLEAR
+    listed: Target | None = None
+    queued: tuple[OrderKind, ...] = ()
+    late: tuple[OrderKind, ...] = ()
+
+    def serves(self) -> bool:
+        """Return whether it is a head that takes or ends requests."""
+        return self.runs and self.state in SERVES
+
+    def queue(self, kind: OrderKind) -> 'WorldMember':
+        """Queue an order, unless the last one is the same."""
+        if self.queued[-1:] == (kind,):
+            return self
+        return replace(self, queued=(*self.queued, kind))
+
+    def obey(self, kind: OrderKind) -> tuple['WorldMember', OrderOutcome]:
+        """Carry out an order as a target does."""
+        match kind:
+            case OrderKind.JOIN:
+                ready = replace(self, state=MembershipState.READY)
+                return ready, OrderOutcome.TAKEN
+            case OrderKind.LEAVE if self.state is not None:
+                return replace(self, state=None), OrderOutcome.TAKEN
+            case OrderKind.OPEN if self.state in {
+                MembershipState.READY,
+                *SERVES,
+            }:
+                opened = replace(self, state=MembershipState.OPEN)
+                return opened, OrderOutcome.TAKEN
+            case OrderKind.CLOSE if self.state in SERVES:
+                closed = replace(self, state=MembershipState.READY)
+                return closed, OrderOutcome.TAKEN
+            case OrderKind.PROBE if self.state not in {
+                None,
+                MembershipState.BROKEN,
+            }:
+                return self, OrderOutcome.TAKEN
+        return self, OrderOutcome.REFUSED
+
+
+@dataclass(frozen=True)
+class World:
+    """The whole at one moment.
+
+    Parameters
+    ----------
+    owned
+        The group as its owner tracks it; ``None`` once its record is gone.
+    members
+        Its members, the head first.
+    now_s
+        Present time.
+    stalled_s
+        Time since which an open head lacks a member; infinite if none does.
+
+    """
+
+    owned: OwnedGroup | None
+    members: tuple[WorldMember, ...]
+    now_s: float = 100.0
+    stalled_s: float = math.inf
+
+    def key(self) -> tuple:
+        """Return what decides on all further steps; times are ages."""
+        owned = self.owned
+        if owned is None:
+            return (None, self.members, self._age_s(self.stalled_s))
+        return (
+            owned.state,
+            owned.reported,
+            owned.lost,
+            owned.left,
+            self._age_s(owned.since_s),
+            self._age_s(owned.first_left_s),
+            self.members,
+            self._age_s(self.stalled_s),
+        )
+
+    def wrongly_free(self) -> tuple[str, ...]:
+        """Return targets that may be joined elsewhere under a serving head."""
+        held = self.owned.reserved_members() if self.owned else ()
+        if not self.members[0].serves():
+            return ()
+        return tuple(
+            name
+            for name, member in zip(NAMES, self.members, strict=True)
+            if member.runs and member.state is not None and name not in held
+        )
+
+    def fleet(self) -> Fleet:
+        """Return the fleet as the owner has read it, without a gap."""
+        rows = [member.listed for member in self.members if member.listed]
+        return fleet(*rows, listed_s=self.now_s, listed_since_s=0)
+
+    def steps(self) -> Iterator[tuple[str, 'World']]:
+        """Yield each possible next step and the world after it."""
+        yield 'time passes', self._tick()
+        if self.owned is not None:
+            yield 'the owner acts', self._act()
+            yield 'another owner', self._succeed()
+            if self.owned.state is GroupState.SERVING:
+                yield 'the head is suspected', self._queue_all(OrderKind.PROBE)
+        for index, name in enumerate(NAMES):
+            for word, after in self._member_steps(index):
+                yield f'{name} {word}', after._settle()
+
+    def _member_steps(self, index: int) -> Iterator[tuple[str, 'World']]:
+        member = self.members[index]
+        if member.queued:
+            yield from self._deliveries(index)
+        for word, after in _events(NAMES[index], member):
+            yield word, self._with(index, after)
+
+    def _deliveries(self, index: int) -> Iterator[tuple[str, 'World']]:
+        """Send the next order; it may be late, or its answer lost."""
+        member = self.members[index]
+        kind = member.queued[0]
+        rest = replace(member, queued=member.queued[1:])
+        none = OrderOutcome.NO_ANSWER
+        if member.path is Path.SILENT:
+            yield f'{kind} is dropped', self._settled(index, rest, kind, none)
+            return
+        if member.path is Path.REFUSED or not (member.runs and member.listens):
+            closed = OrderOutcome.CLOSED
+            yield f'{kind} is refused', self._settled(index, rest, kind, closed)
+            return
+        obeyed, outcome = rest.obey(kind)
+        yield f'{kind} is answered', self._settled(index, obeyed, kind, outcome)
+        if kind is OrderKind.PROBE:
+            return
+        yield (
+            f'{kind} loses its answer',
+            self._settled(index, obeyed, kind, none),
+        )
+        if not rest.late:
+            late = replace(rest, late=(kind,))
+            yield f'{kind} is late', self._settled(index, late, kind, none)
+
+    def _settled(
+        self,
+        index: int,
+        member: WorldMember,
+        kind: OrderKind,
+        outcome: OrderOutcome,
+    ) -> 'World':
+        after = self._with(index, member)
+        if after.owned is None:
+            return after
+        order = Order(
+            kind, LLM, RECORD.members[index].target, RECORD.group, RECORD.epoch
+        )
+        effect = after.owned.after_outcome(
+            OrderSettled(order, outcome), after.fleet(), after.now_s
+        )
+        after = replace(after, owned=effect.group)
+        return after._step(effect.event) if effect.event else after
+
+    def _act(self) -> 'World':
+        known = self.fleet()
+        owned = self.owned.with_reports(known)
+        after: World = replace(self, owned=owned)
+        for member in owned.unlisted_members(known):
+            after = after._queue(NAMES.index(member.target), OrderKind.PROBE)
+        for event in owned.events(known, True, self.now_s):
+            after = after._step(event)
+        if after.owned.state is GroupState.RELEASED:
+            return replace(after, owned=None)
+        return after
+
+    def _step(self, event: GroupEvent) -> 'World':
+        step = self.owned.after_event(CHART, event, self.now_s)
+        after = replace(self, owned=step.group)
+        match step.action:
+            case GroupAction.OPEN:
+                return after._queue(0, OrderKind.OPEN)
+            case GroupAction.CLOSE:
+                return after._queue(0, OrderKind.CLOSE)
+            case GroupAction.LEAVE_HEAD:
+                return after._queue(0, OrderKind.LEAVE)
+            case GroupAction.LEAVE_MEMBERS:
+                return after._queue_all(OrderKind.LEAVE)
+        return after
+
+    def _succeed(self) -> 'World':
+        """Another owner takes over; orders that wait are not sent."""
+        members = tuple(replace(member, queued=()) for member in self.members)
+        owned = adopted(self.now_s)
+        return replace(self, owned=owned, members=members)
+
+    def _tick(self) -> 'World':
+        now_s = self.now_s + TICK_S
+        after = replace(self, now_s=now_s)
+        if now_s - self.stalled_s < STALL_S:
+            return after
+        broken = replace(self.members[0], state=MembershipState.BROKEN)
+        return after._with(0, broken)._settle()
+
+    def _settle(self) -> 'World':
+        """Note since when an open head lacks a member."""
+        head, *others = self.members
+        lacks = head.serves() and any(
+            not member.runs or member.state is None for member in others
+        )
+        if lacks == math.isfinite(self.stalled_s):
+            return self
+        return replace(self, stalled_s=self.now_s if lacks else math.inf)
+
+    def _queue(self, index: int, kind: OrderKind) -> 'World':
+        return self._with(index, self.members[index].queue(kind))
+
+    def _queue_all(self, kind: OrderKind) -> 'World':
+        members = tuple(member.queue(kind) for member in self.members)
+        return replace(self, members=members)
+
+    def _with(self, index: int, member: WorldMember) -> 'World':
+        members = list(self.members)
+        members[index] = member
+        return replace(self, members=tuple(members))
+
+    def _age_s(self, at_s: float) -> float:
+        return min(round(self.now_s - at_s, 1), LONGEST_AGE_S)
+
+
+def _events(
+    name: str, member: WorldMember
+) -> Iterator[tuple[str, WorldMember]]:
+    """Yield what may happen to a member without the owner."""
+    for path in Path:
+        if path is not member.path:
+            after = replace(member, path=path)
+            yield f'is behind a path that is {path.name}', after
+    if member.listed is not None:
+        yield 'lapses', replace(member, listed=None)
+    if member.runs:
+        yield from _own_events(name, member)
+    elif member.incarnation == 1:
+        yield (
+            'starts again',
+            replace(
+                member, runs=True, listens=True, drains=False, incarnation=2
+            ),
+        )
+
+
+def _own_events(
+    name: str, member: WorldMember
+) -> Iterator[tuple[str, WorldMember]]:
+    """Yield what a process that runs may do."""
+    row = _row(name, member)
+    if row != member.listed:
+        yield 'reports', replace(member, listed=row)
+    if member.late:
+        kind, *late = member.late
+        obeyed, _ = replace(member, late=tuple(late)).obey(kind)
+        yield f'carries out {kind} late', obeyed
+    yield 'crashes', replace(member, runs=False, state=None, late=())
+    if not member.drains:
+        yield 'drains', replace(member, drains=True)
+    elif member.listens:
+        yield 'stops to listen', replace(member, listens=False)
+
+
+def _row(name: str, member: WorldMember) -> Target:
+    reported = None
+    if member.state is not None:
+        reported = membership('g', NAMES.index(name), member.state)
+    return target(
+        name,
+        started_at_ms=member.incarnation,
+        staged=(SMALL,),
+        membership=reported,
+        state=TargetState.DRAINING if member.drains else TargetState.READY,
+    )
+
+
+def adopted(now_s: float) -> OwnedGroup:
+    """Return the group as an owner tracks it that has read its record."""
+    return OwnedGroup(RECORD, TIMEOUTS, GroupState.JOINING, now_s, now_s)
+
+
+def forming() -> World:
+    """Return a group that was recorded; its members were ordered to join."""
+    members = tuple(
+        WorldMember(listed=_row(name, WorldMember()), queued=(OrderKind.JOIN,))
+        for name in NAMES
+    )
+    return World(adopted(100.0), members)
+
+
+def serving() -> World:
+    """Return a group that its owner has seen open."""
+    states = (MembershipState.OPEN, MembershipState.READY)
+    members = tuple(
+        WorldMember(state, listed=_row(name, WorldMember(state)))
+        for name, state in zip(NAMES, states, strict=True)
+    )
+    world = World(None, members)
+    owned = replace(adopted(100.0), state=GroupState.SERVING)
+    return replace(world, owned=owned.with_reports(world.fleet()))
--- a/test/owner_simulation.py
+++ b/test/owner_simulation.py
@@ -12,6 +12,7 @@
     OrderKind,
     OrderOutcome,
     OrderSettled,
+    TargetsSuspected,
 )
 from pomelogauge.entry.order_sender import OrderSenderPool
 from pomelogauge.entry.owner import Owner, OwnerParts, OwnerSettings
@@ -86,8 +87,16 @@
 class Simulation:
     """State of one simulated run."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, refuses: bool = False) -> None:
+        """Start with all targets listed and free.
+
+        With ``refuses``, connections to targets that the owner can't reach
+        are refused instead of dropped.
+        """
         self.rng = Random(seed)
+        self.cut_outcome = (
+            OrderOutcome.CLOSED if refuses else OrderOutcome.NO_ANSWER
+        )
         self.clock = FakeClock()
         self.store = MemoryStore()
         self.targets = {
@@ -199,7 +208,7 @@
         """Deliver an order; one in twenty is delayed and not answered."""
         sim = self.targets[order.target]
         if sim.is_down or sim.is_cut_from_owner:
-            return OrderOutcome.NO_ANSWER
+            return self.cut_outcome
         if not sim.listens:
             return OrderOutcome.CLOSED
         if self.rng.random() < 0.05:
@@ -292,6 +301,8 @@
             sim.is_cut_from_owner = (
                 sim.is_cut_from_store
             ) = not sim.is_cut_from_owner
+            if self.cut_outcome is OrderOutcome.CLOSED:
+                self.suspect(sim)
         elif kind == 7:
             # It leaves while the store is down, so no owner sees it drain,
             # and it goes on with its requests.
@@ -302,6 +313,12 @@
         else:
             sim.drains = True
 
+    def suspect(self, sim: SimTarget) -> None:
+        """Tell the owners that instances can't reach a target."""
+        suspects = frozenset((TargetName(sim.name),))
+        for owner in self.owners:
+            owner.on_message(TargetsSuspected(suspects))
+
     def restart(self, sim: SimTarget) -> None:
         """Start a new incarnation without a group."""
         sim.is_down = sim.drains = False
--- /dev/null
+++ b/test/test_group_walk.py
@@ -0,0 +1,47 @@
+"""An exhaustive walk over a group, its members and its owner."""
+
+import logging
+import os
+import unittest
+from collections import deque
+
+from .group_world import World, forming, serving
+
+#: Steps from each start; a longer walk by hand sets the variable.
+DEPTH = int(os.environ.get('POMELOGAUGE_WALK_DEPTH', '6'))
+
+
+class GroupWalkTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def walk(self, start: World) -> None:
+        """Take all steps up to ``DEPTH``; print the number of states."""
+        seen = {start.key()}
+        worlds = deque([(start, ())])
+        while worlds:
+            world, path = worlds.popleft()
+            self.assertEqual(world.wrongly_free(), (), '; '.join(path))
+            for word, after in world.steps() if len(path) < DEPTH else ():
+                key = after.key()
+                if key not in seen:
+                    seen.add(key)
+                    worlds.append((after, (*path, word)))
+        print(f'states of a {start.owned.state} group visited: {len(seen)}')
+
+    def test_no_member_of_a_serving_group_is_free_under_its_head(self) -> None:
+        """Guards against two groups of one target at the same moment.
+
+        A refused connection was taken for the end of the target's process,
+        while only the owner's path to it was refused.
+        """
+        self.walk(serving())
+
+    def test_no_member_of_a_new_group_is_free_under_its_head(self) -> None:
+        """Guards the same from the first order on."""
+        self.walk(forming())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/test/test_owner.py
+++ b/test/test_owner.py
@@ -58,6 +58,21 @@
                     simulation.step()
                 self.assertEqual(simulation.violations, [])
 
+    def test_no_target_behind_a_refusing_path_joins_a_second_group(
+        self,
+    ) -> None:
+        """Guards against taking a refused connection for a crash."""
+        violations = {}
+        for seed in range(SEEDS):
+            simulation = Simulation(seed, refuses=True)
+            for _ in range(STEPS):
+                if simulation.rng.random() < FAULT_PROBABILITY:
+                    simulation.fault()
+                simulation.step()
+            if simulation.violations:
+                violations[seed] = simulation.violations
+        self.assertEqual(violations, {})
+
     def test_groups_are_formed_again_after_all_faults(self) -> None:
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
