Take a target for free only by its own word

Cause: when the head of a group refused the connection for the order to leave, and was listed as ready by a fresh list without gaps, it counted as crashed, and the whole group as free. The network between two data centres may refuse connections in the same way; the targets went on serving the instances on their side.

A target is now a member until it says otherwise itself: by an answer to the order to leave, by another target's answer at its address, or by a listed row of a later start. Else the members of a head that can't be reached are ordered to leave and each is free by its own answer, as it was for dropped connections. A head that has started again releases its group at once.

The second half of the test of a head that stopped listening asserted the inference itself; it now asserts that the head stays held whatever the list says, and members alike.

--- a/pomelogauge/decide/group_observation.py
+++ b/pomelogauge/decide/group_observation.py
@@ -127,6 +127,21 @@
     )
 
 
+def restarted_members(
+    record: GroupRecord, fleet: Fleet
+) -> frozenset[TargetName]:
+    """Return the members that are listed with a later start than recorded.
+
+    A target that has started again is a member of no group.
+    """
+    return frozenset(
+        member.target
+        for member in record.members
+        if (target := fleet.targets.get(member.target)) is not None
+        and target.started_at_ms > member.started_at_ms
+    )
+
+
 def _lost(
     record: GroupRecord,
     fleet: Fleet,
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -306,8 +306,8 @@
 
     ``TAKEN``: accepted. ``REFUSED``: not possible in the target's state.
     ``REPLACED``: another target, or a later incarnation of this one, listens
-    at the address. ``CLOSED``: nothing listens at the address; a target that
-    is leaving may still work on its requests. ``NO_ANSWER``: timed out; the
+    at the address. ``CLOSED``: the connection was refused, by the target or
+    on the way to it; the target may still work on its requests. ``NO_ANSWER``: timed out; the
     target may still carry out the order later. ``WITHHELD``: not sent, as the
     lease under which it was issued had ended.
     """
--- a/pomelogauge/entry/owned_group.py
+++ b/pomelogauge/entry/owned_group.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, replace
 
 from ..charts.reader import load_chart
-from ..decide.crash import has_crashed
 from ..decide.group_chart import (
     GROUP_WORDS,
     LIVE_STATES,
@@ -17,6 +16,7 @@
     GroupObservation,
     joined_members,
     observe_group,
+    restarted_members,
 )
 from ..model.chart import Chart
 from ..model.fleet import Fleet, GroupRecord, Member
@@ -41,8 +41,9 @@
 
 #: Orders that show that a member is lost unless it accepts them.
 _LOST_UNLESS_TAKEN = frozenset((OrderKind.JOIN, OrderKind.PROBE))
-#: Outcomes of an order to leave that show that the target is no longer a
-#: member.
+#: Outcomes of an order to leave in which an answer from the target's address
+#: shows that it is no longer a member. Without an answer nothing is known: a
+#: path may refuse or drop connections to a target that goes on serving.
 _LEFT_OUTCOMES = frozenset(
     (OrderOutcome.TAKEN, OrderOutcome.REFUSED, OrderOutcome.REPLACED)
 )
@@ -170,8 +171,8 @@
     lost
         Members that an order has shown to be lost.
     left
-        Members other than the head that are known to have left; they may
-        join other groups.
+        Members that are known to be members no longer, by their own answer
+        or by a later start; they may join other groups.
     first_left_s
         Time at which the first of them was known to have left; infinite
         before.
@@ -196,14 +197,23 @@
             if member.target not in self.left
         )
 
-    def with_reports(self, fleet: Fleet) -> 'OwnedGroup':
-        """Add the members that report the group in this state of the fleet."""
+    def with_reports(self, fleet: Fleet, now_s: float) -> 'OwnedGroup':
+        """Add what members report: that they joined, or started again."""
         reported = self.reported | joined_members(self.record, fleet)
-        return (
+        group = (
             self
             if reported == self.reported
             else replace(self, reported=reported)
         )
+        restarted = restarted_members(self.record, fleet) - self.left
+        for name in sorted(restarted):
+            _log.info(
+                'target %s has left group %s: it has started again',
+                name,
+                self.record.group,
+                extra={'target': name, 'group': self.record.group},
+            )
+        return group._without(restarted, now_s) if restarted else group
 
     def events(
         self,
@@ -227,6 +237,8 @@
         events = list(self._observation_events(observation))
         if observation.leaving or not is_wanted:
             events.append(GroupEvent.UNWANTED)
+        if self.record.head.target in self.left:
+            events.append(GroupEvent.HEAD_LEFT)
         events.extend(self._time_events(now_s))
         return tuple(events)
 
@@ -245,7 +257,7 @@
         )
 
     def after_outcome(
-        self, settled: OrderSettled, fleet: Fleet, now_s: float
+        self, settled: OrderSettled, now_s: float
     ) -> OutcomeEffect:
         """Apply the outcome of an order to a member."""
         order = settled.order
@@ -256,34 +268,21 @@
             return OutcomeEffect(replace(self, lost=self.lost | {order.target}))
         if order.kind is not OrderKind.LEAVE:
             return OutcomeEffect(self)
-        has_left = settled.outcome in _LEFT_OUTCOMES or (
-            settled.outcome is OrderOutcome.CLOSED
-            and has_crashed(order.target, fleet, now_s)
-        )
-        if has_left:
-            _log.info(
-                'target %s has left group %s: order to leave was %s',
-                order.target,
-                order.group,
-                settled.outcome,
-                extra={
-                    'target': order.target,
-                    'group': order.group,
-                    'listed_age_s': round(now_s - fleet.listed_s, 2),
-                },
-            )
-        if order.target == self.record.head.target:
+        is_head = order.target == self.record.head.target
+        if settled.outcome not in _LEFT_OUTCOMES:
             silent = GroupEvent.HEAD_SILENT
-            return OutcomeEffect(
-                self, GroupEvent.HEAD_LEFT if has_left else silent
-            )
-        if has_left:
-            left = self.left | {order.target}
-            first_left_s = min(self.first_left_s, now_s)
-            return OutcomeEffect(
-                replace(self, left=left, first_left_s=first_left_s)
-            )
-        return OutcomeEffect(self)
+            return OutcomeEffect(self, silent if is_head else None)
+        _log.info(
+            'target %s has left group %s: order to leave was %s',
+            order.target,
+            order.group,
+            settled.outcome,
+            extra={'target': order.target, 'group': order.group},
+        )
+        return OutcomeEffect(
+            self._without(frozenset((order.target,)), now_s),
+            GroupEvent.HEAD_LEFT if is_head else None,
+        )
 
     def after_event(
         self, chart: GroupChart, event: GroupEvent, now_s: float
@@ -310,6 +309,15 @@
         after = replace(self, state=move.state, since_s=now_s)
         return Step(after, move.action)
 
+    def _without(
+        self, names: frozenset[TargetName], now_s: float
+    ) -> 'OwnedGroup':
+        return replace(
+            self,
+            left=self.left | names,
+            first_left_s=min(self.first_left_s, now_s),
+        )
+
     def _time_events(self, now_s: float) -> list[GroupEvent]:
         if self.state is GroupState.STALLING:
             if now_s - self.first_left_s > self.timeouts.stalling_s:
--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -213,9 +213,9 @@
             self._form_missing(service, fleet)
 
     def _observe(self, name: GroupName, fleet: Fleet) -> None:
-        group = self._groups[name].with_reports(fleet)
-        self._groups[name] = group
         now_s = self._parts.clock.now_s()
+        group = self._groups[name].with_reports(fleet, now_s)
+        self._groups[name] = group
         for member in group.unlisted_members(fleet):
             self._parts.orders.probe(group.record, member, now_s)
         engine = engine_of(group.record, fleet)
@@ -248,9 +248,7 @@
         group = self._groups.get(settled.order.group)
         if group is None:
             return
-        effect = group.after_outcome(
-            settled, self._parts.published_fleet.latest(), now_s
-        )
+        effect = group.after_outcome(settled, now_s)
         self._groups[group.record.group] = effect.group
         if effect.event is not None:
             self._step(group.record.group, effect.event)
--- a/test/group_world.py
+++ b/test/group_world.py
@@ -227,14 +227,14 @@
             kind, LLM, RECORD.members[index].target, RECORD.group, RECORD.epoch
         )
         effect = after.owned.after_outcome(
-            OrderSettled(order, outcome), after.fleet(), after.now_s
+            OrderSettled(order, outcome), after.now_s
         )
         after = replace(after, owned=effect.group)
         return after._step(effect.event) if effect.event else after
 
     def _act(self) -> 'World':
         known = self.fleet()
-        owned = self.owned.with_reports(known)
+        owned = self.owned.with_reports(known, self.now_s)
         after: World = replace(self, owned=owned)
         for member in owned.unlisted_members(known):
             after = after._queue(NAMES.index(member.target), OrderKind.PROBE)
@@ -373,4 +373,4 @@
     )
     world = World(None, members)
     owned = replace(adopted(100.0), state=GroupState.SERVING)
-    return replace(world, owned=owned.with_reports(world.fleet()))
+    return replace(world, owned=owned.with_reports(world.fleet(), world.now_s))
--- a/test/test_owned_group.py
+++ b/test/test_owned_group.py
@@ -46,11 +46,11 @@
     def group(self, state: GroupState, reported: Fleet = READY) -> OwnedGroup:
         """Return a group whose members in ``reported`` have reported it."""
         times = state_timeouts(RECORD, ENGINE, 6)
-        return OwnedGroup(RECORD, times, state, 0, 0).with_reports(reported)
+        return OwnedGroup(RECORD, times, state, 0, 0).with_reports(reported, 0)
 
     def step(self, group: OwnedGroup, known: Fleet, now_s: float = 1) -> Step:
         """Apply all events of a fleet and return the last step."""
-        group = group.with_reports(known)
+        group = group.with_reports(known, now_s)
         step = Step(group, None)
         for event in group.events(known, True, now_s):
             step = step.group.after_event(CHART, event, now_s)
@@ -140,37 +140,55 @@
         self.assertIs(step.action, GroupAction.OPEN)
 
     def event_after_outcome(
-        self, kind: OrderKind, outcome: OrderOutcome, known: Fleet
+        self, kind: OrderKind, outcome: OrderOutcome
     ) -> GroupEvent | None:
         """Return the event of an order's outcome at the head."""
         order = Order(kind, LLM, TargetName('head'), RECORD.group)
         settled = OrderSettled(order, outcome)
-        return (
-            self.group(GroupState.LEAVING)
-            .after_outcome(settled, known, 100)
-            .event
-        )
+        return self.group(GroupState.LEAVING).after_outcome(settled, 100).event
 
-    def test_a_head_that_stopped_listening_may_still_be_open(self) -> None:
-        """Guards against taking a draining head for one that has left.
+    def test_a_head_that_refuses_connections_may_still_be_open(self) -> None:
+        """Guards against taking a refused connection for the head's end.
 
-        It stops listening and goes on to serve; its members were then
-        ordered into other groups.
+        A draining head stops listening and goes on to serve, and a path may
+        refuse connections to a sound one; members were then ordered into
+        other groups.
         """
         closed = OrderOutcome.CLOSED
         self.assertIs(
-            self.event_after_outcome(OrderKind.LEAVE, closed, READY),
+            self.event_after_outcome(OrderKind.LEAVE, closed),
             GroupEvent.HEAD_SILENT,
         )
-        steady = replace(READY, listed_since_s=90, listed_s=99)
-        self.assertIs(
-            self.event_after_outcome(OrderKind.LEAVE, closed, steady),
-            GroupEvent.HEAD_LEFT,
+
+    def test_a_member_that_refuses_connections_stays_reserved(self) -> None:
+        order = Order(OrderKind.LEAVE, LLM, TargetName('tail'), RECORD.group)
+        for outcome in (OrderOutcome.CLOSED, OrderOutcome.NO_ANSWER):
+            group = self.group(GroupState.STALLING)
+            settled = OrderSettled(order, outcome)
+            after = group.after_outcome(settled, 100).group
+            self.assertEqual(after.reserved_members(), ('head', 'tail'))
+
+    def test_a_member_that_has_started_again_is_free(self) -> None:
+        again = fleet(
+            member('head', 0, MembershipState.OPEN),
+            target('tail', started_at_ms=2),
+        )
+        step = self.step(self.group(GroupState.STALLING), again, 1)
+        self.assertEqual(step.group.reserved_members(), ('head',))
+        self.assertEqual(step.group.first_left_s, 1)
+
+    def test_a_head_that_has_started_again_frees_its_group(self) -> None:
+        again = fleet(
+            target('head', started_at_ms=2),
+            member('tail', 1, MembershipState.READY),
         )
+        for state in (GroupState.SERVING, GroupState.STALLING):
+            step = self.step(self.group(state), again)
+            self.assertIs(step.group.state, GroupState.RELEASED)
 
     def test_outcomes_show_whether_the_head_has_left(self) -> None:
         for outcome in OrderOutcome:
-            event = self.event_after_outcome(OrderKind.LEAVE, outcome, READY)
+            event = self.event_after_outcome(OrderKind.LEAVE, outcome)
             may_stay = {OrderOutcome.CLOSED, OrderOutcome.NO_ANSWER}
             stays = event is GroupEvent.HEAD_SILENT
             self.assertEqual(stays, outcome in may_stay, outcome)
@@ -180,7 +198,7 @@
         self.assertEqual(group.reserved_members(), ('head', 'tail'))
         order = Order(OrderKind.LEAVE, LLM, TargetName('tail'), RECORD.group)
         settled = OrderSettled(order, OrderOutcome.TAKEN)
-        after = group.after_outcome(settled, READY, 100).group
+        after = group.after_outcome(settled, 100).group
         self.assertEqual(after.reserved_members(), ('head',))
 
     def test_an_open_head_without_its_members_is_not_kept(self) -> None:
