--- a/pomelogauge/entry/fleet_publisher.py
+++ b/pomelogauge/entry/fleet_publisher.py
@@ -1,6 +1,5 @@
 """The task that merges all reads into the published state of the fleet."""
 
-import math
 from collections import deque
 from dataclasses import dataclass, replace
 
@@ -90,11 +89,6 @@
             case InstancesObserved():
                 fleet = self._published_fleet.latest()
                 self._publish(replace(fleet, instances=message.instances))
-            case TableReadFailed(table=Table.TARGETS):
-                fleet = self._published_fleet.latest()
-                self._published_fleet.publish(
-                    replace(fleet, listed_since_s=math.inf)
-                )
             case TableReadFailed() | TableRead():
                 return
 
@@ -203,15 +197,7 @@
         if read.is_whole:
             for name in tuple(self._targets.keys() - listed):
                 self._remove_or_defer(name, now_s)
-        fleet = self._published_fleet.latest()
-        since_s = min(fleet.listed_since_s, now_s)
-        self._publish_targets(
-            replace(
-                fleet,
-                listed_s=max(fleet.listed_s, read.as_of_s),
-                listed_since_s=since_s,
-            )
-        )
+        self._publish_targets(self._published_fleet.latest())
 
     def _apply_target(self, row: StoredRow, now_s: float) -> None:
         name = TargetName(row.key)
