Wait for the end of the owner's lease however the owner is missed

An owner that refused connections, or answered with an error, was replaced 0.7 s after the last renewal seen, while it may act for 1.3 s after one. A path between two instances that refuses or resets connections, beside a store that both reach, then gave two owners: the same conclusion as in the incident, from a refused connection to a process that has ended. The code of the error was also that of any broken connection and of a membership task that is late.

The walk over two instances and the store has a new step, an instance that fails to reach the other: two owners on the code before, with the former one still holding its lease 0.8 s after its renewal. The test that a holder that refuses connections is replaced sooner asserted the fault; it now asserts that nobody acts before the holder's lease is over.

--- a/pomelogauge/decide/owner_watch.py
+++ b/pomelogauge/decide/owner_watch.py
@@ -10,9 +10,6 @@
 #: time for which the owner may act after a renewal, and the time that its last
 #: order may be on the way.
 OWNER_TIMEOUT_S = 1.7
-#: The same for an owner whose process refuses connections: one renewal
-#: interval and its delay.
-REFUSED_OWNER_TIMEOUT_S = 0.7
 #: Seconds between two polls of the lease while the owner does not answer
 #: reports: for the first instances in the succession order, and for others.
 POLL_INTERVAL_S = 0.35
@@ -59,7 +56,6 @@
         self._own = own
         self._rank = 0 if cores >= SMALL_CORES else FREQUENT_POLLERS
         self._is_answering = False
-        self._is_refused = False
         self._renewed_s = now_s
         self.renewal_version = ABSENT_ROW
 
@@ -109,18 +105,14 @@
         """
         did_answer = self._is_answering
         self._is_answering = True
-        self._is_refused = False
         self.record_renewal(renewal_version, now_s)
         return not did_answer
 
-    def record_missed_answer(self, is_refused: bool) -> bool:
+    def record_missed_answer(self) -> bool:
         """Record that the owner has not answered a report.
 
-        Parameters
-        ----------
-        is_refused
-            Nothing listens at its address, or the process there isn't the
-            owner; the shorter timeout applies.
+        That says nothing of its lease, also where its connections are
+        refused: a path may refuse them while its renewals reach the store.
 
         Returns
         -------
@@ -130,7 +122,6 @@
         """
         did_answer = self._is_answering
         self._is_answering = False
-        self._is_refused = is_refused
         return did_answer
 
     def record_renewal(self, renewal_version: RowVersion, now_s: float) -> None:
@@ -144,7 +135,6 @@
 
         While the store does not answer, a missing renewal says nothing.
         """
-        self._is_refused = False
         self._renewed_s = now_s
 
     def may_take_free(self, now_s: float) -> bool:
@@ -153,12 +143,8 @@
 
     def has_timed_out(self, now_s: float) -> bool:
         """Return whether this instance may take over from the owner."""
-        timeout_s = (
-            REFUSED_OWNER_TIMEOUT_S if self._is_refused else OWNER_TIMEOUT_S
-        )
-        return (
-            now_s - self._renewed_s > timeout_s + POLL_INTERVAL_S * self._rank
-        )
+        timeout_s = OWNER_TIMEOUT_S + POLL_INTERVAL_S * self._rank
+        return now_s - self._renewed_s > timeout_s
 
     def poll_interval_s(self) -> float:
         """Return the seconds until the next poll of the lease."""
--- a/pomelogauge/entry/instance_membership.py
+++ b/pomelogauge/entry/instance_membership.py
@@ -240,9 +240,7 @@
                     extra={'term': ownership.term, 'owner': ownership.address},
                 )
             self._is_answered = False
-            self._ports.owner.post(
-                OwnerAnswerMissed(ownership.term, error.is_refused)
-            )
+            self._ports.owner.post(OwnerAnswerMissed(ownership.term))
             return
         if not self._is_answered:
             _log.info(
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -144,14 +144,10 @@
     ----------
     term
         Term of the owner to which the report was sent.
-    is_refused
-        Whether nothing listens at its address, or the process there is not
-        the owner. False for a time-out.
 
     """
 
     term: int
-    is_refused: bool
 
 
 InstanceMembershipMessage = ReportReceived | TargetsSuspected | InstanceLeaving
--- a/pomelogauge/entry/owner_lease_keeper.py
+++ b/pomelogauge/entry/owner_lease_keeper.py
@@ -133,7 +133,7 @@
         """
         if missed.term != self.owner_lease.term:
             return
-        if self._watch.record_missed_answer(missed.is_refused):
+        if self._watch.record_missed_answer():
             self._next_s = 0
 
     def write_condition(self) -> RowExpected:
--- a/pomelogauge/entry/owner_link.py
+++ b/pomelogauge/entry/owner_link.py
@@ -83,14 +83,10 @@
     ----------
     message
         Description of the failure, for the log.
-    is_refused
-        Whether nothing listens at the address, or the process there is not
-        the owner. False for a time-out.
 
     """
 
     message: str
-    is_refused: bool
 
 
 class OwnerLink(Protocol):
--- a/pomelogauge/wire/entry_link.py
+++ b/pomelogauge/wire/entry_link.py
@@ -32,9 +32,6 @@
     ('grpc.min_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 300),
 )
-_REFUSAL_CODES = frozenset(
-    (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.FAILED_PRECONDITION)
-)
 
 
 class GrpcOwnerLink:
@@ -115,15 +112,13 @@
         try:
             return Success(decode_deltas(answer))
         except MalformedDeltasError as malformed:
-            return Failure(OwnerLinkError(str(malformed), is_refused=False))
+            return Failure(OwnerLinkError(str(malformed)))
 
     def _close_failed(self, exc: grpc.RpcError) -> Failure[OwnerLinkError]:
         # The connection may be dead without a sign of it; the next call opens
         # another one.
         self._close()
-        return Failure(
-            OwnerLinkError(str(exc.details()), exc.code() in _REFUSAL_CODES)
-        )
+        return Failure(OwnerLinkError(str(exc.details())))
 
     def _open(self, address: Address) -> grpc.Channel:
         if self._channel is None or address != self._address:
--- a/test/test_delta_server.py
+++ b/test/test_delta_server.py
@@ -214,7 +214,7 @@
     """Returns ``answer`` to each watch request and keeps its versions."""
 
     def __init__(self) -> None:
-        self.answer: Result = Failure(OwnerLinkError('refused', True))
+        self.answer: Result = Failure(OwnerLinkError('refused'))
         self.requested: list[TableVersions] = []
         self.addresses: list[Address] = []
 
@@ -282,7 +282,7 @@
     def test_reads_resume_when_the_owner_does_not_answer(self) -> None:
         self.link.answer = Success(deltas(9))
         self.watcher.on_timer()
-        self.link.answer = Failure(OwnerLinkError('refused', True))
+        self.link.answer = Failure(OwnerLinkError('refused'))
         self.watcher.on_timer()
         self.assertTrue(
             self.are_reads_paused(),
--- a/test/test_instance_membership.py
+++ b/test/test_instance_membership.py
@@ -43,7 +43,7 @@
     """Returns ``answer`` to each report and keeps the reports."""
 
     def __init__(self) -> None:
-        self.answer: Result = Failure(OwnerLinkError('refused', True))
+        self.answer: Result = Failure(OwnerLinkError('refused'))
         self.reports: list[EntryReport] = []
 
     def report(self, address: Address, report: EntryReport) -> Result:
@@ -129,9 +129,9 @@
         )
         self.link.answer = Success(snapshot)
         self.tick()
-        self.link.answer = Failure(OwnerLinkError('refused', True))
+        self.link.answer = Failure(OwnerLinkError('refused'))
         self.tick()
-        self.assertIn(OwnerAnswerMissed(3, True), self.owner.posted)
+        self.assertIn(OwnerAnswerMissed(3), self.owner.posted)
         self.assertEqual(self.living(), {'n1', 'n2'})
 
     def test_suspects_are_reported_early_and_again_after_a_failure(
--- a/test/test_owner_lease_keeper.py
+++ b/test/test_owner_lease_keeper.py
@@ -90,11 +90,15 @@
         self.assertTrue(self.first.is_held)
         self.assertFalse(self.second.is_held)
 
-    def test_a_holder_that_refuses_connections_is_replaced_sooner(self) -> None:
+    def test_a_holder_that_can_not_be_reached_keeps_its_lease(self) -> None:
+        """Guards against two owners when a path refuses connections.
+
+        The holder was replaced before its lease was over by its own clock.
+        """
         self.run_for(1, self.first, self.second)
-        self.second.record_missed_answer(
-            OwnerAnswerMissed(term=1, is_refused=True)
-        )
+        self.second.record_missed_answer(OwnerAnswerMissed(term=1))
+        while self.first.is_held:
+            self.assertEqual(self.run_for(0.05, self.second), [])
         actions = self.run_for(1.2, self.second)
         self.assertEqual(actions, [OwnershipAction.ADOPT])
 
--- a/test/test_state_walks.py
+++ b/test/test_state_walks.py
@@ -12,6 +12,7 @@
     RequestFacts,
     RequestState,
 )
+from pomelogauge.entry.messages import OwnerAnswerMissed
 from pomelogauge.entry.owner_lease_keeper import OwnerLeaseKeeper
 from pomelogauge.entry.request_ports import load_request_chart
 from pomelogauge.entry.store import StoreFault
@@ -117,6 +118,11 @@
                 world.store.loses_answers = True
                 world.keepers[step == 'n2 lost'].tick()
                 world.store.loses_answers = False
+            case 'n1 unreached' | 'n2 unreached':
+                keeper = world.keepers[step == 'n2 unreached']
+                keeper.record_missed_answer(
+                    OwnerAnswerMissed(keeper.owner_lease.term)
+                )
         return world
 
     def state(self) -> tuple:
@@ -151,6 +157,7 @@
     *('n1', 'n2'),
     *('n1 away', 'n2 away'),
     *('n1 lost', 'n2 lost'),
+    *('n1 unreached', 'n2 unreached'),
 )
 DEPTH = 6
 
@@ -159,7 +166,11 @@
     """Guards against two owners at the same moment."""
 
     def test_two_instances_never_own_at_the_same_time(self) -> None:
-        """Steps come in every order; an instance without steps is paused."""
+        """Steps come in every order; an instance without steps is paused.
+
+        An instance may fail to reach the other one at any moment, while both
+        reach the store.
+        """
         seen = set()
         worlds = deque([(World(), 0)])
         owners = set()
