Take an error in answer to an order for no word on the membership

Any status other than success and 421 counted as a refusal, and a refused order to leave as the proof that the target is no member.

Only 409 and 412 say that an order does not fit the target's state. All other errors are the new outcome failed, after which a member stays held, as after no answer. test_order_client fails on the code before for 400, 408, 429, 500, 502, 503 and 504.

--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -301,15 +301,17 @@
     """Outcome of an order.
 
     ``TAKEN``: accepted. ``REFUSED``: not possible in the target's state.
+    ``FAILED``: an error that says nothing of the target's state.
     ``REPLACED``: another target, or a later incarnation of this one, listens
     at the address. ``CLOSED``: the connection was refused, by the target or
-    on the way to it; the target may still work on its requests. ``NO_ANSWER``: timed out; the
-    target may still carry out the order later. ``WITHHELD``: not sent, as the
-    lease under which it was issued had ended.
+    on the way to it; the target may still work on its requests.
+    ``NO_ANSWER``: timed out; the target may still carry out the order later.
+    ``WITHHELD``: not sent, as the lease under which it was issued had ended.
     """
 
     TAKEN = 'taken'
     REFUSED = 'refused'
+    FAILED = 'failed'
     REPLACED = 'dead'
     CLOSED = 'closed'
     NO_ANSWER = 'silent'
--- a/pomelogauge/platform/orders.py
+++ b/pomelogauge/platform/orders.py
@@ -19,6 +19,8 @@
 #: orders at once, so that a longer wait gains nothing.
 _TIMEOUT = Timeout(connect=0.4, read=0.8)
 _ACCEPTED_STATUSES = frozenset((200, 202))
+#: The order does not fit the target's state, or its epoch is too low.
+_UNFIT_STATUSES = frozenset((409, 412))
 #: Another target, or another incarnation of this one, has the address.
 _MISDIRECTED = 421
 #: A group that closes completes both its running and its queued requests.
@@ -72,12 +74,13 @@
         return OrderOutcome.REPLACED
     if response.status not in _ACCEPTED_STATUSES:
         _log.info(
-            'target %s refused order %s with status %s',
+            'target %s answered order %s with status %s',
             order.target,
             order.kind,
             response.status,
         )
-        return OrderOutcome.REFUSED
+        is_unfit = response.status in _UNFIT_STATUSES
+        return OrderOutcome.REFUSED if is_unfit else OrderOutcome.FAILED
     if order.kind is OrderKind.PROBE and not _reports_membership(
         response.data, order
     ):
--- /dev/null
+++ b/test/test_order_client.py
@@ -0,0 +1,61 @@
+"""Outcomes of orders by what a target answers."""
+
+import socket
+import unittest
+
+from pomelogauge.entry.messages import Order, OrderKind, OrderOutcome
+from pomelogauge.model.ids import Address, Epoch, GroupName, TargetName
+from pomelogauge.platform.orders import OrderClient
+
+from .entry_fakes import LLM, SMALL
+from .platform_standin import Handler, HttpStandin
+
+LEAVE = Order(
+    OrderKind.LEAVE, LLM, TargetName('t'), GroupName('g'), Epoch(1), SMALL
+)
+
+
+class TargetStandin(HttpStandin):
+    """Answers each order with ``status``."""
+
+    status = 200
+
+    def serve(self, conn: Handler, body: bytes) -> None:
+        conn.answer(self.status, {})
+
+
+class OrderClientTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.target = TargetStandin()
+        self.addCleanup(self.target.close)
+
+    def leave(self, status: int) -> OrderOutcome:
+        """Send an order to leave that is answered with a status."""
+        self.target.status = status
+        return OrderClient().send(Address(self.target.address), LEAVE)
+
+    def test_an_accepted_order_is_taken(self) -> None:
+        for status in (200, 202):
+            self.assertIs(self.leave(status), OrderOutcome.TAKEN)
+
+    def test_an_order_that_does_not_fit_the_state_is_refused(self) -> None:
+        for status in (409, 412):
+            self.assertIs(self.leave(status), OrderOutcome.REFUSED)
+
+    def test_another_target_at_the_address_is_known(self) -> None:
+        self.assertIs(self.leave(421), OrderOutcome.REPLACED)
+
+    def test_a_failure_says_nothing_of_the_membership(self) -> None:
+        """Guards against taking a target that fails for one that has left."""
+        for status in (400, 408, 429, 500, 502, 503, 504):
+            self.assertIs(self.leave(status), OrderOutcome.FAILED, status)
+
+    def test_a_refused_connection_is_closed(self) -> None:
+        with socket.create_server(('127.0.0.1', 0)) as free:
+            port = free.getsockname()[1]
+        outcome = OrderClient().send(Address(f'127.0.0.1:{port}'), LEAVE)
+        self.assertIs(outcome, OrderOutcome.CLOSED)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/test/test_owned_group.py
+++ b/test/test_owned_group.py
@@ -189,7 +189,11 @@
     def test_outcomes_show_whether_the_head_has_left(self) -> None:
         for outcome in OrderOutcome:
             event = self.event_after_outcome(OrderKind.LEAVE, outcome)
-            may_stay = {OrderOutcome.CLOSED, OrderOutcome.NO_ANSWER}
+            may_stay = {
+                OrderOutcome.CLOSED,
+                OrderOutcome.FAILED,
+                OrderOutcome.NO_ANSWER,
+            }
             stays = event is GroupEvent.HEAD_SILENT
             self.assertEqual(stays, outcome in may_stay, outcome)
 
