Log the shared parts of prompts whose requests lose their target

Targets that crash under one part of a prompt can't be told from targets that crash for another reason: the log says that a target was lost, not what ran there. Requests now know the parts that others may share, and a line for each lost answer names them. The header is forwarded unchanged; repeated, it is refused like the other headers that describe a generation.

--- a/pomelogauge/entry/request_run.py
+++ b/pomelogauge/entry/request_run.py
@@ -12,8 +12,14 @@
 )
 from ..decide.serving_rules import recheck
 from ..decide.stall_timeout import stall_timeout_s
-from ..model.entry_request import AdmittedRequest, TargetRequest
+from ..model.entry_request import (
+    AdmittedRequest,
+    CallerRequest,
+    TargetRequest,
+)
 from ..model.ids import OrganisationName, TargetName
+from ..model.log_parts import Part
+from ..tasks.log import part_logger
 from ..tasks.mailbox import Mailbox
 from ..wire.caller_connection import CallerConnection, CallerLeftError
 from ..wire.target_link import (
@@ -42,6 +48,8 @@
 #: configuration.
 LAPSED_RETRY_AFTER_S = 1.0
 
+_log = part_logger(Part.REQUEST)
+
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -334,13 +342,14 @@
 
     def _release_slot(self) -> None:
         """Release the slot and close the connection to the target."""
-        if self._attempt is not None:
-            self._attempt.close()
-            released = SlotReleased(
-                self._attempt.destination.target, self._outcome
-            )
-            self._ports.dispatcher.post(released)
-            self._attempt = None
+        if self._attempt is None:
+            return
+        self._attempt.close()
+        target = self._attempt.destination.target
+        self._attempt = None
+        self._ports.dispatcher.post(SlotReleased(target, self._outcome))
+        if self._outcome is Outcome.LOST:
+            _log_loss(self._admitted.req, target, self._reason)
 
     def _finish(self, action: RequestAction) -> None:
         """Complete, abort or refuse the answer to the caller."""
@@ -353,6 +362,20 @@
             self._answer.refuse(status, self._reason, self._retry_after_s)
 
 
+def _log_loss(req: CallerRequest, target: TargetName, reason: str) -> None:
+    _log.info(
+        'request %s lost its answer at target %s',
+        req.attempt,
+        target,
+        extra={
+            'request': req.attempt,
+            'target': target,
+            'reason': reason,
+            'shared_parts': req.shared_parts,
+        },
+    )
+
+
 def _target_request(
     admitted: AdmittedRequest,
     target: TargetName,
--- a/pomelogauge/model/entry_request.py
+++ b/pomelogauge/model/entry_request.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass
 
-from .ids import Address, ModelName, OrganisationName, TargetName
+from .ids import (
+    Address,
+    ModelName,
+    OrganisationName,
+    PromptPart,
+    TargetName,
+)
 from .serving import Organisation, Route, ServiceSpec
 
 #: Name and value of each header, in the order of the message.
@@ -49,6 +55,9 @@
     last_event
         Identifier of the event after which a stream is resumed; empty for a
         new stream.
+    shared_parts
+        Parts of the prompt that other requests may have too, which leaves out
+        the last one.
     headers
         End-to-end headers that are forwarded unchanged.
     body
@@ -68,6 +77,7 @@
     model: ModelName
     size: GenerationSize | None
     last_event: str
+    shared_parts: tuple[PromptPart, ...]
     headers: Headers
     body: bytes
     received_at_s: float
--- a/pomelogauge/model/ids.py
+++ b/pomelogauge/model/ids.py
@@ -16,6 +16,8 @@
 RequestId = NewType('RequestId', str)
 Address = NewType('Address', str)
 TargetName = NewType('TargetName', str)
+#: Part of a prompt that requests may have in common.
+PromptPart = NewType('PromptPart', str)
 GroupName = NewType('GroupName', str)
 RouteName = NewType('RouteName', str)
 
--- a/pomelogauge/platform/requests.py
+++ b/pomelogauge/platform/requests.py
@@ -13,7 +13,7 @@
     TargetRequest,
 )
 from ..model.errors import Finding, FindingsError, SourceLocation
-from ..model.ids import ModelName
+from ..model.ids import ModelName, PromptPart
 from ..wire.caller_connection import RequestRead
 from ..wire.target_link import HeadRead, RequestHead
 
@@ -27,6 +27,7 @@
 _SIZE = 'x-token-counts'
 _MODEL = 'x-model'
 _LAST_EVENT = 'last-event-id'
+_PROMPT_PARTS = 'x-prompt-prefix'
 _KEY = 'authorization'
 _STAMP = 'x-response-stamp'
 _NOT_RUN = 'x-not-executed'
@@ -64,7 +65,16 @@
 #: Headers that a request may have only once. As the system reads them, a
 #: ``Connection`` header can't remove them either.
 _SINGLETONS = frozenset(
-    (_ATTEMPT, _DEADLINE, _KEY, _SIZE, _MODEL, _LAST_EVENT, 'host')
+    (
+        _ATTEMPT,
+        _DEADLINE,
+        _KEY,
+        _SIZE,
+        _MODEL,
+        _PROMPT_PARTS,
+        _LAST_EVENT,
+        'host',
+    )
 )
 
 
@@ -104,6 +114,7 @@
         model=ModelName(fields.get(_MODEL, '')),
         size=_parse_field(fields, _SIZE, _parse_size, findings),
         last_event=fields.get(_LAST_EVENT, ''),
+        shared_parts=_shared_parts(fields.get(_PROMPT_PARTS, '')),
         headers=_forwarded(read.headers, _NOT_FORWARDED),
         body=read.body,
         received_at_s=now_s,
@@ -237,6 +248,20 @@
     return GenerationSize(int(prompt), int(answer))
 
 
+def _shared_parts(text: str) -> tuple[PromptPart, ...]:
+    """Return the identifiers of all parts of a prompt but the last one.
+
+    The header is forwarded unchanged; what is no identifier and number of
+    tokens is left out.
+    """
+    entries = [entry.strip().partition(':') for entry in text.split(',')]
+    return tuple(
+        PromptPart(name.lower())
+        for name, _, tokens in entries[:-1]
+        if name and tokens.isdecimal()
+    )
+
+
 def _parse_load(text: str) -> TargetLoad | None:
     parts = [part.strip() for part in text.split(',')]
     if len(parts) == 3 and all(part.isdecimal() for part in parts):
--- a/test/entry_fakes.py
+++ b/test/entry_fakes.py
@@ -257,6 +257,7 @@
         'model': BIG,
         'size': None,
         'last_event': '',
+        'shared_parts': (),
         'headers': ((b'Host', HOST.encode()), (b'X-Attempt-Id', b'a1')),
         'body': b'{}',
         'received_at_s': 100.0,
--- a/test/test_platform_rows.py
+++ b/test/test_platform_rows.py
@@ -236,6 +236,13 @@
         }
         self.assertEqual(paths, expected)
 
+    def test_the_last_part_of_a_prompt_is_not_shared(self) -> None:
+        parts = (b'X-Prompt-Prefix', b'5C1e:800, 91bd:410,odd,e440:250')
+        req = self.decode(*self.HEADERS, parts).unwrap()
+        self.assertEqual(req.shared_parts, ('5c1e', '91bd'))
+        self.assertIn(parts, req.headers, 'it is forwarded unchanged')
+        self.assertEqual(self.decode(*self.HEADERS).unwrap().shared_parts, ())
+
     def test_a_target_gets_the_own_headers_and_no_key(self) -> None:
         req = self.decode(*self.HEADERS).unwrap()
         sent = TargetRequest(req, 't1', 'acme', 12, 0.75, '8')
