Quarantine parts of prompts that crash each target that answers them

Cause: an instance knows lost targets, not what ran there, and no instance alone sees enough of it. Now each instance names to the owner, with its reports, the shared parts of a lost request that it has not served lately; the owner tells all instances of parts with two crashes or more, who say whether they have served them; after three crashes at two targets or more, and the time for an objection, the part is quarantined and requests with it are refused. A suspected part is sent to one target only. No calls to the store are added; a report has 64 pieces of evidence at most.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -19,11 +19,12 @@
     InstanceMembership,
     InstanceMembershipPorts,
 )
-from ..entry.messages import DispatchMessage
+from ..entry.messages import DispatchMessage, PartMessage
 from ..entry.order_sender import OrderPermit, OrderSenderPool
 from ..entry.owner import Owner, OwnerParts, OwnerSettings
 from ..entry.owner_lease_keeper import OwnerLeaseKeeper
 from ..entry.ownership import OwnerLease, OwnershipStatus
+from ..entry.part_watch import PartWatch
 from ..entry.request_ports import RequestPorts, load_request_chart
 from ..entry.requests_in_progress import InProgressMessage, RequestsInProgress
 from ..model.fleet import EntryInstance, Fleet
@@ -143,6 +144,8 @@
     dispatch_task = tasks.add('dispatcher', dispatcher)
     suspect_listeners = delta_server, dispatch_task
     register.share_suspects_with(*suspect_listeners)
+    part_watch = tasks.add('part watch', PartWatch(membership, shared.clock))
+    register.share_verdicts_with(fleet_publisher, part_watch)
     wire_reads(shared, (fleet_publisher, delta_server), suspect_listeners)
     in_progress = tasks.add('requests in progress', RequestsInProgress())
     shutdown = ShutdownActor(
@@ -161,7 +164,9 @@
     )
     shutdown_task = tasks.add('shutdown', shutdown)
     shutdown.listen_on(shutdown_task)
-    ports = _request_ports(shared, dispatch_task, in_progress, metrics)
+    ports = _request_ports(
+        shared, dispatch_task, in_progress, metrics, part_watch
+    )
     pages = EntryListeners(
         cfg=shared.cfg,
         own=shared.own,
@@ -211,6 +216,7 @@
     dispatcher: Outbox[DispatchMessage],
     in_progress: Outbox[InProgressMessage],
     metrics: Outbox[MetricsMessage],
+    parts: Outbox[PartMessage],
 ) -> RequestPorts:
     key_age_s = shared.cfg.bounds.revoke_s - KEY_MARGIN_S
     return RequestPorts(
@@ -221,6 +227,7 @@
         dispatcher=dispatcher,
         in_progress=in_progress,
         metrics=metrics,
+        parts=parts,
         bounds=AdmissionBounds(key_age_s),
         clock=shared.clock,
     )
--- /dev/null
+++ b/pomelogauge/decide/part_quarantine.py
@@ -0,0 +1,164 @@
+"""Finds parts of prompts that crash each target that answers them.
+
+Answers the load pattern of a query of death: requests that have a part in
+common come at all instances and crash one target after the other, and each
+crash takes the requests with it that the target answered beside them. All of
+their parts are suspected; the sound ones are cleared by requests that are
+served.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from ..model.chart import Chart
+from ..model.ids import PromptPart, TargetName
+from ..model.prompt_parts import PartCrash, PartVerdicts
+from .prompt_part_chart import PartAction, PartEvent, PartFacts, PartState
+
+PartChart = Chart[PartState, PartEvent, PartAction, PartFacts]
+
+#: Crashes under a part from which on other instances are told of it.
+SUSPICIOUS_CRASHES = 2
+#: Seconds within which losses at one target are one crash.
+CRASH_SPAN_S = 0.5
+#: Seconds after the last crash for which a part is suspected, and quarantined.
+SUSPICION_S = 120.0
+QUARANTINE_S = 3600.0
+#: Cases of suspected parts that are kept, the newest ones.
+MAX_CASES = 512
+
+_NO_FACTS = PartFacts(0, 0, False)
+
+
+@dataclass(frozen=True)
+class _Crash:
+    """A target that crashed under a part, and when that was reported."""
+
+    target: TargetName
+    at_s: float
+
+
+@dataclass(frozen=True)
+class _Case:
+    """What is known of one part that has not been cleared."""
+
+    state: PartState
+    crashes: tuple[_Crash, ...] = ()
+    told_s: float = math.inf
+
+    def with_crash(self, target: TargetName, now_s: float) -> '_Case':
+        """Add a crash unless it was reported before."""
+        if any(
+            crash.target == target and now_s - crash.at_s < CRASH_SPAN_S
+            for crash in self.crashes
+        ):
+            return self
+        crashes = (*self.crashes, _Crash(target, now_s))
+        is_told = len(crashes) >= SUSPICIOUS_CRASHES
+        told_s = min(self.told_s, now_s) if is_told else math.inf
+        return replace(self, crashes=crashes, told_s=told_s)
+
+    def facts(self, settle_s: float, now_s: float) -> PartFacts:
+        """Return the facts for the guards of the chart."""
+        return PartFacts(
+            len(self.crashes),
+            len({crash.target for crash in self.crashes}),
+            now_s - self.told_s >= settle_s,
+        )
+
+    def is_told(self) -> bool:
+        """Return whether other instances are told of the part."""
+        return math.isfinite(self.told_s)
+
+    def is_over(self, now_s: float) -> bool:
+        """Return whether the last crash is too long ago."""
+        is_suspected = self.state is PartState.SUSPECTED
+        life_s = SUSPICION_S if is_suspected else QUARANTINE_S
+        return now_s - self.crashes[-1].at_s > life_s
+
+
+class PartQuarantine:
+    """Parts that are suspected or quarantined; used by one task.
+
+    Parameters
+    ----------
+    chart
+        The prompt part chart.
+
+    """
+
+    def __init__(self, chart: PartChart) -> None:
+        """Start without suspicion."""
+        self._chart = chart
+        self._cases: dict[PromptPart, _Case] = {}
+
+    def restore(self, parts: Iterable[PromptPart], now_s: float) -> None:
+        """Quarantine parts that were quarantined by another owner."""
+        crash = _Crash(TargetName(''), now_s)
+        restored = _Case(PartState.QUARANTINED, (crash,), now_s)
+        for part in parts:
+            self._cases[part] = restored
+
+    def record_crashes(
+        self, crashes: Iterable[PartCrash], now_s: float
+    ) -> None:
+        """Record targets that were lost while they answered parts.
+
+        Parameters
+        ----------
+        crashes
+            Parts that the reporting instance has not served lately.
+        now_s
+            Present time of the local clock.
+
+        """
+        for crash in sorted(crashes):
+            case = self._cases.pop(crash.part, _Case(PartState.SUSPECTED))
+            self._cases[crash.part] = case.with_crash(crash.target, now_s)
+        for part in tuple(self._cases)[:-MAX_CASES]:
+            if self._cases[part].state is PartState.SUSPECTED:
+                self._cases.pop(part)
+
+    def record_served(self, parts: Iterable[PromptPart]) -> None:
+        """Clear parts of which a request was answered wholly."""
+        for part in self._cases.keys() & frozenset(parts):
+            self._step(part, PartEvent.SERVED, _NO_FACTS)
+
+    def verdicts(self, settle_s: float, now_s: float) -> PartVerdicts:
+        """Return the parts that are suspected and quarantined now.
+
+        Parameters
+        ----------
+        settle_s
+            Seconds within which all instances learn of a suspected part and
+            say whether they have served it.
+        now_s
+            Present time of the local clock.
+
+        """
+        for part, case in tuple(self._cases.items()):
+            event = (
+                PartEvent.EXPIRED if case.is_over(now_s) else PartEvent.CHECKED
+            )
+            self._step(part, event, case.facts(settle_s, now_s))
+        return PartVerdicts(
+            self._told(PartState.SUSPECTED), self._told(PartState.QUARANTINED)
+        )
+
+    def _told(self, state: PartState) -> frozenset[PromptPart]:
+        return frozenset(
+            part
+            for part, case in self._cases.items()
+            if case.state is state and case.is_told()
+        )
+
+    def _step(
+        self, part: PromptPart, event: PartEvent, facts: PartFacts
+    ) -> None:
+        case = self._cases[part]
+        move = self._chart.step(case.state, event, facts)
+        if move.state in self._chart.final:
+            self._cases.pop(part)
+        else:
+            self._cases[part] = replace(case, state=move.state)
--- /dev/null
+++ b/pomelogauge/decide/prompt_part_chart.py
@@ -0,0 +1,67 @@
+"""States, events and guards of the prompt part chart."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..model.chart import Vocabulary
+
+#: Crashes under a part, and targets that crashed, before it is quarantined.
+MIN_CRASHES = 3
+MIN_TARGETS = 2
+
+
+class PartState(StrEnum):
+    """What the owner holds of a part; the values stand in log lines."""
+
+    SUSPECTED = 'suspected'
+    QUARANTINED = 'quarantined'
+    CLEARED = 'cleared'
+
+
+class PartEvent(StrEnum):
+    """Events of a part.
+
+    ``CHECKED``: time has passed, or more is known. ``SERVED``: a request with
+    the part was answered wholly. ``EXPIRED``: its last crash is long ago.
+    """
+
+    CHECKED = 'checked'
+    SERVED = 'served'
+    EXPIRED = 'expired'
+
+
+class PartAction(StrEnum):
+    """Actions of the chart; there are none."""
+
+
+@dataclass(frozen=True)
+class PartFacts:
+    """Facts on which the guards of the prompt part chart decide.
+
+    Parameters
+    ----------
+    crashes, targets
+        Number of crashes, and of different targets that crashed.
+    is_settled
+        All instances have had the time to say that they served the part.
+
+    """
+
+    crashes: int
+    targets: int
+    is_settled: bool
+
+    def is_proven(self) -> bool:
+        """Return whether the part crashes targets."""
+        return (
+            self.crashes >= MIN_CRASHES
+            and self.targets >= MIN_TARGETS
+            and self.is_settled
+        )
+
+    def always(self) -> bool:
+        """Return true: the guard of events that a state ignores."""
+        return True
+
+
+PART_WORDS = Vocabulary(PartState, PartEvent, PartAction, PartFacts)
--- a/pomelogauge/decide/serving_rules.py
+++ b/pomelogauge/decide/serving_rules.py
@@ -25,6 +25,8 @@
     NO_SERVICE = 'the service of the route is unknown'
     NO_TARGET = 'no target can take the request now'
     NO_RETRY = 'no repeat is left in the budget'
+    SUSPECTED = 'a part of the prompt may crash targets'
+    QUARANTINED = 'a part of the prompt crashes targets'
 
 
 @dataclass(frozen=True)
@@ -133,6 +135,28 @@
     return None
 
 
+def check_parts(
+    req: CallerRequest, fleet: Fleet, *, is_retry: bool
+) -> Denial | None:
+    """Return why the prompt of a request keeps it from being sent.
+
+    Parameters
+    ----------
+    req
+        The request.
+    fleet
+        Parts that are suspected and quarantined now.
+    is_retry
+        Whether it was sent to another target before.
+
+    """
+    if not fleet.parts.quarantined.isdisjoint(req.shared_parts):
+        return Denial.QUARANTINED
+    if is_retry and not fleet.parts.suspected.isdisjoint(req.shared_parts):
+        return Denial.SUSPECTED
+    return None
+
+
 def find_route(config: ServingConfig, host: str, path: str) -> Route | None:
     """Return the route of a path; ``None`` if no prefix matches.
 
--- a/pomelogauge/entry/caller_task.py
+++ b/pomelogauge/entry/caller_task.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure
 
-from ..decide.serving_rules import Denial, admit
+from ..decide.serving_rules import Denial, admit, check_parts
 from ..model.entry_request import AdmittedRequest, CallerRequest
 from ..model.log_parts import Part
 from ..model.metrics import Counter, Timing
@@ -32,6 +32,9 @@
 _UNAVAILABLE = 503
 #: Status of each denial. All others get 503, by which callers know that the
 #: request has not run and may be sent again.
+#: Seconds after which a caller is told to try again if a part of its prompt is
+#: quarantined, which no wait of a caller outlasts.
+_RETRY_AFTERS_S = {Denial.QUARANTINED: 60.0}
 _STATUSES = {Denial.NO_ROUTE: _NOT_FOUND, Denial.NO_KEY: _UNAUTHORIZED}
 #: Seconds after which callers may try again at an instance whose configuration
 #: is missing, incomplete or too old.
@@ -97,11 +100,9 @@
             self._answer(_BAD_REQUEST, message, 0)
             return
         req = decoded.unwrap()
-        verdict = admit(
-            req,
-            self._ports.published_fleet.latest(),
-            self._ports.bounds,
-            random(),
+        fleet = self._ports.published_fleet.latest()
+        verdict = check_parts(req, fleet, is_retry=False) or admit(
+            req, fleet, self._ports.bounds, random()
         )
         if isinstance(verdict, Denial):
             self._deny(req, verdict)
@@ -127,7 +128,9 @@
         self._ports.metrics.post(
             CounterIncrement(Counter.REQUESTS_REFUSED, denial)
         )
-        retry_after_s = _RETRY_AFTER_S if status == _UNAVAILABLE else 0
+        retry_after_s = _RETRY_AFTERS_S.get(denial, _RETRY_AFTER_S)
+        if status != _UNAVAILABLE:
+            retry_after_s = 0
         self._answer(status, denial, retry_after_s)
 
     def _answer(
--- a/pomelogauge/entry/fleet_publisher.py
+++ b/pomelogauge/entry/fleet_publisher.py
@@ -19,6 +19,7 @@
     FleetChanged,
     FleetPublisherMessage,
     InstancesObserved,
+    PartsJudged,
     TableRead,
     TableReadFailed,
 )
@@ -89,6 +90,11 @@
             case InstancesObserved():
                 fleet = self._published_fleet.latest()
                 self._publish(replace(fleet, instances=message.instances))
+            case PartsJudged():
+                fleet = self._published_fleet.latest()
+                self._published_fleet.publish(
+                    replace(fleet, parts=message.verdicts)
+                )
             case TableReadFailed() | TableRead():
                 return
 
--- a/pomelogauge/entry/instance_membership.py
+++ b/pomelogauge/entry/instance_membership.py
@@ -9,6 +9,7 @@
 from ..model.fleet import EntryInstance
 from ..model.ids import NodeName, TargetName
 from ..model.log_parts import Part
+from ..model.prompt_parts import PartEvidence, PartVerdicts
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
@@ -19,6 +20,7 @@
     InstancesObserved,
     OwnerAnswerMissed,
     OwnerAnswerReceived,
+    PartsJudged,
     ReportReceived,
     SuspectsShared,
     TargetsSuspected,
@@ -31,6 +33,7 @@
     SnapshotVersion,
 )
 from .ownership import OwnershipStatus
+from .part_reports import PartReports
 
 #: Seconds after which new suspects are reported. Suspects that come up within
 #: this time go into one report.
@@ -108,6 +111,7 @@
         self._tally = SuspicionTally()
         self._suspect_listeners: tuple[Outbox[SuspectsShared], ...] = ()
         self._suspects: frozenset[TargetName] = frozenset()
+        self._parts = PartReports()
         self._notified: tuple[EntryInstance, ...] = ()
         self._version = NO_SNAPSHOT
         self._is_answered = False
@@ -120,6 +124,13 @@
         """
         self._suspect_listeners = listeners
 
+    def share_verdicts_with(self, *listeners: Outbox[PartsJudged]) -> None:
+        """Set who learns which parts of prompts crash targets.
+
+        Called before the start.
+        """
+        self._parts.share_with(*listeners)
+
     def on_start(self) -> None:
         """Notify the listeners of this instance before the first report."""
         self._notify((self._own,))
@@ -131,8 +142,10 @@
                 message.reply.post(self._answer(message.report))
             case TargetsSuspected():
                 self._suspects |= message.targets
-                soon_s = self._clock.now_s() + SUSPECT_DELAY_S
-                self._next_s = min(self._next_s, soon_s)
+                self._report_soon()
+            case PartEvidence():
+                self._parts.add(message)
+                self._report_soon()
             case InstanceLeaving():
                 self._own = replace(self._own, is_leaving=True)
                 self._next_s = 0
@@ -150,12 +163,15 @@
         if now_s < self._next_s:
             return self._next_s - now_s
         self._next_s = now_s + report_interval_s(len(self._notified))
-        report = EntryReport(self._own, self._suspects, self._version)
+        report = EntryReport(
+            self._own, self._suspects, self._version, self._parts.take()
+        )
         self._suspects = frozenset()
         ownership = self._ports.ownership.latest()
         if ownership.is_own:
             self._record(report)
             self._update_list(ownership.term)
+            self._judge(report, ownership.term)
         elif ownership.address:
             self._report(ownership, report)
         return max(0, self._next_s - self._clock.now_s())
@@ -176,8 +192,21 @@
             ownership.renewal_version,
             () if is_known else self._notified,
             self._version,
+            self._judge(report, ownership.term),
+        )
+
+    def _judge(self, report: EntryReport, term: int) -> PartVerdicts:
+        return self._parts.judge(
+            report.parts,
+            term,
+            report_interval_s(len(self._notified)),
+            self._clock.now_s(),
         )
 
+    def _report_soon(self) -> None:
+        soon_s = self._clock.now_s() + SUSPECT_DELAY_S
+        self._next_s = min(self._next_s, soon_s)
+
     def _update_list(self, term: int) -> None:
         """Give the list of living instances a new version if it changed.
 
@@ -230,8 +259,9 @@
     def _report(self, ownership: OwnershipStatus, report: EntryReport) -> None:
         answer = self._ports.link.report(ownership.address, report)
         if isinstance(answer, Failure):
-            # The suspects go into the next report.
+            # The suspects and the evidence go into the next report.
             self._suspects |= report.suspects
+            self._parts.add(report.parts)
             error = answer.failure()
             if self._is_answered:
                 _log.warning(
@@ -248,6 +278,7 @@
             )
         self._is_answered = True
         snapshot = answer.unwrap()
+        self._parts.follow(snapshot.parts)
         living = snapshot.instances
         if snapshot.version != NO_SNAPSHOT and snapshot.version == report.known:
             living = self._notified
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -10,10 +10,12 @@
     Epoch,
     GroupName,
     ModelName,
+    PromptPart,
     RowVersion,
     ServiceName,
     TargetName,
 )
+from ..model.prompt_parts import PartEvidence, PartVerdicts
 from ..model.rows import Rows
 from ..tasks.mailbox import Outbox
 from ..tasks.shutdown_messages import PhaseChanged
@@ -150,11 +152,47 @@
     term: int
 
 
-InstanceMembershipMessage = ReportReceived | TargetsSuspected | InstanceLeaving
+@dataclass(frozen=True)
+class AnswerLost:
+    """A target's connection broke before its answer was whole.
+
+    Parameters
+    ----------
+    target
+        The target.
+    parts
+        Parts of the request's prompt that other requests may have too.
+
+    """
+
+    target: TargetName
+    parts: tuple[PromptPart, ...]
+
+
+@dataclass(frozen=True)
+class PartsServed:
+    """A request with these parts was answered wholly."""
+
+    parts: tuple[PromptPart, ...]
+
+
+@dataclass(frozen=True)
+class PartsJudged:
+    """The owner's verdicts on parts of prompts have changed."""
+
+    verdicts: PartVerdicts
+
+
+PartMessage = AnswerLost | PartsServed | PartsJudged
+InstanceMembershipMessage = (
+    ReportReceived | TargetsSuspected | InstanceLeaving | PartEvidence
+)
 DeltaServerMessage = (
     TableRead | TableReadFailed | WatchRequested | SuspectsShared
 )
-FleetPublisherMessage = TableRead | TableReadFailed | InstancesObserved
+FleetPublisherMessage = (
+    TableRead | TableReadFailed | InstancesObserved | PartsJudged
+)
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/entry/owner_link.py
+++ b/pomelogauge/entry/owner_link.py
@@ -7,6 +7,7 @@
 
 from ..model.fleet import EntryInstance
 from ..model.ids import Address, RowVersion, TargetName
+from ..model.prompt_parts import PartEvidence, PartVerdicts
 
 
 @dataclass(frozen=True)
@@ -42,12 +43,15 @@
         Targets that stalled or failed a request since the last report.
     known
         Version of the list of instances that it has.
+    parts
+        What it has seen of parts of prompts since the last report.
 
     """
 
     instance: EntryInstance
     suspects: frozenset[TargetName] = frozenset()
     known: SnapshotVersion = NO_SNAPSHOT
+    parts: PartEvidence = PartEvidence()
 
 
 @dataclass(frozen=True)
@@ -66,6 +70,8 @@
         instance has this version of the list.
     version
         Version of the list; ``NO_SNAPSHOT`` from an owner without versions.
+    parts
+        Parts of prompts that are suspected or quarantined.
 
     """
 
@@ -73,6 +79,7 @@
     renewal_version: RowVersion
     instances: tuple[EntryInstance, ...]
     version: SnapshotVersion = NO_SNAPSHOT
+    parts: PartVerdicts = PartVerdicts()
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/pomelogauge/entry/part_reports.py
@@ -0,0 +1,104 @@
+"""What the membership task exchanges with the owner on parts of prompts."""
+
+from ..charts.reader import load_chart
+from ..decide.part_quarantine import PartQuarantine
+from ..decide.prompt_part_chart import PART_WORDS
+from ..model.log_parts import Part
+from ..model.prompt_parts import PartEvidence, PartVerdicts
+from ..tasks.log import part_logger
+from ..tasks.mailbox import Outbox
+from .messages import PartsJudged
+
+#: Seconds beyond a report interval in which an instance that learns of a
+#: suspected part answers that it has served it.
+ANSWER_DELAY_S = 0.5
+#: Pieces of evidence in one report at most, so that a report stays small when
+#: many targets are lost at once; the next reports have the others.
+MAX_EVIDENCE = 64
+
+_log = part_logger(Part.REQUEST)
+
+
+class PartReports:
+    """Evidence for the owner, and the verdicts of the owner.
+
+    Used by the membership task. On the owner it also judges the evidence of
+    all instances.
+    """
+
+    def __init__(self) -> None:
+        """Start without evidence."""
+        self._chart = load_chart('prompt_part', PART_WORDS)
+        self._listeners: tuple[Outbox[PartsJudged], ...] = ()
+        self._pending = PartEvidence()
+        self._quarantine = PartQuarantine(self._chart)
+        self._term = 0
+        self._verdicts = PartVerdicts()
+
+    def share_with(self, *listeners: Outbox[PartsJudged]) -> None:
+        """Set who learns of new verdicts."""
+        self._listeners = listeners
+
+    def add(self, evidence: PartEvidence) -> None:
+        """Add evidence of this instance to the next report."""
+        self._pending |= evidence
+
+    def take(self) -> PartEvidence:
+        """Return the evidence for the next report, and forget it."""
+        crashes = sorted(self._pending.crashes)
+        served = sorted(self._pending.served)
+        self._pending = PartEvidence(
+            frozenset(crashes[MAX_EVIDENCE:]), frozenset(served[MAX_EVIDENCE:])
+        )
+        return PartEvidence(
+            frozenset(crashes[:MAX_EVIDENCE]), frozenset(served[:MAX_EVIDENCE])
+        )
+
+    def judge(
+        self,
+        evidence: PartEvidence,
+        term: int,
+        interval_s: float,
+        now_s: float,
+    ) -> PartVerdicts:
+        """Add evidence of one instance and return the owner's verdicts.
+
+        Parameters
+        ----------
+        evidence
+            From a report of any instance, this one included.
+        term
+            Term in which this instance is the owner. In a new term it starts
+            with the parts that its predecessor had quarantined.
+        interval_s
+            Seconds between two reports of an instance.
+        now_s
+            Present time of the local clock.
+
+        """
+        if term != self._term:
+            self._term = term
+            self._quarantine = PartQuarantine(self._chart)
+            self._quarantine.restore(self._verdicts.quarantined, now_s)
+        self._quarantine.record_crashes(evidence.crashes, now_s)
+        self._quarantine.record_served(evidence.served)
+        settle_s = interval_s + ANSWER_DELAY_S
+        self.follow(self._quarantine.verdicts(settle_s, now_s))
+        return self._verdicts
+
+    def follow(self, verdicts: PartVerdicts) -> None:
+        """Take over verdicts and notify the listeners of changes."""
+        if verdicts == self._verdicts:
+            return
+        _log.info(
+            'suspected parts of prompts: %s, quarantined: %s',
+            len(verdicts.suspected),
+            len(verdicts.quarantined),
+            extra={
+                'suspected': sorted(verdicts.suspected)[:MAX_EVIDENCE],
+                'quarantined': sorted(verdicts.quarantined)[:MAX_EVIDENCE],
+            },
+        )
+        self._verdicts = verdicts
+        for listener in self._listeners:
+            listener.post(PartsJudged(verdicts))
--- a/pomelogauge/entry/request_ports.py
+++ b/pomelogauge/entry/request_ports.py
@@ -18,7 +18,7 @@
 from ..tasks.metrics import MetricsMessage
 from ..tasks.published import Published
 from .codecs import RequestCodec
-from .messages import DispatchMessage
+from .messages import DispatchMessage, PartMessage
 from .requests_in_progress import InProgressMessage
 
 RequestChart = Chart[RequestState, RequestEvent, RequestAction, RequestFacts]
@@ -49,6 +49,8 @@
         Counts the requests that have not been answered wholly.
     metrics
         Collects counts and times.
+    parts
+        Learns which parts of prompts are served and under which targets crash.
     bounds
         Ages up to which the configuration may be used.
     clock
@@ -63,5 +65,6 @@
     dispatcher: Outbox[DispatchMessage]
     in_progress: Outbox[InProgressMessage]
     metrics: Outbox[MetricsMessage]
+    parts: Outbox[PartMessage]
     bounds: AdmissionBounds
     clock: Clock
--- a/pomelogauge/entry/request_run.py
+++ b/pomelogauge/entry/request_run.py
@@ -10,7 +10,7 @@
     RequestFacts,
     RequestState,
 )
-from ..decide.serving_rules import recheck
+from ..decide.serving_rules import check_parts, recheck
 from ..decide.stall_timeout import stall_timeout_s
 from ..model.entry_request import (
     AdmittedRequest,
@@ -31,8 +31,10 @@
 )
 from .caller_answer import AnswerTooLargeError, CallerAnswer
 from .messages import (
+    AnswerLost,
     LoadReceived,
     Outcome,
+    PartsServed,
     SlotAnswer,
     SlotDenied,
     SlotReleased,
@@ -250,15 +252,18 @@
         return self._await_head(attempt)
 
     def _has_lapsed(self) -> bool:
-        """Return whether the admission has lapsed before an answer began."""
-        if self._answer.has_started:
-            return False
-        denial = recheck(
-            self._admitted,
-            self._ports.published_fleet.latest(),
-            self._ports.bounds,
-            self._ports.clock.now_s(),
+        """Return whether the request must not be sent any more."""
+        fleet = self._ports.published_fleet.latest()
+        denial = check_parts(
+            self._admitted.req, fleet, is_retry=bool(self._sent)
         )
+        if denial is None and not self._answer.has_started:
+            denial = recheck(
+                self._admitted,
+                fleet,
+                self._ports.bounds,
+                self._ports.clock.now_s(),
+            )
         if denial is None:
             return False
         self._outcome = Outcome.LEFT
@@ -301,6 +306,9 @@
             return self._end_of_attempt(event)
         if self._answer.has_partial_event():
             return self._fail('the stream ends inside an event')
+        if event.is_framed and self._admitted.req.shared_parts:
+            served = PartsServed(self._admitted.req.shared_parts)
+            self._ports.parts.post(served)
         return RequestEvent.ANSWER_COMPLETED
 
     def _relay_body(self, attempt: TargetAttempt) -> LinkEvent | Interruption:
@@ -350,6 +358,9 @@
         self._ports.dispatcher.post(SlotReleased(target, self._outcome))
         if self._outcome is Outcome.LOST:
             _log_loss(self._admitted.req, target, self._reason)
+            self._ports.parts.post(
+                AnswerLost(target, self._admitted.req.shared_parts)
+            )
 
     def _finish(self, action: RequestAction) -> None:
         """Complete, abort or refuse the answer to the caller."""
--- a/pomelogauge/model/fleet.py
+++ b/pomelogauge/model/fleet.py
@@ -17,6 +17,7 @@
     ServiceName,
     TargetName,
 )
+from .prompt_parts import PartVerdicts
 from .serving import ServingConfig
 
 
@@ -211,6 +212,8 @@
         Live entry instances, this one included.
     can_serve
         Whether the targets have been read at least once since the start.
+    parts
+        Parts of prompts that are suspected or quarantined.
 
     """
 
@@ -220,3 +223,4 @@
     drained: frozenset[DataCentreName] = frozenset()
     instances: tuple[EntryInstance, ...] = ()
     can_serve: bool = False
+    parts: PartVerdicts = PartVerdicts()
--- a/pomelogauge/wire/entry_codec.py
+++ b/pomelogauge/wire/entry_codec.py
@@ -19,9 +19,11 @@
     Address,
     DataCentreName,
     NodeName,
+    PromptPart,
     RowVersion,
     TargetName,
 )
+from ..model.prompt_parts import PartCrash, PartEvidence, PartVerdicts
 from ..model.rows import Rows, StoredRow
 from . import entry_peer_pb2
 
@@ -42,6 +44,11 @@
     encoded = _encode_instance(report.instance)
     encoded.suspects.extend(sorted(report.suspects))
     encoded.known_roll.CopyFrom(_encode_version(report.known))
+    encoded.part_crashes.extend(
+        entry_peer_pb2.PartCrash(part=crash.part, target=crash.target)
+        for crash in sorted(report.parts.crashes)
+    )
+    encoded.served_parts.extend(sorted(report.parts.served))
     return encoded
 
 
@@ -51,6 +58,13 @@
         _decode_instance(message),
         frozenset(TargetName(name) for name in message.suspects),
         _decode_version(message.known_roll),
+        PartEvidence(
+            frozenset(
+                PartCrash(PromptPart(crash.part), TargetName(crash.target))
+                for crash in message.part_crashes
+            ),
+            frozenset(PromptPart(part) for part in message.served_parts),
+        ),
     )
 
 
@@ -63,6 +77,8 @@
         beat=snapshot.renewal_version,
         entries=[_encode_instance(instance) for instance in snapshot.instances],
         version=_encode_version(snapshot.version),
+        suspected_parts=sorted(snapshot.parts.suspected),
+        quarantined_parts=sorted(snapshot.parts.quarantined),
     )
 
 
@@ -75,6 +91,10 @@
         RowVersion(message.beat),
         tuple(_decode_instance(report) for report in message.entries),
         _decode_version(message.version),
+        PartVerdicts(
+            frozenset(PromptPart(part) for part in message.suspected_parts),
+            frozenset(PromptPart(part) for part in message.quarantined_parts),
+        ),
     )
 
 
--- a/pomelogauge/wire/target_link.py
+++ b/pomelogauge/wire/target_link.py
@@ -52,7 +52,17 @@
 
 @dataclass(frozen=True)
 class AnswerEnded:
-    """The response is complete."""
+    """The response is complete.
+
+    Parameters
+    ----------
+    is_framed
+        It had a length or chunks. The end of any other response is the end of
+        its connection, which a crash may be too.
+
+    """
+
+    is_framed: bool = True
 
 
 LinkEvent = HeadRead | BodyRead | AnswerEnded | LinkError
@@ -84,6 +94,7 @@
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self._interim_responses = 0
+        self._is_framed = True
 
     @classmethod
     def connect(
@@ -210,15 +221,21 @@
                 return None
             case h11.Response():
                 headers = tuple(event.headers.raw_items())
+                self._is_framed = _is_framed(headers)
                 return HeadRead(event.status_code, headers)
             case h11.Data():
                 return BodyRead(bytes(event.data))
             case h11.EndOfMessage():
-                return AnswerEnded()
+                return AnswerEnded(self._is_framed)
             case _:
                 return LinkError(
                     'target closed the connection without a response'
                 )
 
 
+def _is_framed(headers: Headers) -> bool:
+    names = {name.lower() for name, _ in headers}
+    return not names.isdisjoint((b'content-length', b'transfer-encoding'))
+
+
 _LAST_EVENTS = (AnswerEnded, LinkError)
--- a/test/request_fixtures.py
+++ b/test/request_fixtures.py
@@ -172,6 +172,7 @@
         self.in_progress = Task('in progress', RequestsInProgress())
         self.in_progress.start()
         self.addCleanup(self.in_progress.stop)
+        self.parts = Outbox()
         self.ports = RequestPorts(
             load_request_chart(),
             RequestTranslator(),
@@ -180,6 +181,7 @@
             dispatcher,
             self.in_progress,
             Outbox(),
+            self.parts,
             AdmissionBounds(4),
             clock,
         )
--- /dev/null
+++ b/test/test_prompt_parts.py
@@ -0,0 +1,247 @@
+"""Suspected and quarantined parts of prompts, along the way of a request."""
+
+import socket
+import unittest
+from dataclasses import replace
+
+from pomelogauge.charts.reader import load_chart
+from pomelogauge.decide.part_quarantine import (
+    MAX_CASES,
+    QUARANTINE_S,
+    SUSPICION_S,
+    PartQuarantine,
+)
+from pomelogauge.decide.prompt_part_chart import PART_WORDS
+from pomelogauge.decide.served_parts import (
+    MAX_SERVED_PARTS,
+    SERVED_S,
+    ServedParts,
+)
+from pomelogauge.entry.messages import AnswerLost, PartsServed
+from pomelogauge.entry.owner_link import EntryReport, MembershipSnapshot
+from pomelogauge.entry.part_reports import MAX_EVIDENCE, PartReports
+from pomelogauge.model.ids import PromptPart, RowVersion, TargetName
+from pomelogauge.model.prompt_parts import (
+    PartCrash,
+    PartEvidence,
+    PartVerdicts,
+)
+from pomelogauge.wire.entry_codec import (
+    decode_membership_snapshot,
+    decode_report,
+    encode_membership_snapshot,
+    encode_report,
+)
+
+from .entry_fakes import HOST, Outbox, entry_instance
+from .request_fixtures import EVENTS, HEAD, RequestCase, stream, wait_until
+
+CHART = load_chart('prompt_part', PART_WORDS)
+PART = PromptPart('p')
+SETTLE_S = 1.0
+
+
+def crash(target: str, part: str = PART) -> PartCrash:
+    return PartCrash(PromptPart(part), TargetName(target))
+
+
+class PartQuarantineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.quarantine = PartQuarantine(CHART)
+
+    def crashes(self, *targets: str, at_s: float = 0) -> None:
+        for target in targets:
+            self.quarantine.record_crashes((crash(target),), at_s)
+
+    def verdicts(self, now_s: float) -> PartVerdicts:
+        return self.quarantine.verdicts(SETTLE_S, now_s)
+
+    def test_one_crash_makes_nobody_suspect_a_part(self) -> None:
+        self.crashes('t1')
+        self.assertEqual(self.verdicts(5), PartVerdicts())
+
+    def test_two_crashes_make_a_part_suspected(self) -> None:
+        self.crashes('t1', 't2')
+        self.assertEqual(self.verdicts(5), PartVerdicts(suspected={PART}))
+
+    def test_three_crashes_quarantine_once_others_could_object(self) -> None:
+        self.crashes('t1', 't2', 't3')
+        early = self.verdicts(SETTLE_S / 2)
+        self.assertEqual(early, PartVerdicts(suspected={PART}))
+        late = self.verdicts(SETTLE_S)
+        self.assertEqual(late, PartVerdicts(quarantined={PART}))
+
+    def test_one_target_that_crashes_again_and_again_is_to_blame(self) -> None:
+        for at_s in range(5):
+            self.crashes('t1', at_s=at_s)
+        self.assertEqual(self.verdicts(9), PartVerdicts(suspected={PART}))
+
+    def test_one_crash_that_several_instances_report_is_one(self) -> None:
+        for at_s in (0, 0.1, 0.2):
+            self.crashes('t1', 't2', at_s=at_s)
+        self.assertEqual(self.verdicts(5), PartVerdicts(suspected={PART}))
+
+    def test_a_part_that_was_served_is_cleared(self) -> None:
+        for served_s in (SETTLE_S / 2, SETTLE_S):
+            self.crashes('t1', 't2', 't3')
+            self.verdicts(served_s)
+            self.quarantine.record_served((PART,))
+            self.assertEqual(self.verdicts(5), PartVerdicts())
+
+    def test_suspicion_and_quarantine_end(self) -> None:
+        self.crashes('t1', 't2')
+        self.assertTrue(self.verdicts(SUSPICION_S).suspected)
+        self.assertEqual(self.verdicts(SUSPICION_S + 1), PartVerdicts())
+        self.crashes('t1', 't2', 't3', at_s=1000)
+        self.verdicts(1000 + SETTLE_S)
+        self.assertTrue(self.verdicts(1000 + QUARANTINE_S).quarantined)
+        ended = self.verdicts(1001 + QUARANTINE_S)
+        self.assertEqual(ended, PartVerdicts())
+
+    def test_a_restored_part_is_quarantined_at_once(self) -> None:
+        self.quarantine.restore((PART,), 0)
+        self.assertEqual(self.verdicts(0), PartVerdicts(quarantined={PART}))
+
+    def test_a_flood_of_suspected_parts_keeps_the_quarantined_one(self) -> None:
+        self.quarantine.restore((PART,), 0)
+        for index in range(2 * MAX_CASES):
+            flood = (crash('t1', f'p{index}'), crash('t2', f'p{index}'))
+            self.quarantine.record_crashes(flood, 1)
+        verdicts = self.verdicts(5)
+        self.assertEqual(verdicts.quarantined, {PART})
+        self.assertLessEqual(len(verdicts.suspected), MAX_CASES)
+
+
+class ServedPartsTest(unittest.TestCase):
+    def test_a_part_counts_as_served_for_some_time(self) -> None:
+        served = ServedParts()
+        served.record((PART,), 0)
+        self.assertEqual(served.among((PART, 'q'), SERVED_S), {PART})
+        self.assertEqual(served.among((PART,), SERVED_S + 1), frozenset())
+
+    def test_the_memory_is_bounded(self) -> None:
+        served = ServedParts()
+        served.record((PART,), 0)
+        served.record((f'p{at}' for at in range(MAX_SERVED_PARTS)), 1)
+        self.assertEqual(served.among((PART,), 1), frozenset())
+
+
+class PartReportsTest(unittest.TestCase):
+    def test_a_report_is_bounded_and_the_next_has_the_others(self) -> None:
+        reports = PartReports()
+        crashes = frozenset(crash('t', f'p{at}') for at in range(100))
+        reports.add(PartEvidence(crashes))
+        first, second = reports.take(), reports.take()
+        self.assertEqual(len(first.crashes), MAX_EVIDENCE)
+        self.assertEqual(first.crashes | second.crashes, crashes)
+        self.assertEqual(reports.take(), PartEvidence())
+
+    def test_listeners_learn_of_changes_only(self) -> None:
+        reports, listener = PartReports(), Outbox()
+        reports.share_with(listener)
+        reports.follow(PartVerdicts())
+        reports.follow(PartVerdicts(quarantined=frozenset((PART,))))
+        reports.follow(PartVerdicts(quarantined=frozenset((PART,))))
+        self.assertEqual(len(listener.posted), 1)
+
+    def test_evidence_and_verdicts_survive_the_encoding(self) -> None:
+        evidence = PartEvidence(
+            frozenset((crash('t1'), crash('t2', 'q'))), frozenset((PART,))
+        )
+        report = EntryReport(
+            replace(entry_instance(0), cores=1), parts=evidence
+        )
+        self.assertEqual(decode_report(encode_report(report)), report)
+        verdicts = PartVerdicts(frozenset(('q',)), frozenset((PART,)))
+        snapshot = MembershipSnapshot(1, RowVersion(2), (), parts=verdicts)
+        encoded = encode_membership_snapshot(snapshot)
+        self.assertEqual(decode_membership_snapshot(encoded), snapshot)
+
+
+class PartsOfRequestsTest(RequestCase):
+    """Requests over real sockets, with two shared parts and one of their own."""
+
+    def call_with_parts(self) -> bytes:
+        sock = self.connect()
+        sock.sendall(
+            b'POST /a/b HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: a1\r\n'
+            b'X-Model: big\r\nX-Deadline-Ms: 4000\r\nContent-Length: 2\r\n'
+            b'X-Prompt-Prefix: p:40,q:100,own:30\r\n'
+            b'Connection: close\r\n\r\n{}' % HOST.encode()
+        )
+        answer = b''
+        while read := sock.recv(65536):
+            answer += read
+        return answer
+
+    def judge(self, **verdicts: frozenset[PromptPart]) -> None:
+        """Publish verdicts of the owner."""
+        known = self.published_fleet.latest()
+        self.published_fleet.publish(
+            replace(known, parts=PartVerdicts(**verdicts))
+        )
+
+    def sent_count(self) -> int:
+        """Return how many requests were sent on."""
+        return sum(
+            bool(received) for stub in self.stubs for received in stub.received
+        )
+
+    def seen(self, *messages: object) -> bool:
+        return wait_until(lambda: self.parts.posted == list(messages))
+
+    def test_a_request_with_a_quarantined_part_reaches_no_target(self) -> None:
+        """Guards against targets that crash under one part of prompts."""
+        self.start(stream(*EVENTS))
+        self.judge(quarantined=frozenset(('q',)))
+        answer = self.call_with_parts()
+        self.assertTrue(answer.startswith(b'HTTP/1.1 503'))
+        self.assertIn(b'Retry-After: 60', answer)
+        self.assertEqual(self.sent_count(), 0)
+
+    def test_the_part_of_the_request_alone_is_not_held_against_it(self) -> None:
+        self.start(stream(*EVENTS))
+        self.judge(quarantined=frozenset(('own',)))
+        answer = self.call_with_parts()
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'))
+
+    def test_a_suspected_part_is_sent_to_one_target_only(self) -> None:
+        self.start(stream(EVENTS[0], ends=False), stream(*EVENTS))
+        self.judge(suspected=frozenset(('q',)))
+        answer = self.call_with_parts()
+        self.assertFalse(answer.endswith(b'0\r\n\r\n'))
+        self.assertEqual(self.sent_count(), 1)
+
+    def test_a_retry_that_was_under_way_ends_with_the_quarantine(self) -> None:
+        def cut(sock: socket.socket, received: bytes) -> None:
+            self.judge(quarantined=frozenset(('q',)))
+            stream(EVENTS[0], ends=False)(sock, received)
+
+        self.start(cut, stream(*EVENTS))
+        self.call_with_parts()
+        self.assertEqual(self.sent_count(), 1)
+
+    def test_a_whole_answer_shows_that_its_parts_are_sound(self) -> None:
+        self.start(stream(*EVENTS))
+        self.call_with_parts()
+        self.assertTrue(self.seen(PartsServed(('p', 'q'))))
+
+    def test_a_lost_answer_names_its_target(self) -> None:
+        self.start(stream(EVENTS[0], ends=False), may_resume=False)
+        self.call_with_parts()
+        self.assertTrue(self.seen(AnswerLost(TargetName('t0'), ('p', 'q'))))
+
+    def test_an_answer_without_a_length_shows_nothing(self) -> None:
+        """Its end may be a crash."""
+
+        def unframed(sock: socket.socket, received: bytes) -> None:
+            head = HEAD.replace(b'Transfer-Encoding: chunked\r\n', b'')
+            sock.sendall(head + b''.join(EVENTS))
+
+        self.start(unframed)
+        self.assertTrue(self.call_with_parts().startswith(b'HTTP/1.1 200'))
+        self.assertFalse(self.seen(PartsServed(('p', 'q'))))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/test/test_query_of_death.py
@@ -0,0 +1,310 @@
+"""A part of prompts that crashes each target which answers it."""
+
+import logging
+import unittest
+from dataclasses import dataclass, field
+from random import Random
+
+from returns.result import Failure, Result, Success
+
+from pomelogauge.decide.serving_rules import Denial, check_parts
+from pomelogauge.entry.fleet_publisher import FleetPublisher
+from pomelogauge.entry.instance_membership import (
+    InstanceMembership,
+    InstanceMembershipPorts,
+)
+from pomelogauge.entry.messages import (
+    AnswerLost,
+    PartMessage,
+    PartsServed,
+    ReportReceived,
+)
+from pomelogauge.entry.owner_link import EntryReport, OwnerLinkError
+from pomelogauge.entry.ownership import OwnershipStatus
+from pomelogauge.entry.part_watch import PartWatch
+from pomelogauge.model.fleet import EntryInstance, Fleet
+from pomelogauge.model.ids import (
+    Address,
+    NodeName,
+    PromptPart,
+    RowVersion,
+    TargetName,
+)
+from pomelogauge.platform.translator import RowTranslator
+from pomelogauge.tasks.published import Published
+
+from .entry_fakes import ZONE, FakeClock, Outbox, request
+
+STEP_S = 0.05
+INSTANCES = 6
+HEADS = 12
+PARTS = 30
+#: Requests a second, seconds that an answer takes and until its first event.
+RATE = 60
+ANSWER_S = 1.0
+FIRST_EVENT_S = 0.2
+#: Seconds that a crashed target is away.
+AWAY_S = 3.0
+#: Seconds after the fifth crash in which instances learn of the part, and
+#: requests with it that may reach targets after that.
+CONTACT_S = 3.0
+LATE_REQUESTS = 3
+DEADLY = PromptPart('dead')
+
+
+class DirectOutbox:
+    """Delivers messages to an actor without a task."""
+
+    def __init__(self) -> None:
+        self.actor = None
+
+    def post(self, message: object) -> None:
+        self.actor.on_message(message)
+
+
+class Link:
+    """Reports to the instance that is the owner, if it can be reached."""
+
+    def __init__(self, system: 'System') -> None:
+        self.system = system
+
+    def report(self, address: Address, report: EntryReport) -> Result:
+        replies = Outbox()
+        owner = self.system.instances[self.system.owner]
+        owner.membership.on_message(ReportReceived(report, replies))
+        answer = replies.posted[0]
+        if answer is None:
+            return Failure(OwnerLinkError('not the owner'))
+        return Success(answer)
+
+
+class Instance:
+    """The parts of an entry instance that deal with parts of prompts."""
+
+    def __init__(self, index: int, system: 'System') -> None:
+        clock = system.clock
+        self.ownership = Published(OwnershipStatus())
+        self.fleet = Published(Fleet())
+        publisher = FleetPublisher(RowTranslator(), self.fleet, (), clock)
+        to_membership, to_watch, to_publisher = (
+            DirectOutbox() for _ in range(3)
+        )
+        self.membership = InstanceMembership(
+            EntryInstance(NodeName(f'n{index}'), Address(f'n{index}:1'), ZONE),
+            InstanceMembershipPorts(
+                Link(system), self.ownership, Outbox(), (Outbox(),)
+            ),
+            clock,
+        )
+        self.watch = PartWatch(to_membership, clock)
+        to_membership.actor = self.membership
+        to_watch.actor = self.watch
+        to_publisher.actor = publisher
+        self.membership.share_verdicts_with(to_publisher, to_watch)
+        self.membership.on_start()
+
+    def tell(self, message: PartMessage) -> None:
+        self.watch.on_message(message)
+
+    def denial(
+        self, parts: tuple[PromptPart, ...], *, is_retry: bool
+    ) -> Denial | None:
+        req = request(shared_parts=parts)
+        return check_parts(req, self.fleet.latest(), is_retry=is_retry)
+
+
+@dataclass
+class Running:
+    """One request at a target."""
+
+    instance: int
+    parts: tuple[PromptPart, ...]
+    since_s: float
+    is_retry: bool = False
+
+
+@dataclass
+class Head:
+    """A target that answers requests."""
+
+    name: str
+    away_until_s: float = 0
+    running: list[Running] = field(default_factory=list)
+
+
+class System:
+    """Instances, an owner among them, targets and callers."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.clock = FakeClock()
+        self.owner = 0
+        self.term = 1
+        self.instances = [Instance(index, self) for index in range(INSTANCES)]
+        self.heads = [Head(f't{index}') for index in range(HEADS)]
+        self.parts = [PromptPart(f'p{index}') for index in range(PARTS)]
+        self.crashes_s: list[float] = []
+        self.deadly_sent_s: list[float] = []
+        self.denied_sound = 0
+        self.publish_owner()
+
+    def publish_owner(self) -> None:
+        for index, instance in enumerate(self.instances):
+            is_own = index == self.owner
+            instance.ownership.publish(
+                OwnershipStatus(
+                    is_own,
+                    self.term,
+                    Address(f'n{self.owner}:2'),
+                    RowVersion(8),
+                    float('inf') if is_own else float('-inf'),
+                )
+            )
+
+    def replace_owner(self) -> None:
+        """Let the next instance be the owner; the former one starts anew."""
+        former, self.owner = self.owner, (self.owner + 1) % INSTANCES
+        self.term += 1
+        self.instances[former] = Instance(former, self)
+        self.publish_owner()
+
+    def run(self, seconds: float, deadly_share: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.at_s += STEP_S
+            for _ in range(round(RATE * STEP_S)):
+                self.arrive(is_deadly=self.rng.random() < deadly_share)
+            for head in self.heads:
+                self.work(head)
+            for instance in self.instances:
+                instance.membership.on_timer()
+
+    def arrive(self, *, is_deadly: bool) -> None:
+        parts = (self.rng.choice(self.parts),)
+        if is_deadly:
+            parts = (*parts, DEADLY)
+        instance = self.rng.randrange(INSTANCES)
+        self.send(Running(instance, parts, self.clock.at_s))
+
+    def send(self, running: Running) -> None:
+        """Send a request to a target unless the instance denies it."""
+        denial = self.instances[running.instance].denial(
+            running.parts, is_retry=running.is_retry
+        )
+        if denial is not None:
+            self.denied_sound += DEADLY not in running.parts
+            return
+        now_s = self.clock.at_s
+        ready = [head for head in self.heads if head.away_until_s <= now_s]
+        if not ready:
+            return
+        if DEADLY in running.parts:
+            self.deadly_sent_s.append(now_s)
+        self.rng.choice(ready).running.append(running)
+
+    def work(self, head: Head) -> None:
+        now_s = self.clock.at_s
+        if any(
+            DEADLY in one.parts and now_s - one.since_s >= FIRST_EVENT_S
+            for one in head.running
+        ):
+            self.crashes_s.append(now_s)
+            self.crash(head)
+            return
+        for one in tuple(head.running):
+            if now_s - one.since_s >= ANSWER_S:
+                head.running.remove(one)
+                self.instances[one.instance].tell(PartsServed(one.parts))
+
+    def crash(self, head: Head) -> None:
+        """Lose all requests of a target; each is sent to another one once."""
+        lost, head.running = head.running, []
+        head.away_until_s = self.clock.at_s + AWAY_S
+        for one in lost:
+            self.instances[one.instance].tell(
+                AnswerLost(TargetName(head.name), one.parts)
+            )
+            if not one.is_retry:
+                self.send(
+                    Running(one.instance, one.parts, self.clock.at_s, True)
+                )
+
+    def late_requests(self) -> int:
+        """Return how many deadly requests were sent later than allowed."""
+        if len(self.crashes_s) < 5:
+            return 0
+        bound_s = self.crashes_s[4] + CONTACT_S
+        return sum(at_s > bound_s for at_s in self.deadly_sent_s)
+
+
+class QueryOfDeathTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def quarantined(self, system: System) -> list[frozenset[PromptPart]]:
+        return [
+            instance.fleet.latest().parts.quarantined
+            for instance in system.instances
+        ]
+
+    def test_requests_with_a_deadly_part_stop_reaching_targets(self) -> None:
+        """Guards against targets that crash one after the other.
+
+        Requests that shared a part of their prompts were sent on for as long
+        as they came, and each crashed one or two targets.
+        """
+        for seed in range(5):
+            system = System(seed)
+            system.run(4, 0)
+            system.run(22, 0.012)
+            self.assertGreaterEqual(len(system.deadly_sent_s), 2)
+            self.assertLessEqual(system.late_requests(), LATE_REQUESTS, seed)
+            self.assertEqual(
+                self.quarantined(system), [{DEADLY}] * INSTANCES, seed
+            )
+
+    def test_requests_that_share_other_parts_are_served(self) -> None:
+        for seed in range(5):
+            system = System(seed)
+            system.run(4, 0)
+            system.run(22, 0.012)
+            self.assertLessEqual(system.denied_sound, 5, seed)
+
+    def test_targets_that_crash_for_other_reasons_quarantine_nothing(
+        self,
+    ) -> None:
+        for seed in range(5):
+            system = System(seed)
+            for _ in range(8):
+                system.run(2, 0)
+                for head in system.rng.sample(system.heads, HEADS // 2):
+                    system.crash(head)
+            system.run(2, 0)
+            self.assertEqual(
+                self.quarantined(system), [frozenset()] * INSTANCES, seed
+            )
+
+    def test_a_total_loss_of_targets_quarantines_nothing(self) -> None:
+        system = System(1)
+        system.run(4, 0)
+        for _ in range(5):
+            for head in system.heads:
+                system.crash(head)
+            system.run(AWAY_S + 0.5, 0)
+        self.assertEqual(self.quarantined(system), [frozenset()] * INSTANCES)
+
+    def test_a_new_owner_keeps_the_quarantine(self) -> None:
+        for seed in range(5):
+            system = System(seed)
+            system.run(4, 0)
+            system.run(10, 0.02)
+            system.replace_owner()
+            system.run(10, 0.02)
+            self.assertLessEqual(system.late_requests(), LATE_REQUESTS, seed)
+            self.assertEqual(
+                self.quarantined(system), [{DEADLY}] * INSTANCES, seed
+            )
+
+
+if __name__ == '__main__':
+    unittest.main()
