Keep quarantined parts of prompts in the store

The quarantine lived in the memory of the instances: a restart of all would have sent requests with a known part on until it had crashed three more targets. The owner now writes the parts, when they change, to one row under the condition of its lease, and a new owner reads it once and hands it to its membership task. Names of parts are bounded in length and number, so that a caller's header can't fill the row.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -25,6 +25,7 @@
 from ..entry.owner_lease_keeper import OwnerLeaseKeeper
 from ..entry.ownership import OwnerLease, OwnershipStatus
 from ..entry.part_watch import PartWatch
+from ..entry.quarantine_record import QuarantineRecord
 from ..entry.request_ports import RequestPorts, load_request_chart
 from ..entry.requests_in_progress import InProgressMessage, RequestsInProgress
 from ..model.fleet import EntryInstance, Fleet
@@ -112,7 +113,7 @@
 def _wire(shared: EntryShared, ended: Mailbox[ProcessEnd]) -> None:
     tasks = shared.tasks
     metrics = tasks.add('metrics', MetricsActor())
-    owner = _owner(shared)
+    quarantine, owner = _owner(shared)
     owner_task = tasks.add('owner', owner)
     owner.listen_on(owner_task)
     fleet_publisher = tasks.add(
@@ -145,7 +146,8 @@
     suspect_listeners = delta_server, dispatch_task
     register.share_suspects_with(*suspect_listeners)
     part_watch = tasks.add('part watch', PartWatch(membership, shared.clock))
-    register.share_verdicts_with(fleet_publisher, part_watch)
+    register.share_verdicts_with(fleet_publisher, part_watch, owner_task)
+    quarantine.restore_to(membership)
     wire_reads(shared, (fleet_publisher, delta_server), suspect_listeners)
     in_progress = tasks.add('requests in progress', RequestsInProgress())
     shutdown = ShutdownActor(
@@ -187,7 +189,7 @@
     )
 
 
-def _owner(shared: EntryShared) -> Owner:
+def _owner(shared: EntryShared) -> tuple[QuarantineRecord, Owner]:
     store = shared.store()
     own = OwnerLease(shared.incarnation, address=shared.cfg.peers)
     keeper = OwnerLeaseKeeper(
@@ -197,18 +199,21 @@
     permit = OrderPermit(shared.ownership, shared.clock)
     orders = GroupOrders(OrderSenderPool(OrderClient(), permit))
     startup_grace = StartupGrace(cfg.is_first_start, shared.clock.now_s())
-    return Owner(
+    quarantine = QuarantineRecord(store, shared.rows, keeper)
+    owner = Owner(
         OwnerSettings(cfg.bounds.stall_s),
         OwnerParts(
             shared.published_fleet,
             shared.ownership,
             keeper,
             GroupLedger(store, shared.rows, keeper),
+            quarantine,
             orders,
             GroupPlanner(orders, startup_grace),
             shared.clock,
         ),
     )
+    return quarantine, owner
 
 
 def _request_ports(
--- a/pomelogauge/entry/codecs.py
+++ b/pomelogauge/entry/codecs.py
@@ -12,7 +12,7 @@
 )
 from ..model.errors import FindingsError
 from ..model.fleet import EntryInstance, GroupRecord, Target
-from ..model.ids import DataCentreName, RowVersion
+from ..model.ids import DataCentreName, PromptPart, RowVersion
 from ..model.serving import ServingConfig
 from ..wire.caller_connection import RequestRead
 from ..wire.target_link import HeadRead, RequestHead
@@ -83,6 +83,14 @@
     ) -> Result[OwnerLease, FindingsError]:
         """Decode the owner lease."""
 
+    def encode_quarantine(self, parts: frozenset[PromptPart]) -> bytes:
+        """Encode the quarantined parts of prompts."""
+
+    def quarantine(
+        self, key: str, body: bytes
+    ) -> Result[frozenset[PromptPart], FindingsError]:
+        """Decode the quarantined parts of prompts."""
+
 
 class RequestCodec(Protocol):
     """Translates requests and answers between callers and targets."""
--- a/pomelogauge/entry/instance_membership.py
+++ b/pomelogauge/entry/instance_membership.py
@@ -21,6 +21,7 @@
     OwnerAnswerMissed,
     OwnerAnswerReceived,
     PartsJudged,
+    PartsRestored,
     ReportReceived,
     SuspectsShared,
     TargetsSuspected,
@@ -143,6 +144,8 @@
             case TargetsSuspected():
                 self._suspects |= message.targets
                 self._report_soon()
+            case PartsRestored():
+                self._parts.restore(message.parts, self._clock.now_s())
             case PartEvidence():
                 self._parts.add(message)
                 self._report_soon()
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -183,9 +183,20 @@
     verdicts: PartVerdicts
 
 
+@dataclass(frozen=True)
+class PartsRestored:
+    """Parts that the store has as quarantined, read by a new owner."""
+
+    parts: frozenset[PromptPart]
+
+
 PartMessage = AnswerLost | PartsServed | PartsJudged
 InstanceMembershipMessage = (
-    ReportReceived | TargetsSuspected | InstanceLeaving | PartEvidence
+    ReportReceived
+    | TargetsSuspected
+    | InstanceLeaving
+    | PartEvidence
+    | PartsRestored
 )
 DeltaServerMessage = (
     TableRead | TableReadFailed | WatchRequested | SuspectsShared
@@ -376,4 +387,5 @@
     | OwnerAnswerReceived
     | OwnerAnswerMissed
     | TargetsSuspected
+    | PartsJudged
 )
--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -22,6 +22,7 @@
     OwnerAnswerMissed,
     OwnerAnswerReceived,
     OwnerMessage,
+    PartsJudged,
     TargetsSuspected,
 )
 from .owned_group import (
@@ -32,6 +33,7 @@
 )
 from .owner_lease_keeper import OwnerLeaseKeeper
 from .ownership import OwnershipStatus
+from .quarantine_record import QuarantineRecord
 
 #: Seconds between two checks of all groups while the lease is held.
 POLL_INTERVAL_S = 0.25
@@ -68,6 +70,8 @@
         Holds the lease, or waits to take it over.
     ledger
         Records of groups in the store.
+    quarantine
+        Quarantined parts of prompts in the store.
     orders
         Sends orders to targets.
     planner
@@ -81,6 +85,7 @@
     ownership: Published[OwnershipStatus]
     keeper: OwnerLeaseKeeper
     ledger: GroupLedger
+    quarantine: QuarantineRecord
     orders: GroupOrders
     planner: GroupPlanner
     clock: Clock
@@ -131,6 +136,8 @@
                 self._parts.keeper.record_answer(message)
             case OwnerAnswerMissed():
                 self._parts.keeper.record_missed_answer(message)
+            case PartsJudged():
+                self._parts.quarantine.record(message.verdicts.quarantined)
             case TargetsSuspected():
                 self._parts.orders.probe_groups_of(
                     tuple(self._groups.values()),
@@ -160,6 +167,7 @@
             self._adopt()
         if self._has_adopted:
             self._maintain_groups()
+            self._parts.quarantine.sync()
         return min(POLL_INTERVAL_S, keeper.due_s())
 
     def on_stop(self) -> None:
@@ -169,6 +177,7 @@
         """Forget the groups; they are read again before the next order."""
         self._groups = {}
         self._parts.orders.forget_staging()
+        self._parts.quarantine.forget()
         self._has_adopted = False
 
     def _adopt(self) -> None:
--- a/pomelogauge/entry/part_reports.py
+++ b/pomelogauge/entry/part_reports.py
@@ -3,6 +3,7 @@
 from ..charts.reader import load_chart
 from ..decide.part_quarantine import PartQuarantine
 from ..decide.prompt_part_chart import PART_WORDS
+from ..model.ids import PromptPart
 from ..model.log_parts import Part
 from ..model.prompt_parts import PartEvidence, PartVerdicts
 from ..tasks.log import part_logger
@@ -86,6 +87,14 @@
         self.follow(self._quarantine.verdicts(settle_s, now_s))
         return self._verdicts
 
+    def restore(self, parts: frozenset[PromptPart], now_s: float) -> None:
+        """Quarantine parts that an earlier owner had stored."""
+        self._quarantine.restore(parts, now_s)
+        known = self._verdicts
+        self.follow(
+            PartVerdicts(known.suspected - parts, known.quarantined | parts)
+        )
+
     def follow(self, verdicts: PartVerdicts) -> None:
         """Take over verdicts and notify the listeners of changes."""
         if verdicts == self._verdicts:
--- a/pomelogauge/entry/store.py
+++ b/pomelogauge/entry/store.py
@@ -15,12 +15,14 @@
 
     ``OPERATOR``: configuration and drained data centres. ``TARGETS``: list
     of targets. ``GROUPS``: records of groups. ``OWNER``: the owner's lease.
+    ``QUARANTINE``: parts of prompts that crash targets.
     """
 
     OPERATOR = 'operator'
     TARGETS = 'targets'
     GROUPS = 'groups'
     OWNER = 'owner'
+    QUARANTINE = 'quarantine'
 
 
 class StoreFault(StrEnum):
--- a/pomelogauge/platform/requests.py
+++ b/pomelogauge/platform/requests.py
@@ -40,6 +40,9 @@
 #: The request reached another target than the expected one, which does not
 #: run it.
 _MISDIRECTED = 421
+#: Shared parts of one prompt, and characters of a name, that are told apart.
+_MAX_PARTS = 32
+_MAX_PART_NAME = 64
 _EVENT_STREAM = 'text/event-stream'
 
 #: Headers that concern one connection only or frame a message; the sender sets
@@ -252,13 +255,15 @@
     """Return the identifiers of all parts of a prompt but the last one.
 
     The header is forwarded unchanged; what is no identifier and number of
-    tokens is left out.
+    tokens is left out, and so is what is too long or too much to remember.
     """
-    entries = [entry.strip().partition(':') for entry in text.split(',')]
+    entries = text.split(',')
+    shared = min(len(entries) - 1, _MAX_PARTS)
+    fields = [entry.strip().partition(':') for entry in entries[:shared]]
     return tuple(
         PromptPart(name.lower())
-        for name, _, tokens in entries[:-1]
-        if name and tokens.isdecimal()
+        for name, _, tokens in fields
+        if 0 < len(name) <= _MAX_PART_NAME and tokens.isdecimal()
     )
 
 
--- a/pomelogauge/platform/rows.py
+++ b/pomelogauge/platform/rows.py
@@ -10,6 +10,7 @@
     Epoch,
     GroupName,
     ModelName,
+    PromptPart,
     RowVersion,
     ServiceName,
     TargetName,
@@ -114,6 +115,33 @@
     return owner_lease
 
 
+def encode_quarantine(parts: frozenset[PromptPart]) -> bytes:
+    """Encode the quarantined parts of prompts as compact JSON."""
+    return _encode({'parts': sorted(parts)})
+
+
+def decode_quarantine(key: str, text: bytes) -> frozenset[PromptPart]:
+    """Decode the quarantined parts of prompts.
+
+    Parameters
+    ----------
+    key
+        Key of the row.
+    text
+        Value of the row.
+
+    Raises
+    ------
+    FindingsError
+        The row is malformed; all findings together.
+
+    """
+    fields = read_fields(f'quarantine/{key}', text)
+    parts = frozenset(PromptPart(part) for part in fields.list_of('parts', str))
+    fields.check()
+    return parts
+
+
 def _members(objects: Iterable[Fields]) -> Iterable[Member]:
     for member in objects:
         yield Member(
--- a/pomelogauge/platform/store.py
+++ b/pomelogauge/platform/store.py
@@ -33,6 +33,7 @@
     Table.TARGETS: 'servers',
     Table.GROUPS: 'pomelogauge-groups',
     Table.OWNER: 'pomelogauge-owner',
+    Table.QUARANTINE: 'pomelogauge-quarantine',
 }
 _OK = 200
 #: The store no longer has the history that a feed requested.
--- a/pomelogauge/platform/translator.py
+++ b/pomelogauge/platform/translator.py
@@ -14,7 +14,7 @@
 )
 from ..model.errors import Finding, FindingsError, SourceLocation
 from ..model.fleet import GroupRecord, Target
-from ..model.ids import DataCentreName, RowVersion
+from ..model.ids import DataCentreName, PromptPart, RowVersion
 from ..model.serving import ServingConfig
 from ..wire.caller_connection import RequestRead
 from ..wire.target_link import HeadRead, RequestHead
@@ -91,6 +91,16 @@
         """Decode the lease on ownership of all groups."""
         return _as_result(lambda: rows.decode_owner_lease(key, body, version))
 
+    def encode_quarantine(self, parts: frozenset[PromptPart]) -> bytes:
+        """Encode the quarantined parts of prompts."""
+        return rows.encode_quarantine(parts)
+
+    def quarantine(
+        self, key: str, body: bytes
+    ) -> Result[frozenset[PromptPart], FindingsError]:
+        """Decode the quarantined parts of prompts."""
+        return _as_result(lambda: rows.decode_quarantine(key, body))
+
 
 class RequestTranslator:
     """Translates requests of callers and answers of targets."""
--- a/test/owner_simulation.py
+++ b/test/owner_simulation.py
@@ -18,6 +18,7 @@
 from pomelogauge.entry.owner import Owner, OwnerParts, OwnerSettings
 from pomelogauge.entry.owner_lease_keeper import OwnerLeaseKeeper
 from pomelogauge.entry.ownership import OwnershipStatus
+from pomelogauge.entry.quarantine_record import QuarantineRecord
 from pomelogauge.entry.store import StoreFault
 from pomelogauge.model.fleet import (
     Fleet,
@@ -126,6 +127,7 @@
                 Published(OwnershipStatus()),
                 keeper,
                 GroupLedger(self.store, RowTranslator(), keeper),
+                QuarantineRecord(self.store, RowTranslator(), keeper),
                 orders,
                 GroupPlanner(orders, StartupGrace(False, 0)),
                 self.clock,
--- a/test/test_platform_rows.py
+++ b/test/test_platform_rows.py
@@ -240,7 +240,10 @@
         parts = (b'X-Prompt-Prefix', b'5C1e:800, 91bd:410,odd,e440:250')
         req = self.decode(*self.HEADERS, parts).unwrap()
         self.assertEqual(req.shared_parts, ('5c1e', '91bd'))
+        long = (b'X-Prompt-Prefix', b'a' * 65 + b':1,' + b'b:1,' * 99 + b'c:1')
         self.assertIn(parts, req.headers, 'it is forwarded unchanged')
+        bounded = self.decode(*self.HEADERS, long).unwrap().shared_parts
+        self.assertEqual(bounded, ('b',) * 31)
         self.assertEqual(self.decode(*self.HEADERS).unwrap().shared_parts, ())
 
     def test_a_target_gets_the_own_headers_and_no_key(self) -> None:
