--- a/test/test_request_run.py
+++ b/test/test_request_run.py
@@ -54,6 +54,22 @@
         self.start(stream(EVENTS[0], b'id: 2\nda'), may_resume=False)
         self.assertFalse(self.call().endswith(b'0\r\n\r\n'))
 
+    def test_a_stream_without_length_that_ends_inside_an_event_resumes(
+        self,
+    ) -> None:
+        """Guards against taking a crash for the end of the stream."""
+
+        def torn(sock: socket.socket, received: bytes) -> None:
+            head = HEAD.replace(b'Transfer-Encoding: chunked\r\n', b'')
+            sock.sendall(head + EVENTS[0] + EVENTS[1][:5])
+
+        self.start(torn, stream(EVENTS[1], EVENTS[2]))
+        answer = self.call()
+        self.assertIn(b'Last-Event-Id: 1', self.stubs[1].received[0])
+        for event in EVENTS:
+            self.assertEqual(answer.count(event), 1)
+        self.assertTrue(answer.endswith(b'0\r\n\r\n'))
+
     def test_a_stalled_target_is_replaced_by_another(self) -> None:
         self.start(None, stream(*EVENTS))
         self.assertTrue(self.call().endswith(b'0\r\n\r\n'))
