Tests that fail: a head that opens late is taken for free

A group whose head does not answer is released stall_s and a second after the first member has left, when a head that was open has broken. An order to open without an answer may be carried out up to twelve seconds later: the head then opens after the release, and the planner may join it to a second group (TWO).

The walk has a new start, a group that is given up while its head may still open late, and a bound on how late an order is carried out.

--- a/test/group_world.py
+++ b/test/group_world.py
@@ -27,6 +27,9 @@
 #: Seconds of one step of time; longer than the owner waits before it repeats
 #: an order.
 TICK_S = 1.6
+#: Steps of time within which a member may carry out an order that it has not
+#: answered.
+LATE_TICKS = 7
 #: Times are told apart up to this age in seconds.
 LONGEST_AGE_S = 12.0
 NAMES = ('head', 'tail')
@@ -66,7 +69,8 @@
     queued
         Orders of the owner that wait to be sent.
     late
-        Orders without an answer that it may still carry out.
+        Orders without an answer that it may still carry out, with the steps
+        of time that are left for each.
 
     """
 
@@ -78,7 +82,12 @@
     path: Path = Path.CLEAR
     listed: Target | None = None
     queued: tuple[OrderKind, ...] = ()
-    late: tuple[OrderKind, ...] = ()
+    late: tuple[tuple[OrderKind, int], ...] = ()
+
+    def age(self) -> 'WorldMember':
+        """Return the member one step of time later."""
+        late = tuple((kind, left - 1) for kind, left in self.late if left)
+        return replace(self, late=late)
 
     def serves(self) -> bool:
         """Return whether it is a head that takes or ends requests."""
@@ -210,7 +219,7 @@
             self._settled(index, obeyed, kind, none),
         )
         if not rest.late:
-            late = replace(rest, late=(kind,))
+            late = replace(rest, late=((kind, LATE_TICKS),))
             yield f'{kind} is late', self._settled(index, late, kind, none)
 
     def _settled(
@@ -266,10 +275,11 @@
 
     def _tick(self) -> 'World':
         now_s = self.now_s + TICK_S
-        after = replace(self, now_s=now_s)
+        members = tuple(member.age() for member in self.members)
+        after = replace(self, now_s=now_s, members=members)
         if now_s - self.stalled_s < STALL_S:
             return after
-        broken = replace(self.members[0], state=MembershipState.BROKEN)
+        broken = replace(members[0], state=MembershipState.BROKEN)
         return after._with(0, broken)._settle()
 
     def _settle(self) -> 'World':
@@ -327,7 +337,7 @@
     if row != member.listed:
         yield 'reports', replace(member, listed=row)
     if member.late:
-        kind, *late = member.late
+        (kind, _), *late = member.late
         obeyed, _ = replace(member, late=tuple(late)).obey(kind)
         yield f'carries out {kind} late', obeyed
     yield 'crashes', replace(member, runs=False, state=None, late=())
@@ -374,3 +384,28 @@
     world = World(None, members)
     owned = replace(adopted(100.0), state=GroupState.SERVING)
     return replace(world, owned=owned.with_reports(world.fleet(), world.now_s))
+
+
+def stalling() -> World:
+    """Return a group given up whose head has not answered the order to open.
+
+    The head can't be reached, and the tail has left.
+    """
+    states = (MembershipState.READY, MembershipState.READY)
+    members = tuple(
+        WorldMember(state, listed=_row(name, WorldMember(state)))
+        for name, state in zip(NAMES, states, strict=True)
+    )
+    world = World(adopted(100.0), members)
+    for word in (
+        'the owner acts',
+        'head open is late',
+        'head is behind a path that is SILENT',
+        'head lapses',
+        'the owner acts',
+        'head ask is dropped',
+        'head leave is dropped',
+        'tail leave is answered',
+    ):
+        world = dict(world.steps())[word]
+    return world
--- a/test/test_group_walk.py
+++ b/test/test_group_walk.py
@@ -5,7 +5,7 @@
 import unittest
 from collections import deque
 
-from .group_world import World, forming, serving
+from .group_world import World, forming, serving, stalling
 
 #: Steps from each start; a longer walk by hand sets the variable.
 DEPTH = int(os.environ.get('POMELOGAUGE_WALK_DEPTH', '6'))
@@ -42,6 +42,14 @@
         """Guards the same from the first order on."""
         self.walk(forming())
 
+    def test_no_head_that_opens_late_is_free(self) -> None:
+        """Guards against a second group of a head that opens late.
+
+        The group was released once a head that is open would have broken, but
+        an order to open without an answer may be carried out after that.
+        """
+        self.walk(stalling())
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/test/test_owned_group.py
+++ b/test/test_owned_group.py
@@ -129,6 +129,26 @@
             self.step(left, gone, 8.5).group.state, GroupState.RELEASED
         )
 
+    def test_a_head_that_may_open_late_stays_reserved(self) -> None:
+        """Guards against a second group of a head that opens late."""
+        head = TargetName('head')
+        gone = fleet(target('tail', started_at_ms=2))
+        for outcome, released_s in (
+            (OrderOutcome.REFUSED, 8.5),
+            (OrderOutcome.TAKEN, 9.5),
+            (OrderOutcome.NO_ANSWER, 21.5),
+            (OrderOutcome.FAILED, 21.5),
+        ):
+            opening = Order(OrderKind.OPEN, LLM, head, RECORD.group)
+            group = self.group(GroupState.STALLING).with_reports(gone, 1)
+            group = group.after_outcome(OrderSettled(opening, outcome), 2).group
+            for now_s in (released_s - 1, released_s):
+                step = self.step(group, gone, now_s)
+                is_released = step.group.state is GroupState.RELEASED
+                self.assertEqual(
+                    is_released, now_s == released_s, (outcome, now_s)
+                )
+
     def test_a_stalling_group_waits_for_the_first_member_to_leave(self) -> None:
         group = self.group(GroupState.STALLING)
         again = self.step(group, fleet(target('tail')), 60)
