Hold a group until its head can't carry out an order to open any more

Callers would have seen streams end: a head that opens after its group was released could be joined to a second group (TWO).

Cause: a group that is given up while its head does not answer was released stall_s and a second after the first member had left, which is when an open head has broken. A head that was only ready breaks later, or not at all: it may carry out an order to open that it has not answered up to 12 s later.

The second counts from the first member's leaving or from the last moment at which the head may still open, whichever is later. A successor doesn't know what its predecessor ordered and takes its takeover for that moment. Members that answer the order to leave are free at once, as before; only those that can't be reached are held longer.

--- a/pomelogauge/entry/owned_group.py
+++ b/pomelogauge/entry/owned_group.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass, replace
+from types import MappingProxyType
 
 from ..charts.reader import load_chart
 from ..decide.group_chart import (
@@ -38,6 +39,9 @@
 #: members of a group whose head does not answer.
 LEAVING_RETRY_S = 1.5
 STALLING_RETRY_S = 3.0
+#: Seconds within which a target may carry out an order that it has not
+#: answered.
+LATE_ORDER_S = 12.0
 
 #: Orders that show that a member is lost unless it accepts them.
 _LOST_UNLESS_TAKEN = frozenset((OrderKind.JOIN, OrderKind.PROBE))
@@ -47,6 +51,15 @@
 _LEFT_OUTCOMES = frozenset(
     (OrderOutcome.TAKEN, OrderOutcome.REFUSED, OrderOutcome.REPLACED)
 )
+#: Seconds until a head has opened, or never will, by the outcome of the order
+#: to open. With any other outcome it does not open.
+_OPENING_DELAYS_S = MappingProxyType(
+    {
+        OrderOutcome.TAKEN: 0.0,
+        OrderOutcome.NO_ANSWER: LATE_ORDER_S,
+        OrderOutcome.FAILED: LATE_ORDER_S,
+    }
+)
 _FACTS = GroupFacts()
 _log = part_logger(Part.GROUPS)
 
@@ -71,8 +84,8 @@
     leaving_s
         Time until the order to leave is sent again.
     stalling_s
-        Time from the first member's leaving until the head has given up the
-        group by itself.
+        Time until an open head that has lost its first member has given up
+        the group by itself.
 
     """
 
@@ -176,6 +189,8 @@
     first_left_s
         Time at which the first of them was known to have left; infinite
         before.
+    may_open_until_s
+        Time until which the head may still carry out an order to open.
 
     """
 
@@ -188,6 +203,7 @@
     lost: frozenset[TargetName] = frozenset()
     left: frozenset[TargetName] = frozenset()
     first_left_s: float = math.inf
+    may_open_until_s: float = -math.inf
 
     def reserved_members(self) -> tuple[TargetName, ...]:
         """Return the members that must not join another group yet."""
@@ -266,6 +282,8 @@
         is_taken = settled.outcome is OrderOutcome.TAKEN
         if order.kind in _LOST_UNLESS_TAKEN and not is_taken:
             return OutcomeEffect(replace(self, lost=self.lost | {order.target}))
+        if order.kind is OrderKind.OPEN:
+            return OutcomeEffect(self._after_open(settled.outcome, now_s))
         if order.kind is not OrderKind.LEAVE:
             return OutcomeEffect(self)
         is_head = order.target == self.record.head.target
@@ -318,9 +336,17 @@
             first_left_s=min(self.first_left_s, now_s),
         )
 
+    def _after_open(self, outcome: OrderOutcome, now_s: float) -> 'OwnedGroup':
+        delay_s = _OPENING_DELAYS_S.get(outcome)
+        if delay_s is None:
+            return self
+        until_s = max(self.may_open_until_s, now_s + delay_s)
+        return replace(self, may_open_until_s=until_s)
+
     def _time_events(self, now_s: float) -> list[GroupEvent]:
         if self.state is GroupState.STALLING:
-            if now_s - self.first_left_s > self.timeouts.stalling_s:
+            stalled_s = max(self.first_left_s, self.may_open_until_s)
+            if now_s - stalled_s > self.timeouts.stalling_s:
                 return [GroupEvent.EXPIRED]
             if (
                 math.isinf(self.first_left_s)
--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -1,5 +1,6 @@
 """The task that owns all groups while this instance holds the lease."""
 
+import math
 from dataclasses import dataclass
 
 from ..decide.group_chart import GroupAction, GroupEvent, GroupState
@@ -26,6 +27,7 @@
     TargetsSuspected,
 )
 from .owned_group import (
+    LATE_ORDER_S,
     OwnedGroup,
     engine_of,
     load_group_chart,
@@ -191,8 +193,10 @@
         records = self._parts.ledger.read()
         if records is None:
             return
+        # A former owner's order to open may not have been answered.
+        until_s = self._parts.clock.now_s() + LATE_ORDER_S
         for record in records:
-            self._start_tracking(record)
+            self._start_tracking(record, may_open_until_s=until_s)
         self._has_adopted = True
         _log.info(
             'recorded groups are taken over',
@@ -202,12 +206,19 @@
             },
         )
 
-    def _start_tracking(self, record: GroupRecord) -> None:
+    def _start_tracking(
+        self, record: GroupRecord, *, may_open_until_s: float = -math.inf
+    ) -> None:
         now_s = self._parts.clock.now_s()
         engine = engine_of(record, self._parts.published_fleet.latest())
         timeouts = state_timeouts(record, engine, self._settings.stall_s)
         self._groups[record.group] = OwnedGroup(
-            record, timeouts, GroupState.JOINING, now_s, now_s
+            record,
+            timeouts,
+            GroupState.JOINING,
+            now_s,
+            now_s,
+            may_open_until_s=may_open_until_s,
         )
 
     def _maintain_groups(self) -> None:
--- a/test/group_world.py
+++ b/test/group_world.py
@@ -13,6 +13,7 @@
     OrderSettled,
 )
 from pomelogauge.entry.owned_group import (
+    LATE_ORDER_S,
     OwnedGroup,
     load_group_chart,
     state_timeouts,
@@ -158,6 +159,7 @@
             owned.left,
             self._age_s(owned.since_s),
             self._age_s(owned.first_left_s),
+            self._age_s(owned.may_open_until_s),
             self.members,
             self._age_s(self.stalled_s),
         )
@@ -270,7 +272,9 @@
     def _succeed(self) -> 'World':
         """Another owner takes over; orders that wait are not sent."""
         members = tuple(replace(member, queued=()) for member in self.members)
-        owned = adopted(self.now_s)
+        owned = replace(
+            adopted(self.now_s), may_open_until_s=self.now_s + LATE_ORDER_S
+        )
         return replace(self, owned=owned, members=members)
 
     def _tick(self) -> 'World':
