Test that fails: two owners after a slow read of the lease

An instance in standby counts the holder's time-out from before the read that shows a renewal. With a read of 1 s in which the renewal was made it takes over while the holder may act for 0.6 s more, where the holder does not renew again.

--- a/test/test_owner_lease_keeper.py
+++ b/test/test_owner_lease_keeper.py
@@ -102,6 +102,29 @@
         actions = self.run_for(1.2, self.second)
         self.assertEqual(actions, [OwnershipAction.ADOPT])
 
+    def test_a_slow_read_does_not_shorten_the_wait_for_the_holder(self) -> None:
+        """Guards against two owners while the store is slow.
+
+        The wait for the end of the holder's lease began before the read that
+        showed its renewal, and the renewal was made during the read.
+        """
+        self.run_for(1, self.first, self.second)
+        read = self.store.read_all
+
+        def read_slowly(table: Table) -> Result:
+            self.clock.at_s += 1
+            self.first.tick()
+            return read(table)
+
+        self.clock.at_s += self.second.due_s()
+        self.store.read_all = read_slowly
+        self.second.tick()
+        self.store.read_all = read
+        while self.first.is_held:
+            self.assertEqual(self.run_for(0.05, self.second), [])
+        actions = self.run_for(1.2, self.second)
+        self.assertEqual(actions, [OwnershipAction.ADOPT])
+
     def test_a_takeover_makes_the_former_holder_drop_its_groups(self) -> None:
         self.run_for(1, self.first, self.second)
         self.run_for(3, self.second)
