Count the owner's time-out from the end of the read that shows its renewal

An instance in standby took the start of a read for the moment of the renewal that the read showed, but the renewal may have been made at any time during the read. With a store that takes a second to answer, the owner was replaced up to 0.6 s before its lease was over by its own clock, where its next renewal failed too: two owners.

The time-out now counts from the end of the read, as after a failed one. A takeover waits longer by the time of one read.

--- a/pomelogauge/entry/owner_lease_keeper.py
+++ b/pomelogauge/entry/owner_lease_keeper.py
@@ -190,21 +190,22 @@
     def _poll(self, now_s: float) -> OwnershipAction | None:
         self._next_s = now_s + self._watch.poll_interval_s()
         answer = self._store.read_all(Table.OWNER)
+        # The owner may have renewed its lease at any time during the read.
+        polled_s = self._clock.now_s()
         if isinstance(answer, Failure):
             # An outage of the store says nothing about the owner.
-            self._watch.reset(self._clock.now_s())
+            self._watch.reset(polled_s)
             return None
         rows = {row.key: row for row in answer.unwrap().rows}
         stored = self._decode(rows.get(OWNER_LEASE_KEY))
         if stored.term != self.owner_lease.term:
-            self._watch.reset(now_s)
+            self._watch.reset(polled_s)
         self.owner_lease = stored
         renewal = rows.get(RENEWAL_KEY)
         version = ABSENT_ROW if renewal is None else renewal.version
-        self._watch.record_renewal(version, now_s)
+        self._watch.record_renewal(version, polled_s)
         if stored.holder == self._own.holder:
             return self._renew_own(now_s)
-        polled_s = self._clock.now_s()
         may_take = (
             self._watch.has_timed_out(polled_s)
             if stored.term
