Test that fails: a group opens with a member that is free

The answer to an order to leave may come after the records were read again, which starts the group anew. The member is then free, but a late order to join may still make all members report the group as ready, and it is opened.

--- a/test/test_owned_group.py
+++ b/test/test_owned_group.py
@@ -149,6 +149,23 @@
                     is_released, now_s == released_s, (outcome, now_s)
                 )
 
+    def test_a_group_never_opens_with_a_member_that_is_free(self) -> None:
+        """Guards against a second group of a target that joins late.
+
+        The records are read again while an order to leave is on its way. Its
+        answer came before a late order to join was carried out.
+        """
+        for name in ('head', 'tail'):
+            leaving = Order(
+                OrderKind.LEAVE, LLM, TargetName(name), RECORD.group
+            )
+            settled = OrderSettled(leaving, OrderOutcome.REFUSED)
+            group = self.group(GroupState.JOINING, fleet())
+            group = group.after_outcome(settled, 1).group
+            step = self.step(group, READY)
+            self.assertNotIn(name, step.group.reserved_members())
+            self.assertIsNot(step.group.state, GroupState.OPENING, name)
+
     def test_a_stalling_group_waits_for_the_first_member_to_leave(self) -> None:
         group = self.group(GroupState.STALLING)
         again = self.step(group, fleet(target('tail')), 60)
