Take a group with a member that has left for lost

Cause: a member is free once it has answered an order to leave, whatever state its group is in. After the records were read again the group is taken for one that is joining; with the answer to an earlier order to leave, and an order to join that is carried out after that, all members reported the group as ready and it was opened, while its head or another member could be joined to a second one (TWO).

A group one of whose members has left is lost in every state, so that the head is ordered to leave and the group ends.

The walk has a new step, the owner reads the records again while its orders are on their way.

--- a/pomelogauge/entry/owned_group.py
+++ b/pomelogauge/entry/owned_group.py
@@ -361,7 +361,8 @@
     def _observation_events(
         self, observation: GroupObservation
     ) -> list[GroupEvent]:
-        if observation.lost or self.lost or not observation.head_is_listed:
+        lost = observation.lost or self.lost or self.left
+        if lost or not observation.head_is_listed:
             return [GroupEvent.MEMBER_LOST]
         if observation.is_open:
             return [GroupEvent.OPENED]
--- a/test/group_world.py
+++ b/test/group_world.py
@@ -186,6 +186,7 @@
         if self.owned is not None:
             yield 'the owner acts', self._act()
             yield 'another owner', self._succeed()
+            yield 'the records are read again', self._reread()
             if self.owned.state is GroupState.SERVING:
                 yield 'the head is suspected', self._queue_all(OrderKind.PROBE)
         for index, name in enumerate(NAMES):
@@ -272,10 +273,14 @@
     def _succeed(self) -> 'World':
         """Another owner takes over; orders that wait are not sent."""
         members = tuple(replace(member, queued=()) for member in self.members)
+        return replace(self, members=members)._reread()
+
+    def _reread(self) -> 'World':
+        """Start the group anew from its record; orders are still sent."""
         owned = replace(
             adopted(self.now_s), may_open_until_s=self.now_s + LATE_ORDER_S
         )
-        return replace(self, owned=owned, members=members)
+        return replace(self, owned=owned)
 
     def _tick(self) -> 'World':
         now_s = self.now_s + TICK_S
