Test that fails: a group serves without a record

The removal of a released group's record may have no answer and be carried out later. The records are read before that, the group is taken for one that is joining, and a late order to join makes it open. The removal then takes its record away, and the next owner joins its members to another group (TWO).

--- a/test/test_owner.py
+++ b/test/test_owner.py
@@ -2,6 +2,12 @@
 
 import logging
 import unittest
+from dataclasses import replace
+
+from returns.result import Failure, Result
+
+from pomelogauge.entry.store import StoreError, StoreFault
+from pomelogauge.model.fleet import MembershipState
 
 from .owner_simulation import Simulation
 
@@ -46,6 +52,42 @@
         epochs_after = [sim.top_epoch for sim in simulation.targets.values()]
         self.assertEqual(epochs_before, epochs_after)
 
+    def test_a_group_whose_removal_may_come_later_is_not_opened(self) -> None:
+        """Guards against a group that serves without a record.
+
+        The removal of its record has no answer and is carried out later. Its
+        members carry out a late order to join meanwhile.
+        """
+        simulation = Simulation(0)
+        self.run_for(simulation, 5)
+        head = next(sim for sim in simulation.targets.values() if sim.is_open())
+        members = [simulation.targets[name] for name in head.members]
+        joined = [
+            replace(sim.membership, state=MembershipState.READY)
+            for sim in members
+        ]
+        commit = simulation.store.commit
+        removals = []
+
+        def lose_removal(expected: tuple, written: tuple) -> Result:
+            if removals or any(row.body is not None for row in written):
+                return commit(expected, written)
+            removals.append((expected, written))
+            return Failure(StoreError(StoreFault.INDETERMINATE, 'lost'))
+
+        simulation.store.commit = lose_removal
+        members[-1].membership = None
+        while not removals:
+            simulation.step()
+        for sim, membership in zip(members, joined, strict=True):
+            sim.membership = membership
+        self.run_for(simulation, 2)
+        commit(*removals[0])
+        simulation.owners = [simulation.owner('n9')]
+        self.run_for(simulation, 10)
+        self.assertEqual(simulation.violations, [])
+        self.assertEqual(simulation.groups_open(), 2)
+
     def test_no_target_joins_a_second_group_while_its_head_is_open(
         self,
     ) -> None:
