Keep released groups when the records are read again

Cause: a write to the records without an answer makes the owner read them again and start all groups anew.

A released group that is still recorded stays released, and its removal is ordered again. A new term forgets it as before: writes of the former term fail.

--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -1,6 +1,7 @@
 """The task that owns all groups while this instance holds the lease."""
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ..decide.group_chart import GroupAction, GroupEvent, GroupState
@@ -161,6 +162,8 @@
         keeper = self._parts.keeper
         has_changed = keeper.tick() is not None
         self._parts.ownership.publish(keeper.ownership())
+        if has_changed:
+            self._groups = {}
         if has_changed or self._parts.ledger.must_reread:
             self._forget_groups()
         if not keeper.is_held:
@@ -176,8 +179,12 @@
         """Do nothing; the next owner takes the groups over."""
 
     def _forget_groups(self) -> None:
-        """Forget the groups; they are read again before the next order."""
-        self._groups = {}
+        """Forget the groups; they are read again before the next order.
+
+        Released ones are kept: the removal of their records may have been
+        ordered, and may be carried out at any time.
+        """
+        self._groups = _released(self._groups)
         self._parts.orders.forget_staging()
         self._parts.quarantine.forget()
         self._has_adopted = False
@@ -195,7 +202,15 @@
             return
         # A former owner's order to open may not have been answered.
         until_s = self._parts.clock.now_s() + LATE_ORDER_S
+        recorded = {record.group for record in records}
+        self._groups = {
+            name: group
+            for name, group in self._groups.items()
+            if name in recorded
+        }
         for record in records:
+            if record.group in self._groups:
+                continue
             self._start_tracking(record, may_open_until_s=until_s)
         self._has_adopted = True
         _log.info(
@@ -274,11 +289,7 @@
             self._step(group.record.group, effect.event)
 
     def _remove_released(self) -> None:
-        names = tuple(
-            name
-            for name, group in self._groups.items()
-            if group.state is GroupState.RELEASED
-        )
+        names = tuple(_released(self._groups))
         if names and self._parts.ledger.remove(names):
             for name in names:
                 self._groups.pop(name)
@@ -298,3 +309,13 @@
         for staging in plan.stages:
             self._parts.orders.stage(staging, service.name)
         self._parts.planner.record_loads(plan, now_s)
+
+
+def _released(
+    groups: Mapping[GroupName, OwnedGroup],
+) -> dict[GroupName, OwnedGroup]:
+    return {
+        name: group
+        for name, group in groups.items()
+        if group.state is GroupState.RELEASED
+    }
