Hold targets that list themselves under a head that serves

What targets list of themselves now holds them beside the records: members of a group whose listed head is open or closing are not planned for another one. test_owner fails before: two targets of an open group joined another.

--- a/pomelogauge/decide/group_observation.py
+++ b/pomelogauge/decide/group_observation.py
@@ -18,6 +18,8 @@
     (MembershipState.READY, MembershipState.OPEN, MembershipState.CLOSING)
 )
 
+_SERVING = frozenset((MembershipState.OPEN, MembershipState.CLOSING))
+
 
 @dataclass(frozen=True)
 class GroupObservation:
@@ -127,6 +129,26 @@
     )
 
 
+def members_of_serving_groups(fleet: Fleet) -> frozenset[TargetName]:
+    """Return the targets that list themselves under a head that serves.
+
+    They are members also where the group has no record that can be read.
+    """
+    serving = {
+        (membership.group, membership.epoch)
+        for target in fleet.targets.values()
+        if (membership := target.membership) is not None
+        and not membership.rank
+        and membership.state in _SERVING
+    }
+    return frozenset(
+        target.name
+        for target in fleet.targets.values()
+        if (membership := target.membership) is not None
+        and (membership.group, membership.epoch) in serving
+    )
+
+
 def restarted_members(
     record: GroupRecord, fleet: Fleet
 ) -> frozenset[TargetName]:
--- a/pomelogauge/decide/group_plan.py
+++ b/pomelogauge/decide/group_plan.py
@@ -42,7 +42,8 @@
     active_groups
         Groups that serve or are being formed.
     taken
-        Targets that belong to a group that is not released.
+        Targets that belong to a group that is not released, by its record or
+        by their own listing.
     suspects
         Targets that have recently failed to carry out an order; not used.
     staging
--- a/pomelogauge/entry/group_planner.py
+++ b/pomelogauge/entry/group_planner.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 
 from ..decide.group_chart import LIVE_STATES
+from ..decide.group_observation import members_of_serving_groups
 from ..decide.group_plan import ActiveGroup, Plan, PlanInputs, plan_groups
 from ..decide.load_budget import LoadBudget
 from ..decide.startup_grace import StartupGrace
@@ -86,10 +87,8 @@
         return PlanInputs(
             fleet=fleet,
             active_groups=tuple(_active_groups_of(fleet, groups)),
-            taken=frozenset(
-                target
-                for group in groups
-                for target in group.reserved_members()
+            taken=members_of_serving_groups(fleet).union(
+                *(group.reserved_members() for group in groups)
             ),
             suspects=self._orders.quarantined(now_s),
             staging=self._orders.staging(fleet),
--- a/test/test_owner.py
+++ b/test/test_owner.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result
 
-from pomelogauge.entry.store import StoreError, StoreFault
+from pomelogauge.entry.store import StoreError, StoreFault, Table
 from pomelogauge.model.fleet import MembershipState
 
 from .owner_simulation import Simulation
@@ -100,6 +100,24 @@
                     simulation.step()
                 self.assertEqual(simulation.violations, [])
 
+    def test_members_of_a_group_without_a_readable_record_are_held(
+        self,
+    ) -> None:
+        """Guards against a second group of targets that list themselves open.
+
+        Their record could not be decoded, so that a new owner left it out.
+        """
+        simulation = Simulation(0)
+        self.run_for(simulation, 5)
+        store = simulation.store
+        for table, name in tuple(store.rows):
+            if table is Table.GROUPS:
+                store.put(table, name, b'{}')
+        simulation.owners = [simulation.owner('n9')]
+        self.run_for(simulation, 10)
+        self.assertEqual(simulation.violations, [])
+        self.assertEqual(simulation.groups_open(), 2)
+
     def test_no_target_behind_a_refusing_path_joins_a_second_group(
         self,
     ) -> None:
