Test that fails: a target joins its first group late and a second one later

Callers would see streams end: a target is joined to a second group while the head of its first one is open (TWO).

Cause: an order to leave that is refused counts as the target's word that it is no longer a member. A target whose order to join has not arrived yet refuses it too, and is a member up to twelve seconds later. It is planned for a second group once its quarantine of four seconds is over. That it has left the first one is known to this owner only: after a change of the owner, or once the records are read again, the group is taken for one that is joining, all members report it, and it is opened. Where the second order to join is late as well, it is carried out under the open head, and its higher epoch is accepted.

Evidence: the simulation of the whole owner with two late orders to join, one order to leave without an answer and a change of the owner.

--- a/test/test_owner.py
+++ b/test/test_owner.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result
 
+from pomelogauge.entry.messages import Order, OrderKind, OrderOutcome
 from pomelogauge.entry.store import StoreError, StoreFault, Table
 from pomelogauge.model.fleet import MembershipState
 
@@ -144,3 +145,37 @@
                 simulation.heal()
                 self.run_for(simulation, 60)
                 self.assertGreaterEqual(simulation.groups_open(), 2)
+
+    def test_no_join_that_may_come_late_is_followed_by_another(self) -> None:
+        """Guards against a second group of a target that joins its first late.
+
+        It refuses the order to leave as it is not a member yet, and is planned
+        for a second group. The next owner opens the first one when all its
+        members report it, and the second order to join is late as well.
+        """
+        simulation = Simulation(0)
+        late_s = {0: 8.0, 1: 6.5}
+        joins: list[Order] = []
+
+        def send(order: Order) -> OrderOutcome:
+            sim = simulation.targets[order.target]
+            is_join = order.kind is OrderKind.JOIN
+            if is_join and order.target == 't5' and len(joins) in late_s:
+                due_s = simulation.clock.at_s + late_s[len(joins)]
+                sim.delayed_orders.append((due_s, order))
+                joins.append(order)
+                return OrderOutcome.NO_ANSWER
+            is_first_owner = simulation.owners[0] is first_owner
+            if order.kind is OrderKind.LEAVE and sim.name == 't4':
+                if is_first_owner:
+                    return OrderOutcome.NO_ANSWER
+            return simulation.carry_out(sim, order)
+
+        first_owner = simulation.owners[0]
+        simulation.send = send
+        while len(joins) < len(late_s):
+            simulation.step()
+            self.assertLess(simulation.clock.at_s, 200)
+        simulation.owners = [simulation.owner('n9')]
+        self.run_for(simulation, 20)
+        self.assertEqual(simulation.violations, [])
