Test that fails: a head that is still forming is taken for broken

Callers would see streams end where forming takes longer than a second: a head could be joined to a second group while it serves, or stands still (TWO).

Cause: a head opens form_ms after it has taken the order to open, and breaks stall_ms after that. The hold of a group that is given up counts from the order's answer, or from the last moment at which the order may be carried out, with a margin of one second that forming uses up.

--- a/test/test_owned_group.py
+++ b/test/test_owned_group.py
@@ -149,6 +149,30 @@
                     is_released, now_s == released_s, (outcome, now_s)
                 )
 
+    def test_a_head_that_forms_slowly_stays_reserved(self) -> None:
+        """Guards against a second group of a head that is still forming.
+
+        It opens some time after it has taken the order, and breaks only after
+        that.
+        """
+        engine = replace(ENGINE, formation_s=4)
+        head = TargetName('head')
+        opening = Order(OrderKind.OPEN, LLM, head, RECORD.group)
+        group = replace(
+            self.group(GroupState.STALLING),
+            timeouts=state_timeouts(RECORD, engine, 6),
+        )
+        settled = OrderSettled(opening, OrderOutcome.TAKEN)
+        group = group.after_outcome(settled, 1).group
+        gone = fleet(target('tail', started_at_ms=2))
+        group = group.with_reports(gone, 1)
+        for now_s, state in (
+            (11, GroupState.STALLING),
+            (13, GroupState.RELEASED),
+        ):
+            step = self.step(group, gone, now_s)
+            self.assertIs(step.group.state, state, now_s)
+
     def test_a_group_never_opens_with_a_member_that_is_free(self) -> None:
         """Guards against a second group of a target that joins late.
 
