Hold a group until a head that is still forming has broken

The time after which a head without one of its members has broken now contains the time that it takes to form. Groups whose head can't be reached are held longer by the time to form.

--- a/pomelogauge/entry/owned_group.py
+++ b/pomelogauge/entry/owned_group.py
@@ -84,8 +84,8 @@
     leaving_s
         Time until the order to leave is sent again.
     stalling_s
-        Time until an open head that has lost its first member has given up
-        the group by itself.
+        Time until a head that has taken an order to open, and has lost its
+        first member, has given up the group by itself.
 
     """
 
@@ -135,7 +135,7 @@
         opening_s=formation_s + MEMBER_REPORT_S,
         closing_s=CLOSING_TIMEOUT_S,
         leaving_s=LEAVING_RETRY_S,
-        stalling_s=stall_s + 1,
+        stalling_s=formation_s + stall_s + 1,
     )
 
 
