Hold targets that may carry out an order to join late

Cause: a target whose order to join has not arrived answers the order to leave like one that has left, and joins up to twelve seconds later. It was taken for free, and its group could be opened by the next owner, or by the same one after it had read the records again, while a second order to join was on its way.

The answer to an order to leave now counts only where no order to join can come any more: the target has answered it, has reported the group, or twelve seconds have passed. A new owner doesn't know what its predecessor ordered and waits for that from its takeover on, for members that have not reported the group. Another target's answer at the address and a later start count at once, as before.

A member that has left is then one that can't join the group again, so that the group can't be opened by anyone.

Targets that have not answered an order to join are held up to twelve seconds instead of the four of their quarantine.

--- a/pomelogauge/entry/owned_group.py
+++ b/pomelogauge/entry/owned_group.py
@@ -60,6 +60,8 @@
         OrderOutcome.FAILED: LATE_ORDER_S,
     }
 )
+#: Outcomes after which a member may still carry out an order to join.
+_MAY_JOIN_LATE = frozenset((OrderOutcome.NO_ANSWER, OrderOutcome.FAILED))
 _FACTS = GroupFacts()
 _log = part_logger(Part.GROUPS)
 
@@ -191,6 +193,12 @@
         before.
     may_open_until_s
         Time until which the head may still carry out an order to open.
+    may_join
+        Members that have not answered an order to join. Unless they have
+        reported this group they may still carry it out, until
+        ``may_join_until_s``.
+    may_join_until_s
+        Time until which they may carry it out.
 
     """
 
@@ -204,6 +212,20 @@
     left: frozenset[TargetName] = frozenset()
     first_left_s: float = math.inf
     may_open_until_s: float = -math.inf
+    may_join: frozenset[TargetName] = frozenset()
+    may_join_until_s: float = -math.inf
+
+    def with_late_orders(self, until_s: float) -> 'OwnedGroup':
+        """Return the group where any order may be carried out until a time.
+
+        A former owner's orders may not have been answered.
+        """
+        return replace(
+            self,
+            may_open_until_s=until_s,
+            may_join=frozenset(member.target for member in self.record.members),
+            may_join_until_s=until_s,
+        )
 
     def reserved_members(self) -> tuple[TargetName, ...]:
         """Return the members that must not join another group yet."""
@@ -281,13 +303,13 @@
             return OutcomeEffect(self)
         is_taken = settled.outcome is OrderOutcome.TAKEN
         if order.kind in _LOST_UNLESS_TAKEN and not is_taken:
-            return OutcomeEffect(replace(self, lost=self.lost | {order.target}))
+            return OutcomeEffect(self._after_failure(settled, now_s))
         if order.kind is OrderKind.OPEN:
             return OutcomeEffect(self._after_open(settled.outcome, now_s))
         if order.kind is not OrderKind.LEAVE:
             return OutcomeEffect(self)
         is_head = order.target == self.record.head.target
-        if settled.outcome not in _LEFT_OUTCOMES:
+        if not self._has_left(settled, now_s):
             silent = GroupEvent.HEAD_SILENT
             return OutcomeEffect(self, silent if is_head else None)
         _log.info(
@@ -336,6 +358,34 @@
             first_left_s=min(self.first_left_s, now_s),
         )
 
+    def _has_left(self, settled: OrderSettled, now_s: float) -> bool:
+        """Return whether the outcome of an order to leave shows that.
+
+        A target that has not carried out the order to join answers it as well,
+        and may join later.
+        """
+        if settled.outcome is OrderOutcome.REPLACED:
+            return True
+        joins_late = self.may_join - self.reported
+        if settled.order.target in joins_late and now_s < self.may_join_until_s:
+            return False
+        return settled.outcome in _LEFT_OUTCOMES
+
+    def _after_failure(
+        self, settled: OrderSettled, now_s: float
+    ) -> 'OwnedGroup':
+        """Take the target of an order to join or of a probe for lost."""
+        name = settled.order.target
+        group = replace(self, lost=self.lost | {name})
+        is_join = settled.order.kind is OrderKind.JOIN
+        if not is_join or settled.outcome not in _MAY_JOIN_LATE:
+            return group
+        return replace(
+            group,
+            may_join=self.may_join | {name},
+            may_join_until_s=max(self.may_join_until_s, now_s + LATE_ORDER_S),
+        )
+
     def _after_open(self, outcome: OrderOutcome, now_s: float) -> 'OwnedGroup':
         delay_s = _OPENING_DELAYS_S.get(outcome)
         if delay_s is None:
--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -1,6 +1,5 @@
 """The task that owns all groups while this instance holds the lease."""
 
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -200,7 +199,6 @@
         records = self._parts.ledger.read()
         if records is None:
             return
-        # A former owner's order to open may not have been answered.
         until_s = self._parts.clock.now_s() + LATE_ORDER_S
         recorded = {record.group for record in records}
         self._groups = {
@@ -211,7 +209,8 @@
         for record in records:
             if record.group in self._groups:
                 continue
-            self._start_tracking(record, may_open_until_s=until_s)
+            group = self._tracked(record).with_late_orders(until_s)
+            self._groups[record.group] = group
         self._has_adopted = True
         _log.info(
             'recorded groups are taken over',
@@ -221,20 +220,11 @@
             },
         )
 
-    def _start_tracking(
-        self, record: GroupRecord, *, may_open_until_s: float = -math.inf
-    ) -> None:
+    def _tracked(self, record: GroupRecord) -> OwnedGroup:
         now_s = self._parts.clock.now_s()
         engine = engine_of(record, self._parts.published_fleet.latest())
         timeouts = state_timeouts(record, engine, self._settings.stall_s)
-        self._groups[record.group] = OwnedGroup(
-            record,
-            timeouts,
-            GroupState.JOINING,
-            now_s,
-            now_s,
-            may_open_until_s=may_open_until_s,
-        )
+        return OwnedGroup(record, timeouts, GroupState.JOINING, now_s, now_s)
 
     def _maintain_groups(self) -> None:
         fleet = self._parts.published_fleet.latest()
@@ -304,7 +294,7 @@
             if not records:
                 return
             for record in records:
-                self._start_tracking(record)
+                self._groups[record.group] = self._tracked(record)
                 self._parts.orders.join(record)
         for staging in plan.stages:
             self._parts.orders.stage(staging, service.name)
--- a/test/group_world.py
+++ b/test/group_world.py
@@ -160,6 +160,8 @@
             self._age_s(owned.since_s),
             self._age_s(owned.first_left_s),
             self._age_s(owned.may_open_until_s),
+            owned.may_join,
+            self._age_s(owned.may_join_until_s),
             self.members,
             self._age_s(self.stalled_s),
         )
@@ -277,9 +279,7 @@
 
     def _reread(self) -> 'World':
         """Start the group anew from its record; orders are still sent."""
-        owned = replace(
-            adopted(self.now_s), may_open_until_s=self.now_s + LATE_ORDER_S
-        )
+        owned = adopted(self.now_s).with_late_orders(self.now_s + LATE_ORDER_S)
         return replace(self, owned=owned)
 
     def _tick(self) -> 'World':
