--- a/test/group_world.py
+++ b/test/group_world.py
@@ -18,7 +18,13 @@
     load_group_chart,
     state_timeouts,
 )
-from pomelogauge.model.fleet import Fleet, MembershipState, Target, TargetState
+from pomelogauge.model.fleet import (
+    Fleet,
+    GroupRecord,
+    MembershipState,
+    Target,
+    TargetState,
+)
 
 from .entry_fakes import ENGINE, LLM, SMALL, fleet, membership, record, target
 
@@ -33,8 +39,9 @@
 LATE_TICKS = 7
 #: Times are told apart up to this age in seconds.
 LONGEST_AGE_S = 12.0
-NAMES = ('head', 'tail')
-RECORD = record('g', list(NAMES), SMALL)
+NAMES = ('head', 'tail', 'last')
+RECORD = record('g', list(NAMES[:2]), SMALL)
+LARGE_RECORD = record('g', list(NAMES), SMALL)
 TIMEOUTS = state_timeouts(RECORD, ENGINE, STALL_S)
 SERVES = frozenset((MembershipState.OPEN, MembershipState.CLOSING))
 
@@ -139,6 +146,10 @@
         Present time.
     stalled_s
         Time since which an open head lacks a member; infinite if none does.
+    record
+        Record of the group.
+    late_orders
+        Orders without an answer that each member may have at once.
 
     """
 
@@ -146,6 +157,8 @@
     members: tuple[WorldMember, ...]
     now_s: float = 100.0
     stalled_s: float = math.inf
+    record: GroupRecord = RECORD
+    late_orders: int = 1
 
     def key(self) -> tuple:
         """Return what decides on all further steps; times are ages."""
@@ -173,7 +186,7 @@
             return ()
         return tuple(
             name
-            for name, member in zip(NAMES, self.members, strict=True)
+            for name, member in zip(NAMES, self.members, strict=False)
             if member.runs and member.state is not None and name not in held
         )
 
@@ -191,7 +204,7 @@
             yield 'the records are read again', self._reread()
             if self.owned.state is GroupState.SERVING:
                 yield 'the head is suspected', self._queue_all(OrderKind.PROBE)
-        for index, name in enumerate(NAMES):
+        for index, name in enumerate(NAMES[: len(self.members)]):
             for word, after in self._member_steps(index):
                 yield f'{name} {word}', after._settle()
 
@@ -223,8 +236,8 @@
             f'{kind} loses its answer',
             self._settled(index, obeyed, kind, none),
         )
-        if not rest.late:
-            late = replace(rest, late=((kind, LATE_TICKS),))
+        if len(rest.late) < self.late_orders:
+            late = replace(rest, late=(*rest.late, (kind, LATE_TICKS)))
             yield f'{kind} is late', self._settled(index, late, kind, none)
 
     def _settled(
@@ -238,7 +251,11 @@
         if after.owned is None:
             return after
         order = Order(
-            kind, LLM, RECORD.members[index].target, RECORD.group, RECORD.epoch
+            kind,
+            LLM,
+            self.record.members[index].target,
+            self.record.group,
+            self.record.epoch,
         )
         effect = after.owned.after_outcome(
             OrderSettled(order, outcome), after.now_s
@@ -279,7 +296,9 @@
 
     def _reread(self) -> 'World':
         """Start the group anew from its record; orders are still sent."""
-        owned = adopted(self.now_s).with_late_orders(self.now_s + LATE_ORDER_S)
+        owned = adopted(self.now_s, self.record).with_late_orders(
+            self.now_s + LATE_ORDER_S
+        )
         return replace(self, owned=owned)
 
     def _tick(self) -> 'World':
@@ -345,9 +364,9 @@
     row = _row(name, member)
     if row != member.listed:
         yield 'reports', replace(member, listed=row)
-    if member.late:
-        (kind, _), *late = member.late
-        obeyed, _ = replace(member, late=tuple(late)).obey(kind)
+    for index, (kind, _) in enumerate(member.late):
+        others = member.late[:index] + member.late[index + 1 :]
+        obeyed, _ = replace(member, late=others).obey(kind)
         yield f'carries out {kind} late', obeyed
     yield 'crashes', replace(member, runs=False, state=None, late=())
     if not member.drains:
@@ -369,29 +388,35 @@
     )
 
 
-def adopted(now_s: float) -> OwnedGroup:
+def adopted(now_s: float, group: GroupRecord = RECORD) -> OwnedGroup:
     """Return the group as an owner tracks it that has read its record."""
-    return OwnedGroup(RECORD, TIMEOUTS, GroupState.JOINING, now_s, now_s)
+    return OwnedGroup(group, TIMEOUTS, GroupState.JOINING, now_s, now_s)
 
 
-def forming() -> World:
+def forming(group: GroupRecord = RECORD) -> World:
     """Return a group that was recorded; its members were ordered to join."""
     members = tuple(
-        WorldMember(listed=_row(name, WorldMember()), queued=(OrderKind.JOIN,))
-        for name in NAMES
+        WorldMember(
+            listed=_row(member.target, WorldMember()), queued=(OrderKind.JOIN,)
+        )
+        for member in group.members
     )
-    return World(adopted(100.0), members)
+    return World(adopted(100.0, group), members, record=group)
 
 
-def serving() -> World:
+def serving(group: GroupRecord = RECORD) -> World:
     """Return a group that its owner has seen open."""
-    states = (MembershipState.OPEN, MembershipState.READY)
+    states = (
+        MembershipState.OPEN,
+        MembershipState.READY,
+        MembershipState.READY,
+    )
     members = tuple(
-        WorldMember(state, listed=_row(name, WorldMember(state)))
-        for name, state in zip(NAMES, states, strict=True)
+        WorldMember(state, listed=_row(member.target, WorldMember(state)))
+        for member, state in zip(group.members, states, strict=False)
     )
-    world = World(None, members)
-    owned = replace(adopted(100.0), state=GroupState.SERVING)
+    world = World(None, members, record=group)
+    owned = replace(adopted(100.0, group), state=GroupState.SERVING)
     return replace(world, owned=owned.with_reports(world.fleet(), world.now_s))
 
 
@@ -403,7 +428,7 @@
     states = (MembershipState.READY, MembershipState.READY)
     members = tuple(
         WorldMember(state, listed=_row(name, WorldMember(state)))
-        for name, state in zip(NAMES, states, strict=True)
+        for name, state in zip(NAMES, states, strict=False)
     )
     world = World(adopted(100.0), members)
     for word in (
