Test that fails: lost connections quarantine a part of prompts

Callers would see all requests with a part refused for an hour after a path has reset connections to targets that go on answering.

A connection that is lost during an answer counts as a crash of the target, though anything between the two may have reset it. Three losses at two targets, all seen by one instance in the same moment, quarantine a part unless some instance has served it within 30 s; once it is quarantined nobody serves it, so that nothing clears it.

The targets' own rows say more: one that has crashed lapses or comes back with a later start, and one that was cut off from the instance goes on reporting.

Evidence: the simulation of instances, owner and targets; all targets answer other requests throughout.

--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -293,6 +293,21 @@
             system.run(AWAY_S + 0.5, 0)
         self.assertEqual(self.quarantined(system), [frozenset()] * INSTANCES)
 
+    def test_a_path_that_resets_connections_quarantines_nothing(self) -> None:
+        """Guards against taking a lost connection for a crash.
+
+        One instance loses its connections to sound targets while they answer
+        two requests of a part that is seldom asked for; each is sent twice.
+        """
+        seldom = PromptPart('seldom')
+        system = System(1)
+        system.run(4, 0)
+        for head in system.heads[:4]:
+            lost = AnswerLost(TargetName(head.name), (seldom,))
+            system.instances[1].tell(lost)
+        system.run(6, 0)
+        self.assertEqual(self.quarantined(system), [frozenset()] * INSTANCES)
+
     def test_a_new_owner_keeps_the_quarantine(self) -> None:
         for seed in range(5):
             system = System(seed)
