Test that fails: a caller without a key learns of a quarantine

Callers would see 503 with Retry-After 60 where their key is unknown or no route matches, and come back for nothing; whoever has no key could find out which parts of prompts are quarantined.

The caller task checks the parts of a prompt before it admits the request.

test_an_unknown_key_is_not_told_of_a_quarantine gets 503 instead of 401.

--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -199,6 +199,13 @@
         self.assertIn(b'Retry-After: 60', answer)
         self.assertEqual(self.sent_count(), 0)
 
+    def test_an_unknown_key_is_not_told_of_a_quarantine(self) -> None:
+        """Guards against callers without a key that get 503 instead of 401."""
+        self.start(stream(*EVENTS), is_public=False)
+        self.judge(quarantined=frozenset(('q',)))
+        answer = self.call_with_parts()
+        self.assertTrue(answer.startswith(b'HTTP/1.1 401'), answer)
+
     def test_the_part_of_the_request_alone_is_not_held_against_it(self) -> None:
         self.start(stream(*EVENTS))
         self.judge(quarantined=frozenset(('own',)))
