Admit requests before the parts of their prompts are checked

Callers without a valid key got 503 and the news of a quarantine instead of 401, and 503 instead of 404 without a route.

The caller task asked for the verdicts on the parts first. Now only a request that is admitted is checked. The comment on the statuses stands at its table again.

test_an_unknown_key_is_not_told_of_a_quarantine passes.

--- a/pomelogauge/entry/caller_task.py
+++ b/pomelogauge/entry/caller_task.py
@@ -32,10 +32,10 @@
 _UNAVAILABLE = 503
 #: Status of each denial. All others get 503, by which callers know that the
 #: request has not run and may be sent again.
+_STATUSES = {Denial.NO_ROUTE: _NOT_FOUND, Denial.NO_KEY: _UNAUTHORIZED}
 #: Seconds after which a caller is told to try again if a part of its prompt is
 #: quarantined, which no wait of a caller outlasts.
 _RETRY_AFTERS_S = {Denial.QUARANTINED: 60.0}
-_STATUSES = {Denial.NO_ROUTE: _NOT_FOUND, Denial.NO_KEY: _UNAUTHORIZED}
 #: Seconds after which callers may try again at an instance whose configuration
 #: is missing, incomplete or too old.
 _RETRY_AFTER_S = 1.0
@@ -101,9 +101,9 @@
             return
         req = decoded.unwrap()
         fleet = self._ports.published_fleet.latest()
-        verdict = check_parts(req, fleet, is_retry=False) or admit(
-            req, fleet, self._ports.bounds, random()
-        )
+        verdict = admit(req, fleet, self._ports.bounds, random())
+        if not isinstance(verdict, Denial):
+            verdict = check_parts(req, fleet, is_retry=False) or verdict
         if isinstance(verdict, Denial):
             self._deny(req, verdict)
             return
