Test that fails: losses elsewhere hide a suspected part

Callers would see targets crash on, one after the other: a part under which two targets have crashed is forgotten if a data centre is lost before the third crash, and counts from zero again.

Of all parts that are not cleared the newest 512 are kept, whatever is known of them.

test_losses_of_many_targets_do_not_hide_a_suspected_part: nothing is quarantined after 1,024 parts with one crash each between the second and the third crash of a part.

--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -111,6 +111,18 @@
         self.assertEqual(verdicts.quarantined, {PART})
         self.assertLessEqual(len(verdicts.suspected), MAX_CASES)
 
+    def test_losses_of_many_targets_do_not_hide_a_suspected_part(self) -> None:
+        """Guards against crashes of a part that are forgotten in between.
+
+        A data centre is lost before the third crash, with the parts of all
+        requests that its targets were answering.
+        """
+        self.crashes('t1', 't2')
+        lost = (crash('lost', f'p{part}') for part in range(2 * MAX_CASES))
+        self.quarantine.record_crashes(lost, 1)
+        self.crashes('t3', at_s=2)
+        self.assertEqual(self.verdicts(3).quarantined, {PART})
+
 
 class ServedPartsTest(unittest.TestCase):
     def test_a_part_counts_as_served_for_some_time(self) -> None:
