Keep suspected parts apart from parts with one crash

Losses at many targets, as of a data centre, made the owner forget a part under which two targets had crashed, so that it took three more crashes.

The newest 512 cases were kept without regard to the crashes. Now as many parts with one crash and as many suspected parts are kept, each for itself.

--- a/pomelogauge/decide/part_quarantine.py
+++ b/pomelogauge/decide/part_quarantine.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from ..model.chart import Chart
@@ -25,7 +25,8 @@
 #: Seconds after the last crash for which a part is suspected, and quarantined.
 SUSPICION_S = 120.0
 QUARANTINE_S = 3600.0
-#: Cases of suspected parts that are kept, the newest ones.
+#: Cases that are kept, the newest ones: of parts with one crash, and of
+#: suspected parts that other instances are told of.
 MAX_CASES = 512
 
 _NO_FACTS = PartFacts(0, 0, False)
@@ -116,9 +117,8 @@
         for crash in sorted(crashes):
             case = self._cases.pop(crash.part, _Case(PartState.SUSPECTED))
             self._cases[crash.part] = case.with_crash(crash.target, now_s)
-        for part in tuple(self._cases)[:-MAX_CASES]:
-            if self._cases[part].state is PartState.SUSPECTED:
-                self._cases.pop(part)
+        self._keep_newest(self._suspected(is_told=False))
+        self._keep_newest(self._suspected(is_told=True))
 
     def record_served(self, parts: Iterable[PromptPart]) -> None:
         """Clear parts of which a request was answered wholly."""
@@ -146,6 +146,17 @@
             self._told(PartState.SUSPECTED), self._told(PartState.QUARANTINED)
         )
 
+    def _suspected(self, *, is_told: bool) -> tuple[PromptPart, ...]:
+        return tuple(
+            part
+            for part, case in self._cases.items()
+            if case.state is PartState.SUSPECTED and case.is_told() is is_told
+        )
+
+    def _keep_newest(self, parts: Sequence[PromptPart]) -> None:
+        for part in parts[:-MAX_CASES]:
+            self._cases.pop(part)
+
     def _told(self, state: PartState) -> frozenset[PromptPart]:
         return frozenset(
             part
