Test that fails: quarantined parts grow without end

A caller who adds new parts to each request that crashes its target gets all of them quarantined for an hour, and each answer to a report of an instance holds them all. Beyond the largest gRPC message no instance hears the owner any more.

Cases of quarantined parts are not bounded.

test_a_flood_of_quarantined_parts_is_bounded: 1,537 parts are quarantined where 512 may be.

--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -123,6 +123,21 @@
         self.crashes('t3', at_s=2)
         self.assertEqual(self.verdicts(3).quarantined, {PART})
 
+    def test_a_flood_of_quarantined_parts_is_bounded(self) -> None:
+        """Guards against answers to reports that grow without end.
+
+        A caller adds new parts to each request that crashes its target.
+        """
+        for wave in range(6):
+            added = [f'p{wave}-{part}' for part in range(MAX_CASES // 2)]
+            for target in ('t1', 't2', 't3'):
+                crashes = [crash(target, part) for part in (PART, *added)]
+                self.quarantine.record_crashes(crashes, wave)
+            self.verdicts(wave + SETTLE_S)
+        quarantined = self.verdicts(6 + SETTLE_S).quarantined
+        self.assertLessEqual(len(quarantined), MAX_CASES)
+        self.assertIn(PART, quarantined)
+
 
 class ServedPartsTest(unittest.TestCase):
     def test_a_part_counts_as_served_for_some_time(self) -> None:
