Bound the quarantined parts

Requests that carried new parts beside a deadly one filled the owner's memory and all answers to reports.

Only suspected parts were bounded. Now the 512 quarantined parts whose last crashes are the newest are kept, as many as the store holds.

test_a_flood_of_quarantined_parts_is_bounded passes.

--- a/pomelogauge/decide/part_quarantine.py
+++ b/pomelogauge/decide/part_quarantine.py
@@ -25,8 +25,8 @@
 #: Seconds after the last crash for which a part is suspected, and quarantined.
 SUSPICION_S = 120.0
 QUARANTINE_S = 3600.0
-#: Cases that are kept, the newest ones: of parts with one crash, and of
-#: suspected parts that other instances are told of.
+#: Cases that are kept, the newest ones: of parts with one crash, of suspected
+#: parts that other instances are told of, and of quarantined parts.
 MAX_CASES = 512
 
 _NO_FACTS = PartFacts(0, 0, False)
@@ -142,6 +142,7 @@
                 PartEvent.EXPIRED if case.is_over(now_s) else PartEvent.CHECKED
             )
             self._step(part, event, case.facts(settle_s, now_s))
+        self._keep_newest(self._quarantined())
         return PartVerdicts(
             self._told(PartState.SUSPECTED), self._told(PartState.QUARANTINED)
         )
@@ -153,6 +154,13 @@
             if case.state is PartState.SUSPECTED and case.is_told() is is_told
         )
 
+    def _quarantined(self) -> tuple[PromptPart, ...]:
+        return tuple(
+            part
+            for part, case in self._cases.items()
+            if case.state is PartState.QUARANTINED
+        )
+
     def _keep_newest(self, parts: Sequence[PromptPart]) -> None:
         for part in parts[:-MAX_CASES]:
             self._cases.pop(part)
