Test that fails: a started instance has not heard of the quarantine

Callers see targets crash under a part that has been quarantined before: an instance that starts sends requests with it on until an owner answers it. If the owner itself was killed that is as long as the next one takes.

The stored parts are read by the owner only.

test_an_instance_that_starts_learns_the_stored_quarantine: nothing is restored.

--- a/test/owner_simulation.py
+++ b/test/owner_simulation.py
@@ -33,6 +33,7 @@
 from pomelogauge.tasks.published import Published
 
 from .entry_fakes import BIG, SMALL, FakeClock, MemoryStore, fleet, target
+from .entry_fakes import Outbox as CollectingOutbox
 from .entry_fakes import owner_lease as tenure_of
 
 STALL_S = 6.0
@@ -109,6 +110,7 @@
         self.published_fleet = Published(Fleet())
         self.violations: list[str] = []
         self.pending_outcomes: list[tuple[Outbox, OrderSettled]] = []
+        self.restored = CollectingOutbox()
         self.owners = [self.owner('n0')]
         self.is_store_down = False
         self.listed: dict[TargetName, Target] = {}
@@ -120,6 +122,8 @@
             tenure_of(node), self.store, RowTranslator(), self.clock
         )
         orders = GroupOrders(SimulatedSenders(self))
+        quarantine = QuarantineRecord(self.store, RowTranslator(), keeper)
+        quarantine.restore_to(self.restored)
         owner = Owner(
             OwnerSettings(STALL_S),
             OwnerParts(
@@ -127,7 +131,7 @@
                 Published(OwnershipStatus()),
                 keeper,
                 GroupLedger(self.store, RowTranslator(), keeper),
-                QuarantineRecord(self.store, RowTranslator(), keeper),
+                quarantine,
                 orders,
                 GroupPlanner(orders, StartupGrace(False, 0)),
                 self.clock,
--- a/test/test_owner.py
+++ b/test/test_owner.py
@@ -6,8 +6,12 @@
 
 from returns.result import Failure, Result
 
+from pomelogauge.entry.messages import PartsRestored
+from pomelogauge.entry.quarantine_record import QUARANTINE_KEY
 from pomelogauge.entry.store import StoreError, StoreFault, Table
 from pomelogauge.model.fleet import MembershipState
+from pomelogauge.model.ids import PromptPart
+from pomelogauge.platform.translator import RowTranslator
 
 from .owner_simulation import Simulation
 
@@ -52,6 +56,27 @@
         epochs_after = [sim.top_epoch for sim in simulation.targets.values()]
         self.assertEqual(epochs_before, epochs_after)
 
+    def test_an_instance_that_starts_learns_the_stored_quarantine(self) -> None:
+        """Guards against a started instance that sends on deadly parts.
+
+        The owner does not answer it, as none is known yet after the last one
+        was killed.
+        """
+        parts = frozenset((PromptPart('p'),))
+        simulation = Simulation(0)
+        self.run_for(simulation, 5)
+        simulation.store.put(
+            Table.QUARANTINE,
+            QUARANTINE_KEY,
+            RowTranslator().encode_quarantine(parts),
+        )
+        started = simulation.owner('n9')
+        simulation.store.faults.append(StoreFault.UNAVAILABLE)
+        for _ in range(6):
+            simulation.clock.at_s += 0.25
+            started.on_timer()
+        self.assertEqual(simulation.restored.posted, [PartsRestored(parts)])
+
     def test_a_group_whose_removal_may_come_later_is_not_opened(self) -> None:
         """Guards against a group that serves without a record.
 
