Restore the quarantined parts at each start

Requests with a quarantined part reached targets from an instance that had just started, until an owner answered it.

Only an instance that became the owner read the stored parts. Now each does so with its first call, before it has a configuration to serve by. The owner's first answer replaces what was read.

--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -97,8 +97,9 @@
 class Owner:
     """Forms, opens, repairs and releases groups while it holds the lease.
 
-    In standby it only polls the lease. Its groups are those recorded in the
-    store; after a takeover they are read from there.
+    In standby it polls the lease, after it has restored the quarantined parts
+    once. Its groups are those recorded in the store; after a takeover they
+    are read from there.
 
     Parameters
     ----------
@@ -167,6 +168,7 @@
         if has_changed or self._parts.ledger.must_reread:
             self._forget_groups()
         if not keeper.is_held:
+            self._parts.quarantine.restore()
             return keeper.due_s()
         if not self._has_adopted:
             self._adopt()
--- a/pomelogauge/entry/quarantine_record.py
+++ b/pomelogauge/entry/quarantine_record.py
@@ -47,6 +47,7 @@
         self._membership: Outbox[PartsRestored] | None = None
         self._parts: frozenset[PromptPart] = frozenset()
         self._stored: frozenset[PromptPart] | None = None
+        self._is_restored = False
 
     def restore_to(self, membership: Outbox[PartsRestored]) -> None:
         """Set which task judges parts; call before the start."""
@@ -60,6 +61,15 @@
         """Forget what is stored; it is read again before the next write."""
         self._stored = None
 
+    def restore(self) -> None:
+        """Restore the stored parts after a start.
+
+        An owner that answers this instance may be seconds away. A call that
+        fails is tried again with the next one.
+        """
+        if not self._is_restored:
+            self._is_restored = self._read() is not None
+
     def sync(self) -> None:
         """Write the parts if they differ from what is stored.
 
