Test that fails: a part that turns deadly is protected by its past

Callers would see targets crash one after the other for up to half a minute where requests with the part were answered before, as by targets whose software was replaced since.

An instance that has served a part in the last 30 s neither names it when a target is lost nor keeps from objecting, however often it was lost since.

--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -144,6 +144,7 @@
         self.heads = [Head(f't{index}') for index in range(HEADS)]
         self.parts = [PromptPart(f'p{index}') for index in range(PARTS)]
         self.crashes_s: list[float] = []
+        self.is_deadly = True
         self.deadly_sent_s: list[float] = []
         self.denied_sound = 0
         self.publish_owner()
@@ -203,7 +204,7 @@
 
     def work(self, head: Head) -> None:
         now_s = self.clock.at_s
-        if any(
+        if self.is_deadly and any(
             DEADLY in one.parts and now_s - one.since_s >= FIRST_EVENT_S
             for one in head.running
         ):
@@ -263,6 +264,19 @@
                 self.quarantined(system), [{DEADLY}] * INSTANCES, seed
             )
 
+    def test_a_part_that_turns_deadly_stops_reaching_targets(self) -> None:
+        """Guards against a part that its past protects.
+
+        Targets answered requests with it until their software was replaced.
+        """
+        for seed in range(5):
+            system = System(seed)
+            system.is_deadly = False
+            system.run(4, 0.05)
+            system.is_deadly = True
+            system.run(22, 0.012)
+            self.assertLessEqual(system.late_requests(), LATE_REQUESTS, seed)
+
     def test_requests_that_share_other_parts_are_served(self) -> None:
         for seed in range(5):
             system = System(seed)
