Let a new owner start with the crashes that its predecessor had heard of

The crashes were lost with the owner, and its successor took the suspicion back. Now each instance repeats its evidence of the last 10 s, objections included, to an owner in a new term, which starts with the suspected parts that it had heard of itself.

--- a/pomelogauge/decide/part_quarantine.py
+++ b/pomelogauge/decide/part_quarantine.py
@@ -56,8 +56,9 @@
         ):
             return self
         crashes = (*self.crashes, _Crash(target, now_s))
-        is_told = len(crashes) >= SUSPICIOUS_CRASHES
-        told_s = min(self.told_s, now_s) if is_told else math.inf
+        told_s = self.told_s
+        if len(crashes) >= SUSPICIOUS_CRASHES:
+            told_s = min(told_s, now_s)
         return replace(self, crashes=crashes, told_s=told_s)
 
     def facts(self, settle_s: float, now_s: float) -> PartFacts:
@@ -76,7 +77,8 @@
         """Return whether the last crash is too long ago."""
         is_suspected = self.state is PartState.SUSPECTED
         life_s = SUSPICION_S if is_suspected else QUARANTINE_S
-        return now_s - self.crashes[-1].at_s > life_s
+        latest_s = self.crashes[-1].at_s if self.crashes else self.told_s
+        return now_s - latest_s > life_s
 
 
 class PartQuarantine:
@@ -101,6 +103,21 @@
         for part in parts:
             self._cases[part] = restored
 
+    def suspect(self, parts: Iterable[PromptPart], told_s: float) -> None:
+        """Suspect parts that another owner told the instances of.
+
+        Parameters
+        ----------
+        parts
+            Parts whose crashes are still to be reported.
+        told_s
+            Time of the local clock since which the instances know of them.
+
+        """
+        suspected = _Case(PartState.SUSPECTED, told_s=told_s)
+        for part in parts:
+            self._cases[part] = suspected
+
     def record_crashes(
         self, crashes: Iterable[PartCrash], now_s: float
     ) -> None:
--- a/pomelogauge/entry/instance_membership.py
+++ b/pomelogauge/entry/instance_membership.py
@@ -147,7 +147,7 @@
             case PartsRestored():
                 self._parts.restore(message.parts, self._clock.now_s())
             case PartEvidence():
-                self._parts.add(message)
+                self._parts.record(message, self._clock.now_s())
                 self._report_soon()
             case InstanceLeaving():
                 self._own = replace(self._own, is_leaving=True)
@@ -166,11 +166,12 @@
         if now_s < self._next_s:
             return self._next_s - now_s
         self._next_s = now_s + report_interval_s(len(self._notified))
+        ownership = self._ports.ownership.latest()
+        self._parts.repeat_for(ownership.term, now_s)
         report = EntryReport(
             self._own, self._suspects, self._version, self._parts.take()
         )
         self._suspects = frozenset()
-        ownership = self._ports.ownership.latest()
         if ownership.is_own:
             self._record(report)
             self._update_list(ownership.term)
--- a/pomelogauge/entry/part_reports.py
+++ b/pomelogauge/entry/part_reports.py
@@ -1,5 +1,7 @@
 """What the membership task exchanges with the owner on parts of prompts."""
 
+from dataclasses import dataclass
+
 from ..charts.reader import load_chart
 from ..decide.part_quarantine import PartQuarantine
 from ..decide.prompt_part_chart import PART_WORDS
@@ -16,10 +18,22 @@
 #: Pieces of evidence in one report at most, so that a report stays small when
 #: many targets are lost at once; the next reports have the others.
 MAX_EVIDENCE = 64
+#: Seconds for which evidence is kept for the next owner, and how many messages
+#: of it, the newest ones.
+RECENT_S = 10.0
+MAX_RECENT = 256
 
 _log = part_logger(Part.REQUEST)
 
 
+@dataclass(frozen=True)
+class _SeenEvidence:
+    """Evidence of this instance and its time."""
+
+    evidence: PartEvidence
+    at_s: float
+
+
 class PartReports:
     """Evidence for the owner, and the verdicts of the owner.
 
@@ -32,6 +46,8 @@
         self._chart = load_chart('prompt_part', PART_WORDS)
         self._listeners: tuple[Outbox[PartsJudged], ...] = ()
         self._pending = PartEvidence()
+        self._recent: tuple[_SeenEvidence, ...] = ()
+        self._reported_term = 0
         self._quarantine = PartQuarantine(self._chart)
         self._term = 0
         self._verdicts = PartVerdicts()
@@ -40,8 +56,28 @@
         """Set who learns of new verdicts."""
         self._listeners = listeners
 
+    def record(self, evidence: PartEvidence, now_s: float) -> None:
+        """Record what this instance has seen, for the next report."""
+        self.add(evidence)
+        self._recent = tuple(
+            seen for seen in self._recent if now_s - seen.at_s <= RECENT_S
+        )[1 - MAX_RECENT :]
+        self._recent = (*self._recent, _SeenEvidence(evidence, now_s))
+
+    def repeat_for(self, term: int, now_s: float) -> None:
+        """Add the latest evidence once more if the owner's term is a new one.
+
+        What its predecessor had of it is lost.
+        """
+        if term == self._reported_term:
+            return
+        self._reported_term = term
+        for seen in self._recent:
+            if now_s - seen.at_s <= RECENT_S:
+                self.add(seen.evidence)
+
     def add(self, evidence: PartEvidence) -> None:
-        """Add evidence of this instance to the next report."""
+        """Add evidence to the next report."""
         self._pending |= evidence
 
     def take(self) -> PartEvidence:
@@ -70,7 +106,7 @@
             From a report of any instance, this one included.
         term
             Term in which this instance is the owner. In a new term it starts
-            with the parts that its predecessor had quarantined.
+            with the parts that its predecessor had quarantined or suspected.
         interval_s
             Seconds between two reports of an instance.
         now_s
@@ -81,6 +117,9 @@
             self._term = term
             self._quarantine = PartQuarantine(self._chart)
             self._quarantine.restore(self._verdicts.quarantined, now_s)
+            # The instances repeat within a report interval what they answered.
+            told_s = now_s - ANSWER_DELAY_S
+            self._quarantine.suspect(self._verdicts.suspected, told_s)
         self._quarantine.record_crashes(evidence.crashes, now_s)
         self._quarantine.record_served(evidence.served)
         settle_s = interval_s + ANSWER_DELAY_S
