Test that fails: a crash that is reported again counts twice

Sound requests would be refused for an hour after two crashes with a part in common that no instance has served lately.

An instance whose report is not answered in time sends the evidence again, though the owner may have read it; losses at one target count as one for half a second only.

test_a_crash_that_is_reported_again_is_one: quarantined instead of suspected after crashes of two targets.

--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -81,6 +81,17 @@
             self.crashes('t1', 't2', at_s=at_s)
         self.assertEqual(self.verdicts(5), PartVerdicts(suspected={PART}))
 
+    def test_a_crash_that_is_reported_again_is_one(self) -> None:
+        """Guards against sound parts that are quarantined after two crashes.
+
+        The owner's answer to a report is lost, so that the next report
+        repeats it.
+        """
+        self.crashes('t1', 't2')
+        for at_s in (0.6, 1.2):
+            self.crashes('t1', at_s=at_s)
+        self.assertEqual(self.verdicts(5), PartVerdicts(suspected={PART}))
+
     def test_a_part_that_was_served_is_cleared(self) -> None:
         for served_s in (SETTLE_S / 2, SETTLE_S):
             self.crashes('t1', 't2', 't3')
