Count a crash once that is reported again

A part was quarantined after crashes of two targets if a report was sent twice.

Losses at one target are one crash within 2.5 s instead of 0.5 s: reports are repeated sooner, and no target is back by then.

test_a_crash_that_is_reported_again_is_one passes.

--- a/pomelogauge/decide/part_quarantine.py
+++ b/pomelogauge/decide/part_quarantine.py
@@ -20,8 +20,9 @@
 
 #: Crashes under a part from which on other instances are told of it.
 SUSPICIOUS_CRASHES = 2
-#: Seconds within which losses at one target are one crash.
-CRASH_SPAN_S = 0.5
+#: Seconds within which losses at one target are one crash, however often they
+#: are reported; a target takes longer to come back.
+CRASH_SPAN_S = 2.5
 #: Seconds after the last crash for which a part is suspected, and quarantined.
 SUSPICION_S = 120.0
 QUARANTINE_S = 3600.0
