--- a/pomelogauge/decide/part_quarantine.py
+++ b/pomelogauge/decide/part_quarantine.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from ..model.chart import Chart
@@ -20,12 +20,14 @@
 
 #: Crashes under a part from which on other instances are told of it.
 SUSPICIOUS_CRASHES = 2
-#: Seconds within which losses at one target are one crash.
-CRASH_SPAN_S = 0.5
+#: Seconds within which losses at one target are one crash, however often they
+#: are reported; a target takes longer to come back.
+CRASH_SPAN_S = 2.5
 #: Seconds after the last crash for which a part is suspected, and quarantined.
 SUSPICION_S = 120.0
 QUARANTINE_S = 3600.0
-#: Cases of suspected parts that are kept, the newest ones.
+#: Cases that are kept, the newest ones: of parts with one crash, of suspected
+#: parts that other instances are told of, and of quarantined parts.
 MAX_CASES = 512
 
 _NO_FACTS = PartFacts(0, 0, False)
@@ -55,8 +57,9 @@
         ):
             return self
         crashes = (*self.crashes, _Crash(target, now_s))
-        is_told = len(crashes) >= SUSPICIOUS_CRASHES
-        told_s = min(self.told_s, now_s) if is_told else math.inf
+        told_s = self.told_s
+        if len(crashes) >= SUSPICIOUS_CRASHES:
+            told_s = min(told_s, now_s)
         return replace(self, crashes=crashes, told_s=told_s)
 
     def facts(self, settle_s: float, now_s: float) -> PartFacts:
@@ -75,7 +78,8 @@
         """Return whether the last crash is too long ago."""
         is_suspected = self.state is PartState.SUSPECTED
         life_s = SUSPICION_S if is_suspected else QUARANTINE_S
-        return now_s - self.crashes[-1].at_s > life_s
+        latest_s = self.crashes[-1].at_s if self.crashes else self.told_s
+        return now_s - latest_s > life_s
 
 
 class PartQuarantine:
@@ -100,6 +104,21 @@
         for part in parts:
             self._cases[part] = restored
 
+    def suspect(self, parts: Iterable[PromptPart], told_s: float) -> None:
+        """Suspect parts that another owner told the instances of.
+
+        Parameters
+        ----------
+        parts
+            Parts whose crashes are still to be reported.
+        told_s
+            Time of the local clock since which the instances know of them.
+
+        """
+        suspected = _Case(PartState.SUSPECTED, told_s=told_s)
+        for part in parts:
+            self._cases[part] = suspected
+
     def record_crashes(
         self, crashes: Iterable[PartCrash], now_s: float
     ) -> None:
@@ -116,9 +135,8 @@
         for crash in sorted(crashes):
             case = self._cases.pop(crash.part, _Case(PartState.SUSPECTED))
             self._cases[crash.part] = case.with_crash(crash.target, now_s)
-        for part in tuple(self._cases)[:-MAX_CASES]:
-            if self._cases[part].state is PartState.SUSPECTED:
-                self._cases.pop(part)
+        self._keep_newest(self._suspected(is_told=False))
+        self._keep_newest(self._suspected(is_told=True))
 
     def record_served(self, parts: Iterable[PromptPart]) -> None:
         """Clear parts of which a request was answered wholly."""
@@ -142,10 +160,29 @@
                 PartEvent.EXPIRED if case.is_over(now_s) else PartEvent.CHECKED
             )
             self._step(part, event, case.facts(settle_s, now_s))
+        self._keep_newest(self._quarantined())
         return PartVerdicts(
             self._told(PartState.SUSPECTED), self._told(PartState.QUARANTINED)
         )
 
+    def _suspected(self, *, is_told: bool) -> tuple[PromptPart, ...]:
+        return tuple(
+            part
+            for part, case in self._cases.items()
+            if case.state is PartState.SUSPECTED and case.is_told() is is_told
+        )
+
+    def _quarantined(self) -> tuple[PromptPart, ...]:
+        return tuple(
+            part
+            for part, case in self._cases.items()
+            if case.state is PartState.QUARANTINED
+        )
+
+    def _keep_newest(self, parts: Sequence[PromptPart]) -> None:
+        for part in parts[:-MAX_CASES]:
+            self._cases.pop(part)
+
     def _told(self, state: PartState) -> frozenset[PromptPart]:
         return frozenset(
             part
