Test that fails: a sound part is quarantined beside a deadly one

Each crash takes the neighbours of the deadly request along. A part that few requests have, lost at three targets before any with it was served, counts as proven, although another part explains the crashes.

test_a_sound_part_beside_a_deadly_one_is_not_quarantined: both are.

--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -92,6 +92,18 @@
             self.crashes('t1', at_s=at_s)
         self.assertEqual(self.verdicts(5), PartVerdicts(suspected={PART}))
 
+    def test_a_sound_part_beside_a_deadly_one_is_not_quarantined(self) -> None:
+        """Guards against a sound part that shares the fate of its neighbours.
+
+        A rare one was being answered by the same targets, and not served yet.
+        """
+        for index in range(4):
+            self.crashes(f't{index}')
+        for index in range(3):
+            beside = crash(f't{index}', 'rare')
+            self.quarantine.record_crashes((beside,), 0)
+        self.assertEqual(self.verdicts(5).quarantined, {PART})
+
     def test_a_part_that_was_served_is_cleared(self) -> None:
         for served_s in (SETTLE_S / 2, SETTLE_S):
             self.crashes('t1', 't2', 't3')
