Lay a crash to the part with most crashes

A sound part was quarantined beside a deadly one whose targets had been answering both.

Each crash counted under all parts that were lost with it. Now it counts under the part that was lost most often only; under several if they are even, as either may be the cause.

test_a_sound_part_beside_a_deadly_one_is_not_quarantined passes.

--- a/pomelogauge/decide/part_quarantine.py
+++ b/pomelogauge/decide/part_quarantine.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from ..model.chart import Chart
@@ -62,13 +62,26 @@
             told_s = min(told_s, now_s)
         return replace(self, crashes=crashes, told_s=told_s)
 
-    def facts(self, settle_s: float, now_s: float) -> PartFacts:
-        """Return the facts for the guards of the chart."""
-        return PartFacts(
-            len(self.crashes),
-            len({crash.target for crash in self.crashes}),
-            now_s - self.told_s >= settle_s,
-        )
+    def facts(
+        self, most_crashes: Mapping[TargetName, int], *, is_settled: bool
+    ) -> PartFacts:
+        """Return the facts for the guards of the chart.
+
+        Parameters
+        ----------
+        most_crashes
+            For each target, the crashes under that of its parts which has
+            most. A crash is laid to that part alone.
+        is_settled
+            All instances could say that they have served the part.
+
+        """
+        targets = [
+            crash.target
+            for crash in self.crashes
+            if most_crashes[crash.target] <= len(self.crashes)
+        ]
+        return PartFacts(len(targets), len(set(targets)), is_settled)
 
     def is_told(self) -> bool:
         """Return whether other instances are told of the part."""
@@ -155,16 +168,27 @@
             Present time of the local clock.
 
         """
+        most_crashes = self._most_crashes()
         for part, case in tuple(self._cases.items()):
             event = (
                 PartEvent.EXPIRED if case.is_over(now_s) else PartEvent.CHECKED
             )
-            self._step(part, event, case.facts(settle_s, now_s))
+            is_settled = now_s - case.told_s >= settle_s
+            facts = case.facts(most_crashes, is_settled=is_settled)
+            self._step(part, event, facts)
         self._keep_newest(self._quarantined())
         return PartVerdicts(
             self._told(PartState.SUSPECTED), self._told(PartState.QUARANTINED)
         )
 
+    def _most_crashes(self) -> dict[TargetName, int]:
+        most: dict[TargetName, int] = {}
+        for case in self._cases.values():
+            count = len(case.crashes)
+            for crash in case.crashes:
+                most[crash.target] = max(count, most.get(crash.target, 0))
+        return most
+
     def _suspected(self, *, is_told: bool) -> tuple[PromptPart, ...]:
         return tuple(
             part
