--- a/pomelogauge/decide/part_quarantine.py
+++ b/pomelogauge/decide/part_quarantine.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from ..model.chart import Chart
@@ -20,12 +20,14 @@
 
 #: Crashes under a part from which on other instances are told of it.
 SUSPICIOUS_CRASHES = 2
-#: Seconds within which losses at one target are one crash.
-CRASH_SPAN_S = 0.5
+#: Seconds within which losses at one target are one crash, however often they
+#: are reported; a target takes longer to come back.
+CRASH_SPAN_S = 2.5
 #: Seconds after the last crash for which a part is suspected, and quarantined.
 SUSPICION_S = 120.0
 QUARANTINE_S = 3600.0
-#: Cases of suspected parts that are kept, the newest ones.
+#: Cases that are kept, the newest ones: of parts with one crash, of suspected
+#: parts that other instances are told of, and of quarantined parts.
 MAX_CASES = 512
 
 _NO_FACTS = PartFacts(0, 0, False)
@@ -55,17 +57,31 @@
         ):
             return self
         crashes = (*self.crashes, _Crash(target, now_s))
-        is_told = len(crashes) >= SUSPICIOUS_CRASHES
-        told_s = min(self.told_s, now_s) if is_told else math.inf
+        told_s = self.told_s
+        if len(crashes) >= SUSPICIOUS_CRASHES:
+            told_s = min(told_s, now_s)
         return replace(self, crashes=crashes, told_s=told_s)
 
-    def facts(self, settle_s: float, now_s: float) -> PartFacts:
-        """Return the facts for the guards of the chart."""
-        return PartFacts(
-            len(self.crashes),
-            len({crash.target for crash in self.crashes}),
-            now_s - self.told_s >= settle_s,
-        )
+    def facts(
+        self, most_crashes: Mapping[TargetName, int], *, is_settled: bool
+    ) -> PartFacts:
+        """Return the facts for the guards of the chart.
+
+        Parameters
+        ----------
+        most_crashes
+            For each target, the crashes under that of its parts which has
+            most. A crash is laid to that part alone.
+        is_settled
+            All instances could say that they have served the part.
+
+        """
+        targets = [
+            crash.target
+            for crash in self.crashes
+            if most_crashes[crash.target] <= len(self.crashes)
+        ]
+        return PartFacts(len(targets), len(set(targets)), is_settled)
 
     def is_told(self) -> bool:
         """Return whether other instances are told of the part."""
@@ -75,7 +91,8 @@
         """Return whether the last crash is too long ago."""
         is_suspected = self.state is PartState.SUSPECTED
         life_s = SUSPICION_S if is_suspected else QUARANTINE_S
-        return now_s - self.crashes[-1].at_s > life_s
+        latest_s = self.crashes[-1].at_s if self.crashes else self.told_s
+        return now_s - latest_s > life_s
 
 
 class PartQuarantine:
@@ -100,6 +117,21 @@
         for part in parts:
             self._cases[part] = restored
 
+    def suspect(self, parts: Iterable[PromptPart], told_s: float) -> None:
+        """Suspect parts that another owner told the instances of.
+
+        Parameters
+        ----------
+        parts
+            Parts whose crashes are still to be reported.
+        told_s
+            Time of the local clock since which the instances know of them.
+
+        """
+        suspected = _Case(PartState.SUSPECTED, told_s=told_s)
+        for part in parts:
+            self._cases[part] = suspected
+
     def record_crashes(
         self, crashes: Iterable[PartCrash], now_s: float
     ) -> None:
@@ -116,9 +148,8 @@
         for crash in sorted(crashes):
             case = self._cases.pop(crash.part, _Case(PartState.SUSPECTED))
             self._cases[crash.part] = case.with_crash(crash.target, now_s)
-        for part in tuple(self._cases)[:-MAX_CASES]:
-            if self._cases[part].state is PartState.SUSPECTED:
-                self._cases.pop(part)
+        self._keep_newest(self._suspected(is_told=False))
+        self._keep_newest(self._suspected(is_told=True))
 
     def record_served(self, parts: Iterable[PromptPart]) -> None:
         """Clear parts of which a request was answered wholly."""
@@ -137,15 +168,45 @@
             Present time of the local clock.
 
         """
+        most_crashes = self._most_crashes()
         for part, case in tuple(self._cases.items()):
             event = (
                 PartEvent.EXPIRED if case.is_over(now_s) else PartEvent.CHECKED
             )
-            self._step(part, event, case.facts(settle_s, now_s))
+            is_settled = now_s - case.told_s >= settle_s
+            facts = case.facts(most_crashes, is_settled=is_settled)
+            self._step(part, event, facts)
+        self._keep_newest(self._quarantined())
         return PartVerdicts(
             self._told(PartState.SUSPECTED), self._told(PartState.QUARANTINED)
         )
 
+    def _most_crashes(self) -> dict[TargetName, int]:
+        most: dict[TargetName, int] = {}
+        for case in self._cases.values():
+            count = len(case.crashes)
+            for crash in case.crashes:
+                most[crash.target] = max(count, most.get(crash.target, 0))
+        return most
+
+    def _suspected(self, *, is_told: bool) -> tuple[PromptPart, ...]:
+        return tuple(
+            part
+            for part, case in self._cases.items()
+            if case.state is PartState.SUSPECTED and case.is_told() is is_told
+        )
+
+    def _quarantined(self) -> tuple[PromptPart, ...]:
+        return tuple(
+            part
+            for part, case in self._cases.items()
+            if case.state is PartState.QUARANTINED
+        )
+
+    def _keep_newest(self, parts: Sequence[PromptPart]) -> None:
+        for part in parts[:-MAX_CASES]:
+            self._cases.pop(part)
+
     def _told(self, state: PartState) -> frozenset[PromptPart]:
         return frozenset(
             part
--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -81,6 +81,29 @@
             self.crashes('t1', 't2', at_s=at_s)
         self.assertEqual(self.verdicts(5), PartVerdicts(suspected={PART}))
 
+    def test_a_crash_that_is_reported_again_is_one(self) -> None:
+        """Guards against sound parts that are quarantined after two crashes.
+
+        The owner's answer to a report is lost, so that the next report
+        repeats it.
+        """
+        self.crashes('t1', 't2')
+        for at_s in (0.6, 1.2):
+            self.crashes('t1', at_s=at_s)
+        self.assertEqual(self.verdicts(5), PartVerdicts(suspected={PART}))
+
+    def test_a_sound_part_beside_a_deadly_one_is_not_quarantined(self) -> None:
+        """Guards against a sound part that shares the fate of its neighbours.
+
+        A rare one was being answered by the same targets, and not served yet.
+        """
+        for index in range(4):
+            self.crashes(f't{index}')
+        for index in range(3):
+            beside = crash(f't{index}', 'rare')
+            self.quarantine.record_crashes((beside,), 0)
+        self.assertEqual(self.verdicts(5).quarantined, {PART})
+
     def test_a_part_that_was_served_is_cleared(self) -> None:
         for served_s in (SETTLE_S / 2, SETTLE_S):
             self.crashes('t1', 't2', 't3')
@@ -111,6 +134,33 @@
         self.assertEqual(verdicts.quarantined, {PART})
         self.assertLessEqual(len(verdicts.suspected), MAX_CASES)
 
+    def test_losses_of_many_targets_do_not_hide_a_suspected_part(self) -> None:
+        """Guards against crashes of a part that are forgotten in between.
+
+        A data centre is lost before the third crash, with the parts of all
+        requests that its targets were answering.
+        """
+        self.crashes('t1', 't2')
+        lost = (crash('lost', f'p{part}') for part in range(2 * MAX_CASES))
+        self.quarantine.record_crashes(lost, 1)
+        self.crashes('t3', at_s=2)
+        self.assertEqual(self.verdicts(3).quarantined, {PART})
+
+    def test_a_flood_of_quarantined_parts_is_bounded(self) -> None:
+        """Guards against answers to reports that grow without end.
+
+        A caller adds new parts to each request that crashes its target.
+        """
+        for wave in range(6):
+            added = [f'p{wave}-{part}' for part in range(MAX_CASES // 2)]
+            for target in ('t1', 't2', 't3'):
+                crashes = [crash(target, part) for part in (PART, *added)]
+                self.quarantine.record_crashes(crashes, wave)
+            self.verdicts(wave + SETTLE_S)
+        quarantined = self.verdicts(6 + SETTLE_S).quarantined
+        self.assertLessEqual(len(quarantined), MAX_CASES)
+        self.assertIn(PART, quarantined)
+
 
 class ServedPartsTest(unittest.TestCase):
     def test_a_part_counts_as_served_for_some_time(self) -> None:
@@ -199,6 +249,13 @@
         self.assertIn(b'Retry-After: 60', answer)
         self.assertEqual(self.sent_count(), 0)
 
+    def test_an_unknown_key_is_not_told_of_a_quarantine(self) -> None:
+        """Guards against callers without a key that get 503 instead of 401."""
+        self.start(stream(*EVENTS), is_public=False)
+        self.judge(quarantined=frozenset(('q',)))
+        answer = self.call_with_parts()
+        self.assertTrue(answer.startswith(b'HTTP/1.1 401'), answer)
+
     def test_the_part_of_the_request_alone_is_not_held_against_it(self) -> None:
         self.start(stream(*EVENTS))
         self.judge(quarantined=frozenset(('own',)))
