End the soak's proxied connections when a reset closes them early

A reset between the accept and the first read closed the socket before it was watched; the thread ended with a traceback (ValueError, invalid descriptor) and its connection to the server stayed open.

--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -36,7 +36,8 @@
 
     def run(self) -> None:
         host, _, port = self.proxy.upstream.rpartition(':')
-        with suppress(OSError):
+        # A reset by the test may close the sockets at any moment.
+        with suppress(OSError, ValueError):
             self.server_socket = socket.create_connection(
                 (host, int(port)), CONNECT_S
             )
