Spare targets that ask for fewer requests in their answers

Targets say in all their answers that they are leaving (Server-Leaving), and may answer 503 with the time for which they want nothing from an instance (Retry-After). An instance that sees neither sends on: a leaving target whose row is stale, or that never reports draining, gets requests until it ends, and a full one is asked again and again.

The adapter decodes both into a notice; the dispatcher keeps notices by the start of the target and grants no slot while they hold. Where all targets of a model are spared, callers are refused at once with the time until the first one takes requests again.

test_request_run, test_entry_dispatcher: six tests fail with the notices left out.

--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -1,5 +1,7 @@
 """The task that chooses a target for each request."""
 
+import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -14,6 +16,7 @@
 from ..decide.instance_retry_budget import InstanceRetryBudget
 from ..decide.serving_rules import Denial
 from ..decide.target_choice import choose_target
+from ..decide.target_notices import TargetNotices
 from ..model.entry_request import TargetAddress
 from ..model.fleet import Fleet
 from ..model.ids import DataCentreName, ServiceName
@@ -26,6 +29,7 @@
 from .messages import (
     DispatchMessage,
     LoadReceived,
+    NoticeReceived,
     SlotDenied,
     SlotGranted,
     SlotReleased,
@@ -110,6 +114,7 @@
         self._rng = rng
         self._views = TargetViews()
         self._budgets: dict[ServiceName, InstanceRetryBudget] = {}
+        self._notices = TargetNotices()
         self._cold_limiter = ColdRateLimiter(rng.random)
         self._instance_count = InstanceCount()
         self._fleet = published_fleet.latest()
@@ -127,6 +132,8 @@
                 self._views.record_load(
                     message.target, message.load, self._clock.now_s()
                 )
+            case NoticeReceived():
+                self._record_notice(message)
             case SlotReleased():
                 self._release(message)
             case SuspectsShared():
@@ -161,6 +168,12 @@
             for eligible in candidates
             if self._may_receive(eligible, now_s)
         ]
+        if not ready:
+            return self._deny(
+                request,
+                Denial.NO_TARGET,
+                self._first_wait_s(candidates, now_s),
+            )
         chosen = choose_target(
             ready,
             self._views.all(),
@@ -198,7 +211,9 @@
                 'repeat': request.is_retry,
             },
         )
-        return SlotGranted(TargetAddress(target.name, target.address))
+        return SlotGranted(
+            TargetAddress(target.name, target.address, target.started_at_ms)
+        )
 
     def _update_fleet(self) -> None:
         fleet = self._published_fleet.latest()
@@ -209,6 +224,7 @@
         self._instance_count.update(len(fleet.instances))
         self._eligible = list_eligible_targets(fleet)
         self._views.change_fleet(before, fleet)
+        self._notices.forget_old(fleet.targets, self._clock.now_s())
 
     def _eligible_targets(
         self, request: SlotRequested
@@ -225,6 +241,8 @@
 
     def _may_receive(self, candidate: EligibleTarget, now_s: float) -> bool:
         target = candidate.target
+        if self._notices.wait_s(target, now_s):
+            return False
         if target.cold_until_s <= now_s or self._fleet.config is None:
             return True
         service = self._fleet.config.services[target.service]
@@ -237,6 +255,36 @@
         )
         return self._cold_limiter.may_send(target.name, now_s, part)
 
+    def _record_notice(self, received: NoticeReceived) -> None:
+        destination, notice = received.destination, received.notice
+        now_s = self._clock.now_s()
+        if not self._notices.record(destination, notice, now_s):
+            return
+        _log.info(
+            'target %s asks for no more requests',
+            destination.target,
+            extra={
+                'target': destination.target,
+                'is_leaving': notice.is_leaving,
+                'retry_after_s': notice.retry_after_s,
+            },
+        )
+
+    def _first_wait_s(
+        self, candidates: Sequence[EligibleTarget], now_s: float
+    ) -> float:
+        """Return when the first of these targets may take a request.
+
+        Targets that leave are replaced in the time that a new group takes.
+        """
+        wait_s = min(
+            self._notices.wait_s(candidate.target, now_s)
+            for candidate in candidates
+        )
+        if math.isinf(wait_s):
+            return NO_TARGET_RETRY_AFTER_S
+        return max(wait_s, NO_SLOT_RETRY_AFTER_S)
+
     def _deny(
         self,
         request: SlotRequested,
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -4,7 +4,12 @@
 from enum import StrEnum
 
 from ..decide.serving_rules import Denial
-from ..model.entry_request import AdmittedRequest, TargetAddress, TargetLoad
+from ..model.entry_request import (
+    AdmittedRequest,
+    TargetAddress,
+    TargetLoad,
+    TargetNotice,
+)
 from ..model.fleet import EntryInstance
 from ..model.ids import (
     Epoch,
@@ -283,6 +288,14 @@
     load: TargetLoad
 
 
+@dataclass(frozen=True)
+class NoticeReceived:
+    """A target asked in an answer for fewer requests, or none."""
+
+    destination: TargetAddress
+    notice: TargetNotice
+
+
 @dataclass(frozen=True)
 class SlotReleased:
     """An attempt has ended and its slot is free again."""
@@ -292,7 +305,12 @@
 
 
 DispatchMessage = (
-    SlotRequested | LoadReceived | SlotReleased | SuspectsShared | PhaseChanged
+    SlotRequested
+    | LoadReceived
+    | NoticeReceived
+    | SlotReleased
+    | SuspectsShared
+    | PhaseChanged
 )
 
 
--- a/pomelogauge/entry/request_run.py
+++ b/pomelogauge/entry/request_run.py
@@ -13,6 +13,7 @@
 from ..decide.serving_rules import check_parts, recheck
 from ..decide.stall_timeout import stall_timeout_s
 from ..model.entry_request import (
+    NO_NOTICE,
     AdmittedRequest,
     CallerRequest,
     TargetRequest,
@@ -33,6 +34,7 @@
 from .messages import (
     AnswerLost,
     LoadReceived,
+    NoticeReceived,
     Outcome,
     PartsServed,
     SlotAnswer,
@@ -284,6 +286,10 @@
         if answer.load is not None:
             reported = LoadReceived(attempt.destination.target, answer.load)
             self._ports.dispatcher.post(reported)
+        if answer.notice != NO_NOTICE:
+            self._ports.dispatcher.post(
+                NoticeReceived(attempt.destination, answer.notice)
+            )
         if not answer.was_not_run:
             self._may_have_run = True
         verdict = judge(answer, self._admitted.req, self._facts())
--- a/pomelogauge/model/entry_request.py
+++ b/pomelogauge/model/entry_request.py
@@ -152,6 +152,27 @@
     slots: int
 
 
+@dataclass(frozen=True)
+class TargetNotice:
+    """What a target asks for in an answer.
+
+    Parameters
+    ----------
+    is_leaving
+        It is about to end and wants no more requests.
+    retry_after_s
+        Seconds for which it wants none from this instance; zero for none.
+
+    """
+
+    is_leaving: bool = False
+    retry_after_s: float = 0
+
+
+#: The notice of an answer that asks for nothing.
+NO_NOTICE = TargetNotice()
+
+
 @dataclass(frozen=True)
 class TargetAnswer:
     """Status and headers of a target's answer.
@@ -175,6 +196,8 @@
         Whether the body is an event stream.
     load
         Load of the target; ``None`` if not stated.
+    notice
+        What the target asks for.
 
     """
 
@@ -186,6 +209,7 @@
     is_encoded: bool
     is_stream: bool
     load: TargetLoad | None = None
+    notice: TargetNotice = NO_NOTICE
 
     def is_success(self) -> bool:
         """Return whether the status is a 2xx."""
@@ -202,11 +226,14 @@
         Name of the target.
     address
         ``host:port`` for requests.
+    started_at_ms
+        When it started; zero if not stated.
 
     """
 
     target: TargetName
     address: Address
+    started_at_ms: int = 0
 
 
 _SUCCESS = 200
--- a/pomelogauge/platform/requests.py
+++ b/pomelogauge/platform/requests.py
@@ -5,11 +5,13 @@
 from typing import TypeVar
 
 from ..model.entry_request import (
+    NO_NOTICE,
     CallerRequest,
     GenerationSize,
     Headers,
     TargetAnswer,
     TargetLoad,
+    TargetNotice,
     TargetRequest,
 )
 from ..model.errors import Finding, FindingsError, SourceLocation
@@ -32,6 +34,8 @@
 _STAMP = 'x-response-stamp'
 _NOT_RUN = 'x-not-executed'
 _LOAD = 'x-instance-load'
+_LEAVING = 'server-leaving'
+_TARGET_RETRY_AFTER = 'retry-after'
 _RETRY_AFTER = b'Retry-After'
 _SCHEME = 'bearer'
 _MS_IN_S = 1000
@@ -40,6 +44,11 @@
 #: The request reached another target than the expected one, which does not
 #: run it.
 _MISDIRECTED = 421
+#: The target turns the request away, perhaps with a time for which it wants
+#: no more.
+_UNAVAILABLE = 503
+#: Longest such time in seconds; a longer one is cut to it.
+_MAX_RETRY_AFTER_S = 3600.0
 #: Shared parts of one prompt, and characters of a name, that are told apart.
 _MAX_PARTS = 32
 _MAX_PART_NAME = 64
@@ -171,6 +180,7 @@
         is_encoded='content-encoding' in fields,
         is_stream=media_type.startswith(_EVENT_STREAM),
         load=_parse_load(fields.get(_LOAD, '')),
+        notice=_notice(head.status, fields),
     )
 
 
@@ -274,6 +284,29 @@
     return None
 
 
+def _notice(status: int, fields: dict[str, str]) -> TargetNotice:
+    """Return what an answer asks for.
+
+    Another target's answer asks for nothing on behalf of the expected one.
+    """
+    if status == _MISDIRECTED:
+        return NO_NOTICE
+    retry_after_s = 0.0
+    if status == _UNAVAILABLE:
+        retry_after_s = _parse_seconds(fields.get(_TARGET_RETRY_AFTER, ''))
+    is_leaving = fields.get(_LEAVING, '').strip() == '1'
+    return TargetNotice(is_leaving, retry_after_s)
+
+
+def _parse_seconds(text: str) -> float:
+    """Return a number of seconds; zero for a date or a malformed number."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0
+    return min(seconds, _MAX_RETRY_AFTER_S) if seconds > 0 else 0
+
+
 def _host_without_port(text: str) -> str:
     return text.rpartition(':')[0].lower() if ':' in text else text.lower()
 
--- a/test/test_entry_dispatcher.py
+++ b/test/test_entry_dispatcher.py
@@ -7,11 +7,14 @@
 from pomelogauge.decide.serving_rules import AdmissionBounds, admit
 from pomelogauge.entry.dispatcher import Dispatcher, DispatchSettings
 from pomelogauge.entry.messages import (
+    NoticeReceived,
     Outcome,
+    SlotDenied,
     SlotGranted,
     SlotReleased,
     SlotRequested,
 )
+from pomelogauge.model.entry_request import TargetAddress, TargetNotice
 from pomelogauge.model.fleet import EntryInstance, Fleet, MembershipState
 from pomelogauge.model.ids import Address, NodeName
 from pomelogauge.tasks.published import Published
@@ -107,6 +110,49 @@
         }
         self.assertEqual(targets, {'t1'})
 
+    def notify(self, name: str, notice: TargetNotice) -> None:
+        """Pass on what a target has asked for in an answer."""
+        answered = TargetAddress(name, Address(f'{name}:1'), 1)
+        self.dispatcher.on_message(NoticeReceived(answered, notice))
+
+    def chosen(self) -> set[str]:
+        """Return the targets of some more requests."""
+        granted = [self.request_slot(is_retry=False) for _ in range(8)]
+        return {slot.destination.target for slot in granted}
+
+    def test_a_target_that_is_leaving_gets_no_more_requests(self) -> None:
+        """Guards against requests after ``Server-Leaving`` in an answer."""
+        self.publish(1)
+        self.notify('t1', TargetNotice(is_leaving=True))
+        self.clock.at_s += 100
+        self.publish(1)
+        self.assertEqual(self.chosen(), {'t2'})
+
+    def test_a_target_is_spared_until_its_retry_after_is_over(self) -> None:
+        """Guards against requests to a target that has asked for a pause."""
+        self.publish(1)
+        self.notify('t1', TargetNotice(retry_after_s=2))
+        self.clock.at_s += 1.9
+        self.assertEqual(self.chosen(), {'t2'})
+        self.clock.at_s += 0.2
+        self.assertIn('t1', self.chosen())
+
+    def test_requests_are_refused_until_the_first_pause_ends(self) -> None:
+        self.publish(1)
+        self.notify('t1', TargetNotice(retry_after_s=9))
+        self.notify('t2', TargetNotice(retry_after_s=3))
+        denied = self.request_slot(is_retry=False)
+        self.assertIsInstance(denied, SlotDenied)
+        self.assertTrue(3 <= denied.retry_after_s <= 4.5)
+
+    def test_requests_are_refused_if_all_targets_are_leaving(self) -> None:
+        self.publish(1)
+        for name in ('t1', 't2'):
+            self.notify(name, TargetNotice(is_leaving=True))
+        denied = self.request_slot(is_retry=False)
+        self.assertIsInstance(denied, SlotDenied)
+        self.assertTrue(1.2 <= denied.retry_after_s <= 1.8)
+
     def test_the_cold_rate_is_divided_among_living_instances(
         self,
     ) -> None:
--- a/test/test_platform_rows.py
+++ b/test/test_platform_rows.py
@@ -5,7 +5,12 @@
 
 from returns.result import Failure
 
-from pomelogauge.model.entry_request import TargetLoad, TargetRequest
+from pomelogauge.model.entry_request import (
+    NO_NOTICE,
+    TargetLoad,
+    TargetNotice,
+    TargetRequest,
+)
 from pomelogauge.model.errors import FindingsError
 from pomelogauge.model.fleet import MembershipState, TargetState
 from pomelogauge.model.ids import RowVersion
@@ -286,6 +291,29 @@
         self.assertTrue(REQUESTS.decode_answer(HeadRead(421, ())).was_not_run)
         self.assertFalse(REQUESTS.decode_answer(HeadRead(503, ())).was_not_run)
 
+    def test_the_notice_of_a_target_is_decoded(self) -> None:
+        leaving = (b'Server-Leaving', b'1')
+        for status, field, expected in (
+            (200, leaving, TargetNotice(is_leaving=True)),
+            (503, leaving, TargetNotice(is_leaving=True)),
+            (200, (b'Server-Leaving', b'0'), NO_NOTICE),
+            (421, leaving, NO_NOTICE),
+            (503, (b'Retry-After', b'1.5'), TargetNotice(retry_after_s=1.5)),
+            (503, (b'Retry-After', b' 2 '), TargetNotice(retry_after_s=2)),
+            (503, (b'Retry-After', b'1e9'), TargetNotice(retry_after_s=3600)),
+            (429, (b'Retry-After', b'2'), NO_NOTICE),
+        ):
+            with self.subTest(status=status, field=field):
+                answer = REQUESTS.decode_answer(HeadRead(status, (field,)))
+                self.assertEqual(answer.notice, expected)
+
+    def test_a_malformed_retry_after_of_a_target_is_ignored(self) -> None:
+        for text in (b'', b'soon', b'-1', b'nan', b'Wed, 21 Oct 2026'):
+            with self.subTest(text=text):
+                head = HeadRead(503, ((b'Retry-After', text),))
+                notice = REQUESTS.decode_answer(head).notice
+                self.assertEqual(notice, NO_NOTICE)
+
 
 class SettingsTest(unittest.TestCase):
     """One start reports all faults of a settings file, with its name."""
--- a/test/test_request_run.py
+++ b/test/test_request_run.py
@@ -11,6 +11,7 @@
 from .request_fixtures import (
     EVENTS,
     HEAD,
+    REJECTION,
     RequestCase,
     chunk,
     plain,
@@ -101,6 +102,30 @@
         self.start(reject, stream(*EVENTS))
         self.assertTrue(self.call().startswith(b'HTTP/1.1 200'))
 
+    def test_a_target_that_is_leaving_is_not_used_again(self) -> None:
+        """Guards against requests after an answer with ``Server-Leaving``."""
+        idempotent = {'kind': RouteKind.IDEMPOTENT, 'shares': (Share(DESK, 1),)}
+        self.start(plain(extra=b'Server-Leaving: 1\r\n'), **idempotent)
+        self.assertIn(b'Server-Leaving: 1', self.call())
+        self.assertTrue(self.call().startswith(b'HTTP/1.1 503'))
+        self.assertEqual(self.received_count(), 1)
+
+    def test_a_target_is_spared_for_the_time_that_it_asks_for(self) -> None:
+        """Guards against requests in the time of a target's ``Retry-After``."""
+
+        def pause(sock: socket.socket, received: bytes) -> None:
+            sock.sendall(
+                REJECTION.replace(b'\r\n\r\n', b'\r\nRetry-After: 2\r\n\r\n')
+            )
+
+        self.start(pause)
+        for _ in range(3):
+            self.assertTrue(self.call().startswith(b'HTTP/1.1 503'))
+        self.assertEqual(self.received_count(), 1)
+        self.clock.suspended_s += 2
+        self.call()
+        self.assertEqual(self.received_count(), 2)
+
     def test_a_key_withdrawn_during_a_suspension_is_not_used(self) -> None:
         """Guards against a process that acts on a key after waking."""
 
