Check the notices of back ends in the soak

Workers and services that drain say so in all their answers, every second one only there; rejections ask for a pause of 1.5 s. The soak checks, for each pair of an instance and a back end, that no request follows later than two seconds after a relayed notice, and two at most in a pause; disturbed instances and back ends are excused.

--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -78,7 +78,7 @@
         prefix = CALL_PREFIX if is_non_idempotent else STREAM_PREFIX
         attempt = f'{prefix}{self.name}-{self.number}'
         key = self.rng.choice(self.keys())
-        self.observer.record_sent(attempt, key)
+        self.observer.record_sent(attempt, key, address)
         try:
             answer = self.pool.request(
                 'POST',
@@ -105,6 +105,10 @@
         answer: urllib3.BaseHTTPResponse,
         is_non_idempotent: bool,
     ) -> None:
+        if 'Server-Leaving' in answer.headers:
+            self.observer.record_leaving(
+                attempt, answer.headers.get('X-Response-Stamp', '')
+            )
         if answer.status in REFUSALS:
             self.observer.record_refusal(attempt, answer.status)
         if answer.status != OK:
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -3,7 +3,7 @@
 import random
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .proxy import Mode, Proxy
 from .soak_testbed import SoakTestbed
@@ -96,7 +96,7 @@
         return Fault(
             f'pause {entry.name}',
             self.span(0.2, 4),
-            lambda: entry.signal(signal.SIGCONT),
+            lambda: self.testbed.resume(entry),
         )
 
     def end_entry(self) -> Fault:
@@ -116,7 +116,13 @@
 
     def block_back_end(self) -> Fault:
         back_end = self.rng.choice(self.testbed.back_ends())
-        return self.impair(back_end.name, back_end.proxy)
+        fault = self.impair(back_end.name, back_end.proxy)
+
+        def repair() -> None:
+            fault.repair()
+            self.testbed.observer.forget_notices(back_end.name)
+
+        return replace(fault, repair=repair)
 
     def impair(self, name: str, proxy: Proxy) -> Fault:
         proxy.mode = self.rng.choice(PROXY_MODES)
@@ -159,8 +165,7 @@
 
     def drain_back_end(self) -> Fault:
         back_end = self.rng.choice(self.testbed.back_ends())
-        back_end.state = 'draining'
-        back_end.publish_entry()
+        back_end.drain()
         return Fault(
             f'drain {back_end.name}',
             self.span(3, 5),
--- a/test/soak/observer.py
+++ b/test/soak/observer.py
@@ -4,6 +4,8 @@
 import time
 from dataclasses import dataclass
 
+from .notices import NoticeChecks
+
 #: A revoked key has to be refused after this time.
 REVOCATION_DELAY_S = 5.0
 #: Tolerance of time bounds for the scheduling delay of threads.
@@ -44,6 +46,8 @@
         self.refused: dict[str, int] = {}
         self.revoked: dict[str, float] = {}
         self.sent: dict[str, tuple[str, float]] = {}
+        self.instances: dict[str, str] = {}
+        self.notices = NoticeChecks()
         self.counts: dict[str, int] = {}
 
     def now_s(self) -> float:
@@ -63,9 +67,37 @@
             key = group['name'], group['epoch']
             self.ready.setdefault(key, set()).add(worker)
 
-    def record_sent(self, attempt: str, key: str) -> None:
+    def record_sent(self, attempt: str, key: str, instance: str) -> None:
         with self.lock:
             self.sent[attempt] = key, self.now_s()
+            self.instances[attempt] = instance
+
+    def record_leaving(self, attempt: str, worker: str) -> None:
+        """Record that the answer to a request says that its worker leaves."""
+        with self.lock:
+            self.notices.record_leaving(
+                self.instances[attempt], worker, self.now_s()
+            )
+
+    def record_pause(self, attempt: str, worker: str, pause_s: float) -> None:
+        """Record that a worker rejects a request and wants a pause."""
+        with self.lock:
+            instance = self.instances.get(attempt, '')
+            self.notices.record_pause(instance, worker, self.now_s(), pause_s)
+
+    def forget_notices(self, who: str) -> None:
+        """Excuse an instance or a worker that is disturbed."""
+        with self.lock:
+            self.notices.forget(who)
+
+    def record_arrival(self, attempt: str, worker: str) -> None:
+        """Check that a request respects the notices of its worker."""
+        with self.lock:
+            _, sent_s = self.sent.get(attempt, ('', 0.0))
+            sent = self.instances.get(attempt, ''), sent_s
+            wrong = self.notices.check(attempt, sent, worker, self.now_s())
+        if wrong:
+            self.report_violation('notices', wrong)
 
     def record_refusal(self, attempt: str, status: int) -> None:
         """Record a response which states that the request was not run."""
--- a/test/soak/runner.py
+++ b/test/soak/runner.py
@@ -145,7 +145,9 @@
 
     def serves(self, entry: SoakEntry) -> bool:
         attempt = f'probe-{entry.name}-{self.rng.random()}'
-        self.observer.record_sent(attempt, self.testbed.all_keys[0])
+        self.observer.record_sent(
+            attempt, self.testbed.all_keys[0], entry.callers
+        )
         return (
             entry.send_request(attempt, self.testbed.all_keys[0]).status == 200
         )
--- a/test/soak/soak_testbed.py
+++ b/test/soak/soak_testbed.py
@@ -150,8 +150,14 @@
             )
             entry.end()
         entry.is_wanted = True
+        self.observer.forget_notices(entry.callers)
         entry.start()
 
+    def resume(self, entry: SoakEntry) -> None:
+        """Let a paused instance run on."""
+        self.observer.forget_notices(entry.callers)
+        entry.signal(signal.SIGCONT)
+
     def check_alive(self) -> None:
         """Report and restart processes that ended on their own."""
         for entry in self.entries:
--- a/test/soak/workers.py
+++ b/test/soak/workers.py
@@ -17,6 +17,8 @@
 #: group is broken.
 STALL_S = BOUNDS['stall_ms'] / 1000
 NOT_EXECUTED = {'X_Not_Executed': '1'}
+#: Time for which a worker that rejects a request wants no more.
+PAUSE_S = 1.5
 
 
 class SoakBackEnd(HttpStandin):
@@ -28,7 +30,7 @@
         self.name = name
         self.store = store
         self.observer = observer
-        self.state = 'ready'
+        self.state = self.listed_state = 'ready'
         self.incarnation = int(time.time() * 1000)
         super().__init__()
         self.proxy = Proxy(self.address)
@@ -40,7 +42,7 @@
             'address': self.proxy.address,
             'zone': 'a',
             'slots': 8,
-            'state': self.state,
+            'state': self.listed_state,
             'cold_remaining_ms': 0,
             'born': self.incarnation,
             'sequence': 1,
@@ -50,6 +52,17 @@
         if self.state != 'gone':
             self.store.put('servers', self.name, self.entry())
 
+    def drain(self) -> None:
+        """Start to leave; every second back end says so in its answers only."""
+        self.state = 'draining'
+        if int(self.name[1:]) % 2:
+            self.listed_state = self.state
+            self.publish_entry()
+
+    def notice(self) -> dict[str, str]:
+        """Return the header of all answers of a back end that is leaving."""
+        return {'Server_Leaving': '1'} if self.state == 'draining' else {}
+
     def end(self) -> None:
         """Simulate a crash: close all connections, keep the store entry."""
         self.state = 'gone'
@@ -70,6 +83,7 @@
 
     def work(self, conn: Handler, body: bytes) -> None:
         attempt = conn.headers['X-Attempt-Id']
+        self.observer.record_arrival(attempt, self.name)
         self.observer.record_run(attempt, self.name)
         time.sleep(CALL_DURATION_S)
         conn.answer(
@@ -77,6 +91,7 @@
             {'attempt': attempt},
             X_Attempt_Id=attempt,
             X_Response_Stamp=self.name,
+            **self.notice(),
         )
 
 
@@ -206,10 +221,18 @@
 
     def stream(self, conn: Handler) -> None:
         group = self.group
+        attempt = conn.headers['X-Attempt-Id']
+        self.observer.record_arrival(attempt, self.name)
         if group is None or group['rank'] or group['state'] != 'open':
-            conn.answer(503, {}, **NOT_EXECUTED)
+            self.observer.record_pause(attempt, self.name, PAUSE_S)
+            conn.answer(
+                503,
+                {},
+                Retry_After=str(PAUSE_S),
+                **NOT_EXECUTED,
+                **self.notice(),
+            )
             return
-        attempt = conn.headers['X-Attempt-Id']
         self.observer.record_run(attempt, self.name)
         seen = self.observer.ready.get((group['name'], group['epoch']), set())
         missing = set(group['members']) - seen
@@ -226,6 +249,8 @@
         conn.send_header('X-Response-Stamp', self.name)
         conn.send_header('Content-Type', 'text/event-stream')
         conn.send_header('Transfer-Encoding', 'chunked')
+        for header, text in self.notice().items():
+            conn.send_header(header.replace('_', '-'), text)
         conn.end_headers()
         first = int(conn.headers.get('Last-Event-Id') or 0) + 1
         for number in range(first, EVENTS + 1):
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 
 from .platform_standin import StoreStandin
+from .soak.notices import NoticeChecks
 from .soak.observer import Observer
 from .soak.proxy import Mode, Proxy
 from .soak.regression import read_seeds
@@ -39,6 +40,32 @@
                 sock.sendall(chunk)
 
 
+class NoticeChecksTest(unittest.TestCase):
+    """Guards that requests against a back end's notice are found."""
+
+    def setUp(self) -> None:
+        self.checks = NoticeChecks()
+
+    def check(self, sent_s: float, now_s: float) -> str:
+        return self.checks.check('a', ('n1', sent_s), 'w1', now_s)
+
+    def test_a_request_after_the_delay_of_a_leaving_is_found(self) -> None:
+        self.checks.record_leaving('n1', 'w1', 10)
+        self.assertFalse(self.check(11.9, 13))
+        self.assertTrue(self.check(12.1, 13))
+
+    def test_a_third_request_in_a_pause_is_found(self) -> None:
+        self.checks.record_pause('n1', 'w1', 10, 2)
+        found = [bool(self.check(11, 11)) for _ in range(3)]
+        self.assertEqual(found, [False, False, True])
+        self.assertFalse(self.check(12, 12.1))
+
+    def test_a_disturbed_instance_is_excused(self) -> None:
+        self.checks.record_leaving('n1', 'w1', 10)
+        self.checks.forget('n1')
+        self.assertFalse(self.check(20, 20))
+
+
 class ProxyTest(unittest.TestCase):
     """Guards that the proxy produces the fault it is set to."""
 
