Bound answers to orders in time and size

Callers see models come back late, or not at all: a target in trouble that sends bytes without end, or one now and then, keeps the task that orders it busy for ever. No order to leave reaches it, and its group is not formed again; the memory of the owner grows with each byte.

Cause: the read time-out of urllib3 holds for each read, not for the response, and neither the number of interim responses nor the body has a bound.

Orders go over the link of the requests' path, which bounds heads, chunk heads and interim responses; the new exchange bounds the whole response by 0.8 s after 0.4 s to connect, and the body by 256 KiB. What can't be read within these bounds is no answer, with a log line: the order may have been carried out. A host or port beyond its range is a failed connection, as it was with urllib3, and a target whose name fits no header gives no answer instead of an exception.

test_endless_answers fails before: answers of a byte now and then took 6.0 s, their whole length, in all five cases, and answers without end had not returned when the run was cut after 40 s. Now answers without end return within 0.03 s with at most 518 KiB, slow ones after 0.80 s with at most 132 KiB.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -197,7 +197,8 @@
     )
     cfg = shared.cfg
     permit = OrderPermit(shared.ownership, shared.clock)
-    orders = GroupOrders(OrderSenderPool(OrderClient(), permit))
+    client = OrderClient(shared.clock)
+    orders = GroupOrders(OrderSenderPool(client, permit))
     startup_grace = StartupGrace(cfg.is_first_start, shared.clock.now_s())
     quarantine = QuarantineRecord(store, shared.rows, keeper)
     owner = Owner(
--- a/pomelogauge/platform/orders.py
+++ b/pomelogauge/platform/orders.py
@@ -1,23 +1,32 @@
 """Sends orders to targets over HTTP."""
 
 import json
+from contextlib import closing
 from typing import Any
 
-from urllib3 import PoolManager, Timeout
-from urllib3.exceptions import HTTPError, NewConnectionError
-from urllib3.response import BaseHTTPResponse
+from returns.result import Failure
 
 from ..entry.messages import Order, OrderKind, OrderOutcome
 from ..model.errors import FindingsError
 from ..model.fleet import MembershipState
 from ..model.ids import Address
 from ..model.log_parts import Part
+from ..tasks.clock import Clock
 from ..tasks.log import part_logger
+from ..wire.http_exchange import (
+    ExchangeBounds,
+    ExchangeError,
+    ExchangeFault,
+    HttpAnswer,
+    HttpExchange,
+)
+from ..wire.target_link import RequestHead
 from .targets import decode_reported_membership
 
-#: Seconds to connect and to wait for a response. Targets respond to
-#: orders at once, so that a longer wait gains nothing.
-_TIMEOUT = Timeout(connect=0.4, read=0.8)
+#: Seconds for the whole response. Targets respond to orders at once, so that
+#: a longer wait gains nothing.
+_RESPONSE_S = 0.8
+_BOUNDS = ExchangeBounds(connect_s=0.4, body_bytes=256 * 1024)
 _ACCEPTED_STATUSES = frozenset((200, 202))
 #: The order does not fit the target's state, or its epoch is too low.
 _UNFIT_STATUSES = frozenset((409, 412))
@@ -33,43 +42,45 @@
     """Sends each order over a new connection, without retries.
 
     It keeps no state between orders, so that any thread may use it.
+
+    Parameters
+    ----------
+    clock
+        Local clock, for the time of a response.
+
     """
 
+    def __init__(self, clock: Clock) -> None:
+        """Start without a connection; each order has its own."""
+        self._clock = clock
+
     def send(self, address: Address, order: Order) -> OrderOutcome:
         """Send an order once and return its outcome.
 
-        The call blocks until the target responds or the time-out expires. A
-        ``PROBE`` changes nothing at the target: it reads its report and
-        checks that the target is still a member of the order's group and
-        epoch.
+        The call blocks until the target's whole response is read, or a bound
+        of time or size is exceeded, which counts as no answer. A ``PROBE``
+        changes nothing at the target: it reads its report and checks that the
+        target is still a member of the order's group and epoch.
         """
-        is_probe = order.kind is OrderKind.PROBE
-        try:
-            with PoolManager(retries=False) as pool:
-                response = pool.request(
-                    'GET' if is_probe else 'POST',
-                    f'http://{address}/{"report" if is_probe else "order"}',
-                    body=None if is_probe else json.dumps(_body(order)),
-                    headers={
-                        'Content-Type': 'application/json',
-                        'X-Expect-Instance': order.target,
-                    },
-                    timeout=_TIMEOUT,
-                )
-        except NewConnectionError as exc:
-            return _connection_failure(exc)
-        except HTTPError as exc:
-            _log.warning(
-                'no response from target %s to order %s: %s',
-                order.target,
-                order.kind,
-                exc,
-            )
-            return OrderOutcome.NO_ANSWER
-        return _outcome(response, order)
-
-
-def _outcome(response: BaseHTTPResponse, order: Order) -> OrderOutcome:
+        body = b''
+        if order.kind is not OrderKind.PROBE:
+            body = json.dumps(_body(order)).encode()
+        with closing(HttpExchange(address, _BOUNDS, self._clock)) as exchange:
+            answer = exchange.send(_head(order), body, _RESPONSE_S)
+        if isinstance(answer, Failure):
+            return _failed_exchange(answer.failure(), order)
+        return _outcome(answer.unwrap(), order)
+
+
+def _head(order: Order) -> RequestHead:
+    expected = (b'X-Expect-Instance', order.target.encode())
+    if order.kind is OrderKind.PROBE:
+        return RequestHead(b'GET', b'/report', (expected,))
+    media_type = (b'Content-Type', b'application/json')
+    return RequestHead(b'POST', b'/order', (media_type, expected))
+
+
+def _outcome(response: HttpAnswer, order: Order) -> OrderOutcome:
     if response.status == _MISDIRECTED:
         return OrderOutcome.REPLACED
     if response.status not in _ACCEPTED_STATUSES:
@@ -82,7 +93,7 @@
         is_unfit = response.status in _UNFIT_STATUSES
         return OrderOutcome.REFUSED if is_unfit else OrderOutcome.FAILED
     if order.kind is OrderKind.PROBE and not _reports_membership(
-        response.data, order
+        response.body, order
     ):
         return OrderOutcome.REFUSED
     return OrderOutcome.TAKEN
@@ -100,10 +111,16 @@
     return membership.group == order.group and membership.epoch == order.epoch
 
 
-def _connection_failure(exc: NewConnectionError) -> OrderOutcome:
-    if isinstance(exc.__cause__, ConnectionRefusedError):
+def _failed_exchange(error: ExchangeError, order: Order) -> OrderOutcome:
+    if error.fault is ExchangeFault.REFUSED:
         return OrderOutcome.CLOSED
-    _log.warning('connection to target failed: %s', exc)
+    _log.warning(
+        'no response from target %s to order %s: %s',
+        order.target,
+        order.kind,
+        error.message,
+        extra={'target': order.target, 'fault': error.fault},
+    )
     return OrderOutcome.NO_ANSWER
 
 
--- a/pomelogauge/wire/target_link.py
+++ b/pomelogauge/wire/target_link.py
@@ -117,7 +117,8 @@
             sock = socket.create_connection((host, int(port)), timeout_s)
         except ConnectionRefusedError as exc:
             return Failure(LinkError(str(exc), is_refused=True))
-        except OSError as exc:
+        except (OSError, OverflowError, ValueError) as exc:
+            # A host or port beyond its range fails before the system call.
             return Failure(LinkError(str(exc) or type(exc).__name__))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return Success(cls(sock))
@@ -150,15 +151,10 @@
             ``None`` once all is written.
 
         """
-        message = h11.Request(
-            method=head.method,
-            target=head.target,
-            headers=list(head.headers),
-        )
-        request_bytes = self._http.send(message) or b''
-        if body:
-            request_bytes += self._http.send(h11.Data(data=body)) or b''
-        request_bytes += self._http.send(h11.EndOfMessage()) or b''
+        try:
+            request_bytes = self._encoded(head, body)
+        except h11.LocalProtocolError as exc:
+            return LinkError(f'send: {exc}')
         try:
             self._sock.settimeout(timeout_s)
             self._sock.sendall(request_bytes)
@@ -194,6 +190,17 @@
         """Close the connection."""
         self._sock.close()
 
+    def _encoded(self, head: RequestHead, body: bytes) -> bytes:
+        message = h11.Request(
+            method=head.method,
+            target=head.target,
+            headers=list(head.headers),
+        )
+        request_bytes = self._http.send(message) or b''
+        if body:
+            request_bytes += self._http.send(h11.Data(data=body)) or b''
+        return request_bytes + (self._http.send(h11.EndOfMessage()) or b'')
+
     def _events(self) -> Iterator[LinkEvent]:
         """Yield the events that the data read so far completes."""
         while True:
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -7,15 +7,25 @@
 from collections.abc import Iterator
 
 from pomelogauge.decide.stall_timeout import stall_timeout_s
-from pomelogauge.entry.messages import Outcome, SlotReleased
+from pomelogauge.entry.messages import (
+    Order,
+    OrderKind,
+    OrderOutcome,
+    Outcome,
+    SlotReleased,
+)
+from pomelogauge.model.ids import Epoch, GroupName, TargetName
 from pomelogauge.model.serving import RouteKind, Share
+from pomelogauge.platform.orders import OrderClient
+from pomelogauge.tasks.clock import BootClock
 
-from .entry_fakes import DESK, route
+from .entry_fakes import DESK, LLM, SMALL, route
 from .request_fixtures import (
     EVENTS,
     HEAD,
     RequestCase,
     Script,
+    StubTarget,
     chunk,
     plain,
     stream,
@@ -24,6 +34,10 @@
 
 #: Largest growth of the memory for one answer, in bytes.
 MEMORY_BYTES = 24 * 1024 * 1024
+#: The same for an answer to an order, whose bodies are small.
+ORDER_MEMORY_BYTES = 4 * 1024 * 1024
+#: Seconds that an order may take: its time-outs and a margin.
+ORDER_S = 0.4 + 0.8 + 0.4
 PIECE = b'x' * 65536
 IDEMPOTENT = {'kind': RouteKind.IDEMPOTENT, 'shares': (Share(DESK, 1),)}
 ONCE = {
@@ -33,6 +47,33 @@
 }
 PLAIN_HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\n'
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+#: Starts of answers that never end, each with the piece that is repeated.
+ENDLESS_ANSWERS = {
+    'status line': (b'HTTP/1.1 200 ', PIECE),
+    'header': (b'HTTP/1.1 200 OK\r\nX-A: ', PIECE),
+    'headers': (b'HTTP/1.1 200 OK\r\n', b'X-A: b\r\n' * 999),
+    'interim answers': (b'', INTERIM * 99),
+    'interim answers to continue': (b'', CONTINUE * 99),
+    'chunks': (PLAIN_HEAD + CHUNKED, chunk(PIECE)),
+    'body to the end of the connection': (PLAIN_HEAD + b'\r\n', PIECE),
+    'chunk size': (PLAIN_HEAD + CHUNKED, b'0' * 65536),
+    'chunk extension': (PLAIN_HEAD + CHUNKED + b'1;', PIECE),
+    'trailers': (PLAIN_HEAD + CHUNKED + b'0\r\n', b'X-A: b\r\n' * 999),
+    'length': (PLAIN_HEAD + b'Content-Length: 99999999999\r\n\r\n', PIECE),
+}
+#: Seconds between two pieces of a slow answer, and their number.
+DRIP_INTERVAL_S = 0.1
+DRIP_COUNT = 60
+#: Starts of answers of which a piece follows now and then only.
+SLOW_ANSWERS = {
+    'status line': (b'HTTP/1.1 200 ', b'x'),
+    'header': (b'HTTP/1.1 200 OK\r\nX-A: ', b'x'),
+    'interim answers to continue': (b'', CONTINUE),
+    'body': (PLAIN_HEAD + b'Content-Length: 999\r\n\r\n', b'x'),
+    'chunks': (PLAIN_HEAD + CHUNKED, chunk(b'x')),
+}
 
 
 def endless(start: bytes, piece: bytes) -> Script:
@@ -66,6 +107,21 @@
     return respond
 
 
+def slow(start: bytes, piece: bytes) -> Script:
+    """Return a script that sends a start and then a piece now and then."""
+
+    def respond(sock: socket.socket, received: bytes) -> None:
+        try:
+            sock.sendall(start)
+            for _ in range(DRIP_COUNT):
+                time.sleep(DRIP_INTERVAL_S)
+                sock.sendall(piece)
+        except OSError:
+            return
+
+    return respond
+
+
 def is_released(message: object) -> bool:
     return isinstance(message, SlotReleased)
 
@@ -151,6 +207,56 @@
         self.assertTrue(self.call().endswith(b'\r\n\r\nok'))
 
 
+class EndlessOrderAnswerTest(unittest.TestCase):
+    """An answer to an order without end is no answer, with flat memory."""
+
+    def setUp(self) -> None:
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+    def outcome(self, script: Script, kind: OrderKind) -> OrderOutcome:
+        """Return the outcome of one order, which must come in time."""
+        target = StubTarget(script)
+        self.addCleanup(target.server.close)
+        order = Order(
+            kind, LLM, TargetName('t'), GroupName('g'), Epoch(1), SMALL
+        )
+        tracemalloc.reset_peak()
+        before = tracemalloc.get_traced_memory()[0]
+        began = time.monotonic()
+        outcome = OrderClient(BootClock()).send(target.address, order)
+        self.assertLess(time.monotonic() - began, ORDER_S)
+        grown = tracemalloc.get_traced_memory()[1] - before
+        self.assertLess(grown, ORDER_MEMORY_BYTES)
+        return outcome
+
+    def test_answers_without_end(self) -> None:
+        for kind in (OrderKind.LEAVE, OrderKind.PROBE):
+            for name, (start, piece) in ENDLESS_ANSWERS.items():
+                with self.subTest(name, kind=kind):
+                    outcome = self.outcome(endless(start, piece), kind)
+                    self.assertIs(outcome, OrderOutcome.NO_ANSWER)
+
+    def test_answers_of_a_byte_now_and_then(self) -> None:
+        for name, (start, piece) in SLOW_ANSWERS.items():
+            with self.subTest(name):
+                outcome = self.outcome(slow(start, piece), OrderKind.LEAVE)
+                self.assertIs(outcome, OrderOutcome.NO_ANSWER)
+
+    def test_bytes_beyond_the_length_belong_to_no_answer(self) -> None:
+        script = endless(PLAIN_HEAD + b'Content-Length: 2\r\n\r\n{}', PIECE)
+        outcome = self.outcome(script, OrderKind.LEAVE)
+        self.assertIs(outcome, OrderOutcome.TAKEN)
+
+    def test_an_interim_answer_is_passed_over(self) -> None:
+        def hinted(sock: socket.socket, received: bytes) -> None:
+            sock.sendall(INTERIM)
+            plain()(sock, received)
+
+        outcome = self.outcome(hinted, OrderKind.LEAVE)
+        self.assertIs(outcome, OrderOutcome.TAKEN)
+
+
 class SlowStreamTest(RequestCase):
     """Progress of a stream is its events, not its bytes."""
 
--- a/test/test_order_client.py
+++ b/test/test_order_client.py
@@ -2,10 +2,12 @@
 
 import socket
 import unittest
+from dataclasses import replace
 
 from pomelogauge.entry.messages import Order, OrderKind, OrderOutcome
 from pomelogauge.model.ids import Address, Epoch, GroupName, TargetName
 from pomelogauge.platform.orders import OrderClient
+from pomelogauge.tasks.clock import BootClock
 
 from .entry_fakes import LLM, SMALL
 from .platform_standin import Handler, HttpStandin
@@ -32,7 +34,9 @@
     def leave(self, status: int) -> OrderOutcome:
         """Send an order to leave that is answered with a status."""
         self.target.status = status
-        return OrderClient().send(Address(self.target.address), LEAVE)
+        return OrderClient(BootClock()).send(
+            Address(self.target.address), LEAVE
+        )
 
     def test_an_accepted_order_is_taken(self) -> None:
         for status in (200, 202):
@@ -53,9 +57,24 @@
     def test_a_refused_connection_is_closed(self) -> None:
         with socket.create_server(('127.0.0.1', 0)) as free:
             port = free.getsockname()[1]
-        outcome = OrderClient().send(Address(f'127.0.0.1:{port}'), LEAVE)
+        outcome = OrderClient(BootClock()).send(
+            Address(f'127.0.0.1:{port}'), LEAVE
+        )
         self.assertIs(outcome, OrderOutcome.CLOSED)
 
+    def test_a_name_that_fits_no_header_gives_no_answer(self) -> None:
+        for name in (' t', 't\nx', 't\0'):
+            order = replace(LEAVE, target=TargetName(name))
+            outcome = OrderClient(BootClock()).send(
+                Address(self.target.address), order
+            )
+            self.assertIs(outcome, OrderOutcome.NO_ANSWER, name)
+
+    def test_an_address_that_does_not_exist_gives_no_answer(self) -> None:
+        for address in (f'127.0.0.1:{10**30}', 'a..b:80'):
+            outcome = OrderClient(BootClock()).send(Address(address), LEAVE)
+            self.assertIs(outcome, OrderOutcome.NO_ANSWER, address)
+
 
 if __name__ == '__main__':
     unittest.main()
