Bound answers of the store in time and size

Callers of an instance are refused, as its configuration can't be confirmed, and an owner stands still: a store in trouble that sends bytes without end, or one now and then, keeps a task that reads or writes busy for ever, and memory grows.

The deadline of a call was the time-out of each read.

The store's client goes over the exchange that orders use, which now uses its connection again unless it is closed or bytes have come that belong to no response. A call ends by its time-out beyond the wait of a feed, and a body by 8 MiB; pages have 1 MB. A feed has no limit on the page: changes that exceed the bound count as a lost history, so that the table is read page by page.

test_store_client fails before: answers of a byte now and then took 6.0 to 6.3 s, their whole length, in all fifteen cases, answers without end had not returned when the run was cut after 25 s, and a second copy of a response failed the next call. Now every call returns within 1.7 s and grows the memory by less than 24 MiB, as the test demands.

--- a/pomelogauge/app/entry_shared.py
+++ b/pomelogauge/app/entry_shared.py
@@ -34,4 +34,4 @@
 
     def store(self) -> StoreClient:
         """Return a new connection to the store for one task."""
-        return StoreClient(self.cfg.store, STORE_ANSWER_S)
+        return StoreClient(self.cfg.store, STORE_ANSWER_S, self.clock)
--- a/pomelogauge/platform/store.py
+++ b/pomelogauge/platform/store.py
@@ -2,18 +2,12 @@
 
 import base64
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 from urllib.parse import urlencode
 
 from returns.result import Failure, Result, Success
-from urllib3 import HTTPConnectionPool, Timeout
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NewConnectionError,
-)
-from urllib3.response import BaseHTTPResponse
 
 from ..entry.store import (
     RowExpected,
@@ -25,8 +19,19 @@
 from ..model.errors import FindingsError
 from ..model.ids import Address, RowVersion
 from ..model.rows import Rows, StoredRow
+from ..tasks.clock import Clock
+from ..wire.http_exchange import (
+    ExchangeBounds,
+    ExchangeError,
+    ExchangeFault,
+    HttpAnswer,
+    HttpExchange,
+)
+from ..wire.target_link import RequestHead
 from .fields import Fields, read_fields
 
+_Faults = Mapping[ExchangeFault, StoreFault]
+
 #: Names of the tables in the store; the first two belong to the platform.
 _TABLES = {
     Table.OPERATOR: 'op',
@@ -35,6 +40,7 @@
     Table.OWNER: 'pomelogauge-owner',
     Table.QUARANTINE: 'pomelogauge-quarantine',
 }
+_JSON_HEADERS = ((b'Content-Type', b'application/json'),)
 _OK = 200
 #: The store no longer has the history that a feed requested.
 _GONE = 410
@@ -44,10 +50,23 @@
 _PAGE_ROWS = 500
 _MS_IN_S = 1000
 #: The store responds within a few milliseconds; a connection that takes longer
-#: than this counts as failed.
-_CONNECT_TIMEOUT_S = 0.5
+#: than this counts as failed. A page holds 1 MB of rows at most, but the
+#: changes that a feed returns have no limit.
+_BOUNDS = ExchangeBounds(connect_s=0.5, body_bytes=8 * 1024 * 1024)
+#: Faults of calls without a response; with any other one nothing was done.
+_READ_FAULTS: _Faults = MappingProxyType({})
+#: A full read gets around changes that are too large: its pages are smaller.
+_FEED_FAULTS: _Faults = MappingProxyType(
+    {ExchangeFault.TOO_LARGE: StoreFault.FORGOTTEN}
+)
+_WRITE_FAULTS: _Faults = MappingProxyType(
+    {
+        ExchangeFault.UNANSWERED: StoreFault.INDETERMINATE,
+        ExchangeFault.TOO_LARGE: StoreFault.INDETERMINATE,
+    }
+)
 
-_Response = Result[BaseHTTPResponse, StoreError]
+_Response = Result[HttpAnswer, StoreError]
 
 
 class StoreClient:
@@ -60,18 +79,19 @@
     address
         ``host:port`` of the store.
     timeout_s
-        Seconds to wait for a response, on top of the wait that a feed
-        requests.
+        Seconds within which the whole response must be read, on top of the
+        wait that a feed requests.
+    clock
+        Local clock, for the time of a response.
 
     """
 
-    def __init__(self, address: Address, timeout_s: float) -> None:
+    def __init__(
+        self, address: Address, timeout_s: float, clock: Clock
+    ) -> None:
         """Create the client; the first call connects."""
-        host, _, port = address.rpartition(':')
         self._timeout_s = timeout_s
-        self._pool = HTTPConnectionPool(
-            host, int(port), maxsize=1, retries=False
-        )
+        self._exchange = HttpExchange(address, _BOUNDS, clock)
 
     def read_all(self, table: Table) -> Result[Rows, StoreError]:
         """Return all rows of a table, read page by page.
@@ -87,7 +107,7 @@
             query = {'table': _TABLES[table], 'part': '', 'limit': _PAGE_ROWS}
             if start:
                 query['from'] = start
-            page = self._page('rows-get', query, 0)
+            page = self._page('rows-get', query, 0, _READ_FAULTS)
             if isinstance(page, Failure):
                 return page
             fields, read = page.unwrap()
@@ -121,7 +141,7 @@
             'after_rev': after,
             'wait_ms': int(wait_s * _MS_IN_S),
         }
-        page = self._page('rows-feed', query, wait_s)
+        page = self._page('rows-feed', query, wait_s, _FEED_FAULTS)
         return page.map(lambda decoded: decoded[1])
 
     def commit(
@@ -155,7 +175,8 @@
                 ],
             }
         )
-        response = self._call('POST', '/rows-tx', 0, body.encode())
+        head = RequestHead(b'POST', b'/rows-tx', _JSON_HEADERS)
+        response = self._call(head, body.encode(), 0, _WRITE_FAULTS)
         return response.bind(_committed)
 
     def _page(
@@ -163,39 +184,28 @@
         call: str,
         query: dict[str, Any],
         wait_s: float,
+        faults: _Faults,
     ) -> Result[tuple[Fields, Rows], StoreError]:
-        response = self._call('GET', f'/{call}?{urlencode(query)}', wait_s)
-        return response.bind(_rows)
+        path = f'/{call}?{urlencode(query)}'
+        head = RequestHead(b'GET', path.encode(), ())
+        return self._call(head, b'', wait_s, faults).bind(_rows)
 
     def _call(
         self,
-        method: str,
-        path: str,
+        head: RequestHead,
+        body: bytes,
         wait_s: float,
-        body: bytes | None = None,
+        faults: _Faults,
     ) -> _Response:
-        headers = {'Content-Type': 'application/json'} if body else {}
-        try:
-            response = self._pool.urlopen(
-                method,
-                path,
-                body=body,
-                headers=headers,
-                redirect=False,
-                timeout=Timeout(
-                    connect=_CONNECT_TIMEOUT_S,
-                    read=wait_s + self._timeout_s,
-                ),
-            )
-        except (NewConnectionError, ConnectTimeoutError) as exc:
-            return Failure(StoreError(StoreFault.UNAVAILABLE, str(exc)))
-        except HTTPError as exc:
-            fault = StoreFault.INDETERMINATE if body else StoreFault.UNAVAILABLE
-            return Failure(StoreError(fault, str(exc)))
-        return _checked(response)
-
-
-def _checked(response: BaseHTTPResponse) -> _Response:
+        response = self._exchange.send(head, body, wait_s + self._timeout_s)
+        if isinstance(response, Failure):
+            error: ExchangeError = response.failure()
+            fault = faults.get(error.fault, StoreFault.UNAVAILABLE)
+            return Failure(StoreError(fault, error.message))
+        return _checked(response.unwrap())
+
+
+def _checked(response: HttpAnswer) -> _Response:
     if response.status == _OK:
         return Success(response)
     message = f'store responded with status {response.status}, expected {_OK}'
@@ -209,21 +219,21 @@
 
 
 def _rows(
-    response: BaseHTTPResponse,
+    response: HttpAnswer,
 ) -> Result[tuple[Fields, Rows], StoreError]:
     return _read(response, _decode_rows)
 
 
-def _committed(response: BaseHTTPResponse) -> Result[RowVersion, StoreError]:
+def _committed(response: HttpAnswer) -> Result[RowVersion, StoreError]:
     return _read(response, lambda fields: RowVersion(fields.integer('ver')))
 
 
 def _read(
-    response: BaseHTTPResponse,
+    response: HttpAnswer,
     build: Callable[[Fields], Any],
 ) -> Result[Any, StoreError]:
     try:
-        fields = read_fields('store', response.data)
+        fields = read_fields('store', response.body)
         record = build(fields)
         fields.check()
     except (FindingsError, ValueError) as exc:
--- a/pomelogauge/wire/http_exchange.py
+++ b/pomelogauge/wire/http_exchange.py
@@ -71,7 +71,7 @@
 
 
 class HttpExchange:
-    """Sends each request over a new connection, without retries.
+    """Sends requests over one connection, without retries.
 
     Used by one task.
 
@@ -128,6 +128,9 @@
             self._link = None
 
     def _connect(self) -> ExchangeError | None:
+        """Open a connection unless the last one can be used again."""
+        if self._link is not None and self._link.start_next():
+            return None
         self.close()
         opened = TargetLink.connect(self._address, self._bounds.connect_s)
         if isinstance(opened, Failure):
--- a/pomelogauge/wire/target_link.py
+++ b/pomelogauge/wire/target_link.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 connection to a target, owned by one task."""
+"""HTTP/1.1 connection to a target or the store, owned by one task."""
 
 import socket
 from collections.abc import Iterator
@@ -9,6 +9,7 @@
 
 from ..model.entry_request import Headers
 from ..model.ids import Address
+from .caller_connection import wait_readable
 
 #: Maximum number of bytes of one read.
 _READ_BYTES = 65536
@@ -78,7 +79,7 @@
 
 
 class TargetLink:
-    """Connection that carries a single request to a target.
+    """Connection that carries one request at a time.
 
     Parameters
     ----------
@@ -186,6 +187,23 @@
             return (LinkError(f'read: {exc}'),)
         return tuple(self._events())
 
+    def start_next(self) -> bool:
+        """Prepare for the next request; false if there can't be one.
+
+        The connection must be closed then: the last response is not complete
+        or was the last one, the peer has closed the connection, or bytes have
+        come that belong to no response.
+        """
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        self._interim_responses = 0
+        early, is_closed = self._http.trailing_data
+        if early or is_closed:
+            return False
+        return not wait_readable((self.fileno(),), 0)
+
     def close(self) -> None:
         """Close the connection."""
         self._sock.close()
