Take an unreadable owner lease for that of an unknown holder

Callers lose requests when two instances order the same targets about, and their targets refuse groups whose names and epochs come again.

Cause: a row that can't be decoded counted as a lease that nobody ever held.

Such a row, or one of term 0, is now the lease of an unknown holder: it is taken over after the time-out without a renewal, which starts anew whenever the row changes, and by nobody while it is renewed. The new term is the version of the row plus one, or the last known term plus one if that is higher. No earlier term exceeds the version: each takeover adds one to the term and at least one to the store's version, which is a single counter that only rises. So there is no case in which the term is unknown and the taking must be refused.

--- a/pomelogauge/entry/owner_lease_keeper.py
+++ b/pomelogauge/entry/owner_lease_keeper.py
@@ -14,6 +14,7 @@
     OwnershipFacts,
     OwnershipState,
 )
+from ..model.errors import FindingsError
 from ..model.fleet import EntryInstance
 from ..model.ids import ABSENT_ROW, NodeName, RowVersion
 from ..model.log_parts import Part
@@ -198,7 +199,7 @@
             return None
         rows = {row.key: row for row in answer.unwrap().rows}
         stored = self._decode(rows.get(OWNER_LEASE_KEY))
-        if stored.term != self.owner_lease.term:
+        if stored.version != self.owner_lease.version:
             self._watch.reset(polled_s)
         self.owner_lease = stored
         renewal = rows.get(RENEWAL_KEY)
@@ -276,10 +277,9 @@
             return OwnerLease()
         decoded = self._rows.owner_lease(row.key, row.body, row.version)
         if isinstance(decoded, Failure):
-            _log.error(
-                'the row of the owner lease is malformed: %s', decoded.failure()
+            return _unreadable_lease(
+                self.owner_lease, row.version, decoded.failure()
             )
-            return OwnerLease(version=row.version)
         owner_lease: OwnerLease = decoded.unwrap()
         return owner_lease
 
@@ -299,3 +299,22 @@
 
 def _node_of(owner_lease: OwnerLease) -> NodeName:
     return NodeName(owner_lease.holder.partition(' ')[0])
+
+
+def _unreadable_lease(
+    known: OwnerLease, version: RowVersion, error: FindingsError
+) -> OwnerLease:
+    """Return the lease of an unknown holder, who may still act.
+
+    Each takeover adds one to the term and at least one to the store's version,
+    so that no earlier term exceeds the version of the row.
+    """
+    term = max(known.term, version)
+    if known.holder or known.version != version:
+        _log.error(
+            'the row of the owner lease is malformed, its holder is unknown: '
+            '%s',
+            error,
+            extra={'term': term, 'row_version': version},
+        )
+    return OwnerLease(term=term, version=version)
--- a/pomelogauge/entry/ownership.py
+++ b/pomelogauge/entry/ownership.py
@@ -13,9 +13,12 @@
     ----------
     holder
         Node and incarnation of the owner, separated by a blank; empty where
-        no instance has ever held the lease.
+        no instance has ever held the lease, or the holder is unknown as the
+        row can't be read.
     term
-        Number of the ownership. Each takeover adds one.
+        Number of the ownership. Each takeover adds one. Zero where no
+        instance has ever held the lease; no lower than the last term where
+        the row can't be read.
     address
         ``host:port`` to which other instances send reports for the owner.
     version
--- a/pomelogauge/platform/rows.py
+++ b/pomelogauge/platform/rows.py
@@ -111,6 +111,8 @@
         address=Address(fields.text('address')),
         version=version,
     )
+    if not owner_lease.term:
+        fields.add_finding('term', 'is 0, expected 1 or more')
     fields.check()
     return owner_lease
 
--- a/test/test_group_ledger.py
+++ b/test/test_group_ledger.py
@@ -54,6 +54,17 @@
         (second,) = ledger.form([WANTED])
         self.assertGreater(second.epoch, first.epoch + 1)
 
+    def test_epochs_are_higher_after_an_unreadable_lease(self) -> None:
+        (first,) = self.ledger.form([WANTED])
+        self.store.put(Table.OWNER, 'tenure', b'\xff')
+        other = self.keeper_of('n2')
+        other.tick()
+        self.clock.at_s += 10
+        other.tick()
+        ledger = GroupLedger(self.store, RowTranslator(), other)
+        (second,) = ledger.form([WANTED])
+        self.assertGreater(second.epoch, first.epoch + 1)
+
     def test_a_former_owner_can_not_write_after_a_takeover(self) -> None:
         other = self.keeper_of('n2')
         other.tick()
