Check who answers 421 to an order

A member could count as having left while it serves: an order to leave that was answered 421 was taken for the answer of another target at its address, and the member for free to join a second group (TWO).

Cause: only the status was looked at.

An answer 421 counts as another target's only if it names one.

test_order_client fails before in all three cases (the own name, a blank name, no name).

--- a/pomelogauge/platform/orders.py
+++ b/pomelogauge/platform/orders.py
@@ -30,8 +30,10 @@
 _ACCEPTED_STATUSES = frozenset((200, 202))
 #: The order does not fit the target's state, or its epoch is too low.
 _UNFIT_STATUSES = frozenset((409, 412))
-#: Another target, or another incarnation of this one, has the address.
+#: The order is not for the target that has got it, or not for its role.
 _MISDIRECTED = 421
+#: Name of the target that a misdirected order has reached.
+_REACHED_TARGET = b'at-server'
 #: A group that closes completes both its running and its queued requests.
 _CLOSE_MODE = 'queue'
 
@@ -81,7 +83,7 @@
 
 
 def _outcome(response: HttpAnswer, order: Order) -> OrderOutcome:
-    if response.status == _MISDIRECTED:
+    if response.status == _MISDIRECTED and _is_from_other(response, order):
         return OrderOutcome.REPLACED
     if response.status not in _ACCEPTED_STATUSES:
         _log.info(
@@ -99,6 +101,19 @@
     return OrderOutcome.TAKEN
 
 
+def _is_from_other(response: HttpAnswer, order: Order) -> bool:
+    """Return whether a response names another target than the order's.
+
+    One without a name proves nothing of who listens at the address.
+    """
+    names = {
+        header.strip()
+        for name, header in response.headers
+        if name.lower() == _REACHED_TARGET
+    }
+    return any(names) and order.target.encode() not in names
+
+
 def _reports_membership(report: bytes, order: Order) -> bool:
     """Return whether a report shows the group and epoch of an order."""
     try:
--- a/test/platform_standin.py
+++ b/test/platform_standin.py
@@ -211,7 +211,7 @@
 
     def serve(self, conn: Handler, body: bytes) -> None:
         if conn.headers.get('X-Expect-Instance') != self.name:
-            conn.answer(421, {})
+            conn.answer(421, {}, At_Server=self.name)
         elif conn.path == '/order':
             self.execute(conn, json.loads(body))
         elif conn.path == '/report':
--- a/test/soak/workers.py
+++ b/test/soak/workers.py
@@ -58,7 +58,7 @@
 
     def serve(self, conn: Handler, body: bytes) -> None:
         if conn.headers.get('X-Expect-Instance') != self.name:
-            conn.answer(421, {}, **NOT_EXECUTED)
+            conn.answer(421, {}, At_Server=self.name, **NOT_EXECUTED)
         else:
             self.work(conn, body)
 
--- a/test/test_order_client.py
+++ b/test/test_order_client.py
@@ -18,12 +18,13 @@
 
 
 class TargetStandin(HttpStandin):
-    """Answers each order with ``status``."""
+    """Answers each order with ``status`` and ``headers``."""
 
     status = 200
+    headers: dict[str, str] = {}
 
     def serve(self, conn: Handler, body: bytes) -> None:
-        conn.answer(self.status, {})
+        conn.answer(self.status, {}, **self.headers)
 
 
 class OrderClientTest(unittest.TestCase):
@@ -31,9 +32,10 @@
         self.target = TargetStandin()
         self.addCleanup(self.target.close)
 
-    def leave(self, status: int) -> OrderOutcome:
-        """Send an order to leave that is answered with a status."""
+    def leave(self, status: int, **headers: str) -> OrderOutcome:
+        """Send an order to leave that is answered with status and headers."""
         self.target.status = status
+        self.target.headers = headers
         return OrderClient(BootClock()).send(
             Address(self.target.address), LEAVE
         )
@@ -47,7 +49,15 @@
             self.assertIs(self.leave(status), OrderOutcome.REFUSED)
 
     def test_another_target_at_the_address_is_known(self) -> None:
-        self.assertIs(self.leave(421), OrderOutcome.REPLACED)
+        outcome = self.leave(421, At_Server='t2')
+        self.assertIs(outcome, OrderOutcome.REPLACED)
+
+    def test_a_target_that_turns_its_own_order_away_has_not_left(self) -> None:
+        """Guards against taking a member that is misdirected for a free one."""
+        for headers in ({'At_Server': 't'}, {'At_Server': ' '}, {}):
+            with self.subTest(headers):
+                outcome = self.leave(421, **headers)
+                self.assertIs(outcome, OrderOutcome.FAILED)
 
     def test_a_failure_says_nothing_of_the_membership(self) -> None:
         """Guards against taking a target that fails for one that has left."""
