Refuse new requests once an entry instance only finishes its shutdown

What callers saw: a stream cut by a planned stop, though its request was read seconds after the signal.

Cause: the chart's action refuse_new reached the dispatcher, which logged it and granted slots as before. New requests kept the count above zero until the limit, which cut the last ones; at a count of zero, requests were still read and run until the process had ended.

Change: the task that counts requests takes the action, and answers each request that is read whether the shutdown waits for it. A request that is counted before the shutdown is published is run.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -158,7 +158,7 @@
         ),
         ShutdownPorts(
             ShutdownNotifier(shared.leaving, membership),
-            dispatch_task,
+            in_progress,
             in_progress,
             ended,
         ),
--- a/pomelogauge/decide/serving_rules.py
+++ b/pomelogauge/decide/serving_rules.py
@@ -27,6 +27,7 @@
     NO_RETRY = 'no repeat is left in the budget'
     SUSPECTED = 'a part of the prompt may crash targets'
     QUARANTINED = 'a part of the prompt crashes targets'
+    LEAVING = 'this instance is shutting down'
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/entry/caller_task.py
+++ b/pomelogauge/entry/caller_task.py
@@ -13,6 +13,7 @@
 from ..model.metrics import Counter, Timing
 from ..model.serving import CallerLimits
 from ..tasks.log import part_logger
+from ..tasks.mailbox import Mailbox
 from ..tasks.metrics import CounterIncrement, RequestMetrics, TimingSample
 from ..wire.caller_connection import (
     CallerConnection,
@@ -24,7 +25,7 @@
 from ..wire.caller_connection import RequestRead as CallerRequestRead
 from .request_ports import RequestPorts
 from .request_run import RequestEnd, RequestRun
-from .requests_in_progress import RequestFinished, RequestRead
+from .requests_in_progress import RequestCounted, RequestFinished, RequestRead
 
 _BAD_REQUEST = 400
 _UNAUTHORIZED = 401
@@ -33,8 +34,9 @@
 #: Status of each denial. All others get 503, by which callers know that the
 #: request has not run and may be sent again.
 #: Seconds after which a caller is told to try again if a part of its prompt is
-#: quarantined, which no wait of a caller outlasts.
-_RETRY_AFTERS_S = {Denial.QUARANTINED: 60.0}
+#: quarantined, which no wait of a caller outlasts, and where other instances
+#: take its request at once.
+_RETRY_AFTERS_S = {Denial.QUARANTINED: 60.0, Denial.LEAVING: 0.0}
 _STATUSES = {Denial.NO_ROUTE: _NOT_FOUND, Denial.NO_KEY: _UNAUTHORIZED}
 #: Seconds after which callers may try again at an instance whose configuration
 #: is missing, incomplete or too old.
@@ -85,13 +87,16 @@
             self._answer(outcome.status, outcome.message, 0, is_last=True)
             return False
         in_progress = self._ports.in_progress
-        in_progress.post(RequestRead())
+        counted: Mailbox[RequestCounted] = Mailbox()
+        in_progress.post(RequestRead(counted))
         with ExitStack() as stack:
             stack.callback(in_progress.post, RequestFinished())
-            self._serve(outcome)
+            self._serve(outcome, counted)
         return self._conn.next_cycle()
 
-    def _serve(self, read: CallerRequestRead) -> None:
+    def _serve(
+        self, read: CallerRequestRead, counted: Mailbox[RequestCounted]
+    ) -> None:
         now_s = self._ports.clock.now_s()
         decoded = self._ports.codec.decode_request(read, now_s)
         if isinstance(decoded, Failure):
@@ -101,8 +106,10 @@
             return
         req = decoded.unwrap()
         fleet = self._ports.published_fleet.latest()
-        verdict = check_parts(req, fleet, is_retry=False) or admit(
-            req, fleet, self._ports.bounds, random()
+        verdict = (
+            self._check_shutdown(counted)
+            or check_parts(req, fleet, is_retry=False)
+            or admit(req, fleet, self._ports.bounds, random())
         )
         if isinstance(verdict, Denial):
             self._deny(req, verdict)
@@ -110,6 +117,19 @@
         end = RequestRun(self._conn, verdict, self._ports).run()
         self._log_end(verdict, end)
 
+    def _check_shutdown(
+        self, counted: Mailbox[RequestCounted]
+    ) -> Denial | None:
+        """Deny a request that a shutdown does not wait for.
+
+        Outside a shutdown the reply is not awaited: a request that is counted
+        before the shutdown is published is not denied.
+        """
+        if not self._ports.leaving.latest():
+            return None
+        reply = counted.take()
+        return None if reply is None or reply.may_run else Denial.LEAVING
+
     def _deny(self, req: CallerRequest, denial: Denial) -> None:
         status = _STATUSES.get(denial, _UNAVAILABLE)
         fleet = self._ports.published_fleet.latest()
--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -22,7 +22,6 @@
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
 from ..tasks.published import Published
-from ..tasks.shutdown_messages import PhaseChanged
 from .messages import (
     DispatchMessage,
     LoadReceived,
@@ -134,8 +133,6 @@
                 self._views.avoid(
                     message.targets, self._eligible, self._clock.now_s()
                 )
-            case PhaseChanged():
-                _log.info('shutdown phase %s: no new callers', message.phase)
 
     def on_timer(self) -> float | None:
         """Return ``None``: the task only waits for messages."""
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -18,7 +18,6 @@
 from ..model.prompt_parts import PartEvidence, PartVerdicts
 from ..model.rows import Rows
 from ..tasks.mailbox import Outbox
-from ..tasks.shutdown_messages import PhaseChanged
 from .owner_link import EntryReport, MembershipSnapshot
 from .store import StoreError, Table
 from .table_deltas import TableDeltas, TableVersions
@@ -291,9 +290,7 @@
     outcome: Outcome
 
 
-DispatchMessage = (
-    SlotRequested | LoadReceived | SlotReleased | SuspectsShared | PhaseChanged
-)
+DispatchMessage = SlotRequested | LoadReceived | SlotReleased | SuspectsShared
 
 
 class OrderKind(StrEnum):
--- a/pomelogauge/tasks/shutdown.py
+++ b/pomelogauge/tasks/shutdown.py
@@ -68,7 +68,7 @@
     membership
         Notified at once that the process is leaving, so that it is no longer
         named to callers.
-    dispatcher
+    admission
         Notified once the cached answers have expired; refuses new requests
         from then on.
     counter
@@ -79,7 +79,7 @@
     """
 
     membership: Outbox[PhaseChanged]
-    dispatcher: Outbox[PhaseChanged]
+    admission: Outbox[PhaseChanged]
     counter: Outbox[RunningCountRequested]
     ended: Outbox[ProcessEnd]
 
@@ -165,7 +165,7 @@
         if move.action is ShutdownAction.ANNOUNCE:
             self._ports.membership.post(PhaseChanged(NodePhase.LEAVING))
         elif move.action is ShutdownAction.REFUSE_NEW:
-            self._ports.dispatcher.post(PhaseChanged(NodePhase.LEAVING))
+            self._ports.admission.post(PhaseChanged(NodePhase.LEAVING))
         elif move.action is ShutdownAction.STOP:
             self._ports.ended.post(ProcessEnd.FINISHED)
         elif move.action is ShutdownAction.CUT:
