--- a/test/owner_simulation.py
+++ b/test/owner_simulation.py
@@ -119,12 +119,13 @@
         keeper = OwnerLeaseKeeper(
             tenure_of(node), self.store, RowTranslator(), self.clock
         )
-        orders = GroupOrders(SimulatedSenders(self))
+        ownership = Published(OwnershipStatus())
+        orders = GroupOrders(self.senders(node, ownership))
         owner = Owner(
             OwnerSettings(STALL_S),
             OwnerParts(
                 self.published_fleet,
-                Published(OwnershipStatus()),
+                ownership,
                 keeper,
                 GroupLedger(self.store, RowTranslator(), keeper),
                 QuarantineRecord(self.store, RowTranslator(), keeper),
@@ -136,6 +137,12 @@
         owner.listen_on(DirectOutbox(owner))
         return owner
 
+    def senders(
+        self, node: str, ownership: Published[OwnershipStatus]
+    ) -> OrderSenderPool:
+        """Return the senders of an owner's orders."""
+        return SimulatedSenders(self)
+
     def publish(self) -> None:
         """Publish the targets as the store lists them."""
         if not self.is_store_down:
