Answer a head that a router's stop cuts off with 503

What callers saw: status 400 for a request that they were still sending when the router stopped. It says that the request is malformed, so that no other router is tried.

Cause: the server ends the reading of busy connections at the limit of its stop; the part of the head that has come then looks malformed to the library.

Change: while the server stops, its own answer 400 becomes 503. The request has not run.

A head that is malformed by itself gets 503 during a stop, and 400 at the next router.

--- a/pomelogauge/wire/cheroot_connections.py
+++ b/pomelogauge/wire/cheroot_connections.py
@@ -12,6 +12,8 @@
 
 #: Key of the caller's socket in the WSGI environment.
 SOCKET_KEY = 'pomelogauge.socket'
+_MALFORMED = '400'
+_STOPPING = '503 Service Unavailable'
 
 
 class DeadlineSocketIO(socket.SocketIO):
@@ -77,6 +79,17 @@
         self.conn.rfile.source.set_limit(self.server.body_limit_s)
         super().respond()
 
+    def simple_response(self, status: str, msg: str = '') -> None:
+        """Send an answer of the server itself.
+
+        A stop ends the reading of a head, which then looks malformed: its
+        caller is told to send the request elsewhere.
+        """
+        if status.startswith(_MALFORMED) and not self.server.ready:
+            super().simple_response(_STOPPING)
+        else:
+            super().simple_response(status, msg)
+
 
 class DeadlineConnection(HTTPConnection):
     """A connection that reads through ``DeadlineReader``."""
