--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -23,7 +23,6 @@
 from ..model.prompt_parts import PartEvidence, PartVerdicts
 from ..model.rows import Rows
 from ..tasks.mailbox import Outbox
-from ..tasks.shutdown_messages import PhaseChanged
 from .owner_link import EntryReport, MembershipSnapshot
 from .store import StoreError, Table
 from .table_deltas import TableDeltas, TableVersions
@@ -310,7 +309,6 @@
     | NoticeReceived
     | SlotReleased
     | SuspectsShared
-    | PhaseChanged
 )
 
 
