Give free hosts to the models with most work for a group

Cause: each model's wish for hosts was counted by itself, together more than a domain had free targets. A host with the smaller model was kept as its spare though a missing group of the larger model lacked just this host, and a lone spare kept the smaller model beside a group of the larger one.

No more hosts are wished for than there are, in the order of the models' needs. The new tests fail on the code before: test_group_plan twice, test_owner at all 24 seeds (one group instead of two).

--- a/pomelogauge/decide/group_plan.py
+++ b/pomelogauge/decide/group_plan.py
@@ -248,13 +248,15 @@
         """Stage the models of missing groups, then models on the spares.
 
         A spare whose host has the model of a group can replace a lost member
-        without a load.
+        without a load. Where hosts are few, they are for the models with most
+        work for a group.
         """
         wanted: list[ModelName] = []
         for spec in self._by_need():
             spares = SPARES if spec.name in models_here else 0
             hosts = spec.size if spec.size <= len(free) - spares else 1
             wanted.extend(spec.name for _ in range(hosts))
+        wanted = wanted[: len(free)]
         idle = []
         for target in free:
             staged = [model for model in wanted if model in target.staged]
--- a/test/test_group_plan.py
+++ b/test/test_group_plan.py
@@ -74,6 +74,32 @@
         self.assertEqual(made.groups, ())
         self.assertEqual([stage.model for stage in made.stages], [BIG])
 
+    def test_free_hosts_get_the_model_of_a_missing_group_before_others(
+        self,
+    ) -> None:
+        """Guards against a model without a group beside idle targets.
+
+        The last host that it lacks was kept as a spare of a model that has a
+        group.
+        """
+        made = plan(
+            *staged(3, BIG),
+            *staged(1, SMALL, 3),
+            active_groups=(ActiveGroup(LLM, SMALL, DOMAIN),),
+        )
+        stages = [(stage.target.name, stage.model) for stage in made.stages]
+        self.assertEqual(stages, [('t3', BIG)])
+
+    def test_a_lone_spare_is_for_the_model_with_most_work(self) -> None:
+        active_groups = (
+            ActiveGroup(LLM, BIG, DOMAIN),
+            ActiveGroup(LLM, SMALL, DOMAIN),
+        )
+        made = plan(*staged(1, SMALL), active_groups=active_groups)
+        self.assertEqual([stage.model for stage in made.stages], [BIG])
+        made = plan(*staged(1, BIG), active_groups=active_groups)
+        self.assertEqual(made.stages, ())
+
     def test_members_of_a_group_are_not_used_again(self) -> None:
         targets = staged(4, BIG)
         taken = frozenset(member.name for member in targets[:1])
--- a/test/test_owner.py
+++ b/test/test_owner.py
@@ -9,6 +9,7 @@
 from pomelogauge.entry.store import StoreError, StoreFault, Table
 from pomelogauge.model.fleet import MembershipState
 
+from .entry_fakes import BIG
 from .owner_simulation import Simulation
 
 SEEDS = 24
@@ -43,6 +44,28 @@
         self.run_for(simulation, 10)
         self.assertEqual(simulation.groups_open(), 2)
 
+    def test_a_group_is_formed_again_after_two_losses_at_once(self) -> None:
+        """Guards against a model that starves beside another after losses.
+
+        A member of the larger model's group and its spare are lost. The host
+        of the other spare has the smaller model.
+        """
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                simulation = Simulation(seed)
+                self.run_for(simulation, 5)
+                larger = [
+                    sim
+                    for sim in simulation.targets.values()
+                    if sim.model == BIG and not sim.is_open()
+                ]
+                member = next(sim for sim in larger if sim.membership)
+                spare = next(sim for sim in larger if not sim.membership)
+                member.is_down = spare.is_down = True
+                self.run_for(simulation, 30)
+                self.assertEqual(simulation.groups_open(), 2)
+                self.assertEqual(simulation.violations, [])
+
     def test_a_new_owner_keeps_running_groups(self) -> None:
         simulation = Simulation(0)
         self.run_for(simulation, 5)
