--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ..decide.group_chart import GroupAction, GroupEvent, GroupState
+from ..decide.group_timeouts import engine_of, state_timeouts
 from ..model.fleet import Fleet, GroupRecord
 from ..model.ids import GroupName
 from ..model.log_parts import Part
@@ -29,9 +30,7 @@
 from .owned_group import (
     LATE_ORDER_S,
     OwnedGroup,
-    engine_of,
     load_group_chart,
-    state_timeouts,
 )
 from .owner_lease_keeper import OwnerLeaseKeeper
 from .ownership import OwnershipStatus
--- a/test/group_world.py
+++ b/test/group_world.py
@@ -6,6 +6,7 @@
 from enum import Enum, auto
 
 from pomelogauge.decide.group_chart import GroupAction, GroupEvent, GroupState
+from pomelogauge.decide.group_timeouts import state_timeouts
 from pomelogauge.entry.messages import (
     Order,
     OrderKind,
@@ -16,7 +17,6 @@
     LATE_ORDER_S,
     OwnedGroup,
     load_group_chart,
-    state_timeouts,
 )
 from pomelogauge.model.fleet import (
     Fleet,
--- a/test/test_owned_group.py
+++ b/test/test_owned_group.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from pomelogauge.decide.group_chart import GroupAction, GroupEvent, GroupState
+from pomelogauge.decide.group_timeouts import state_timeouts
 from pomelogauge.entry.messages import (
     Order,
     OrderKind,
@@ -14,7 +15,6 @@
     OwnedGroup,
     Step,
     load_group_chart,
-    state_timeouts,
 )
 from pomelogauge.model.fleet import Fleet, MembershipState, Target, TargetState
 from pomelogauge.model.ids import TargetName
