Name the instance in the tests of the soak's observer

Cause: since the observer keeps which instance a request was sent to, for the checks of the notices of targets, and record_sent takes that instance; the tests of the observer alone were not changed with it.

Change: the three calls name an instance. What they check is as it was.

--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -125,14 +125,14 @@
         return [violation.invariant for violation in self.observer.violations]
 
     def test_reports_a_second_run_of_a_non_idempotent_call(self) -> None:
-        self.observer.record_sent('once-1', 'k')
+        self.observer.record_sent('once-1', 'k', 'n1')
         self.observer.record_run('once-1', 'd1')
         self.assertEqual(self.violated_invariants(), [])
         self.observer.record_run('once-1', 'd2')
         self.assertEqual(self.violated_invariants(), ['at most once'])
 
     def test_reports_a_run_of_a_refused_call(self) -> None:
-        self.observer.record_sent('once-1', 'k')
+        self.observer.record_sent('once-1', 'k', 'n1')
         self.observer.record_refusal('once-1', 503)
         self.assertEqual(self.violated_invariants(), [])
         self.observer.record_run('once-1', 'd1')
@@ -145,7 +145,7 @@
     def test_reports_a_request_with_a_revoked_key(self) -> None:
         self.observer.revoke('k')
         self.observer.began_s -= 6
-        self.observer.record_sent('stream-1', 'k')
+        self.observer.record_sent('stream-1', 'k', 'n1')
         self.observer.record_run('stream-1', 'w1')
         self.assertEqual(self.violated_invariants(), ['revoked'])
 
