Count crashes of one instance's requests only with the targets' restart

Callers could be refused for an hour because one entry instance lost its connections to sound targets: each loss counted as a crash of the target, and two requests with a part that is seldom asked for, sent twice, were enough to quarantine it.

Cause: a lost connection was taken for the end of the target's process, and nobody else had to have seen it.

Change: a crash counts once a second instance has lost answers with the part too, or once the target is listed with a later start. Reports carry the start of the lost target; a report of an earlier version has none and counts as before. Where one instance lives alone, it is believed.

--- a/pomelogauge/app/entry_root.py
+++ b/pomelogauge/app/entry_root.py
@@ -129,6 +129,7 @@
             shared.ownership,
             owner_task,
             (fleet_publisher, owner_task),
+            shared.published_fleet,
         ),
         shared.clock,
     )
--- a/pomelogauge/decide/part_quarantine.py
+++ b/pomelogauge/decide/part_quarantine.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass, replace
 
 from ..model.chart import Chart
-from ..model.ids import PromptPart, TargetName
+from ..model.fleet import Target
+from ..model.ids import NodeName, PromptPart, TargetName
 from ..model.prompt_parts import PartCrash, PartVerdicts
 from .prompt_part_chart import PartAction, PartEvent, PartFacts, PartState
 
@@ -20,6 +21,9 @@
 
 #: Crashes under a part from which on other instances are told of it.
 SUSPICIOUS_CRASHES = 2
+#: Instances that must have lost answers with a part before a crash counts that
+#: nothing else shows: one instance may lose its connections to sound targets.
+MIN_REPORTERS = 2
 #: Seconds within which losses at one target are one crash, however often they
 #: are reported; a target takes longer to come back.
 CRASH_SPAN_S = 2.5
@@ -33,13 +37,44 @@
 _NO_FACTS = PartFacts(0, 0, False)
 
 
+@dataclass(frozen=True)
+class Surroundings:
+    """What the owner knows beside the reports of crashes.
+
+    Parameters
+    ----------
+    targets
+        Targets as listed.
+    instances
+        Number of living entry instances.
+
+    """
+
+    targets: Mapping[TargetName, Target]
+    instances: int
+
+    def has_restarted(self, crash: PartCrash) -> bool:
+        """Return whether the target is listed with a later start."""
+        listed = self.targets.get(crash.target)
+        return listed is not None and listed.started_at_ms > crash.started_at_ms
+
+    def are_enough(self, reporters: frozenset[NodeName]) -> bool:
+        """Return whether crashes count that these instances report."""
+        return len(reporters) >= min(MIN_REPORTERS, self.instances)
+
+
 @dataclass(frozen=True)
 class _Crash:
     """A target that crashed under a part, and when that was reported."""
 
-    target: TargetName
+    crash: PartCrash
     at_s: float
 
+    @property
+    def target(self) -> TargetName:
+        """The target."""
+        return self.crash.target
+
 
 @dataclass(frozen=True)
 class _Case:
@@ -48,22 +83,30 @@
     state: PartState
     crashes: tuple[_Crash, ...] = ()
     told_s: float = math.inf
+    reporters: frozenset[NodeName] = frozenset()
 
-    def with_crash(self, target: TargetName, now_s: float) -> '_Case':
+    def with_crash(
+        self, crash: PartCrash, reporter: NodeName, now_s: float
+    ) -> '_Case':
         """Add a crash unless it was reported before."""
+        after = replace(self, reporters=self.reporters | {reporter})
         if any(
-            crash.target == target and now_s - crash.at_s < CRASH_SPAN_S
-            for crash in self.crashes
+            known.target == crash.target and now_s - known.at_s < CRASH_SPAN_S
+            for known in self.crashes
         ):
-            return self
-        crashes = (*self.crashes, _Crash(target, now_s))
+            return after
+        crashes = (*self.crashes, _Crash(crash, now_s))
         told_s = self.told_s
         if len(crashes) >= SUSPICIOUS_CRASHES:
             told_s = min(told_s, now_s)
-        return replace(self, crashes=crashes, told_s=told_s)
+        return replace(after, crashes=crashes, told_s=told_s)
 
     def facts(
-        self, most_crashes: Mapping[TargetName, int], *, is_settled: bool
+        self,
+        most_crashes: Mapping[TargetName, int],
+        surroundings: Surroundings,
+        *,
+        is_settled: bool,
     ) -> PartFacts:
         """Return the facts for the guards of the chart.
 
@@ -72,14 +115,18 @@
         most_crashes
             For each target, the crashes under that of its parts which has
             most. A crash is laid to that part alone.
+        surroundings
+            What else shows that targets have crashed.
         is_settled
             All instances could say that they have served the part.
 
         """
+        is_confirmed = surroundings.are_enough(self.reporters)
         targets = [
-            crash.target
-            for crash in self.crashes
-            if most_crashes[crash.target] <= len(self.crashes)
+            known.target
+            for known in self.crashes
+            if most_crashes[known.target] <= len(self.crashes)
+            and (is_confirmed or surroundings.has_restarted(known.crash))
         ]
         return PartFacts(len(targets), len(set(targets)), is_settled)
 
@@ -112,10 +159,9 @@
 
     def restore(self, parts: Iterable[PromptPart], now_s: float) -> None:
         """Quarantine parts that were quarantined by another owner."""
-        crash = _Crash(TargetName(''), now_s)
-        restored = _Case(PartState.QUARANTINED, (crash,), now_s)
         for part in parts:
-            self._cases[part] = restored
+            crash = _Crash(PartCrash(part, TargetName(''), 0), now_s)
+            self._cases[part] = _Case(PartState.QUARANTINED, (crash,), now_s)
 
     def suspect(self, parts: Iterable[PromptPart], told_s: float) -> None:
         """Suspect parts that another owner told the instances of.
@@ -133,7 +179,10 @@
             self._cases[part] = suspected
 
     def record_crashes(
-        self, crashes: Iterable[PartCrash], now_s: float
+        self,
+        crashes: Iterable[PartCrash],
+        reporter: NodeName,
+        now_s: float,
     ) -> None:
         """Record targets that were lost while they answered parts.
 
@@ -141,13 +190,15 @@
         ----------
         crashes
             Parts that the reporting instance has not served lately.
+        reporter
+            The instance.
         now_s
             Present time of the local clock.
 
         """
         for crash in sorted(crashes):
             case = self._cases.pop(crash.part, _Case(PartState.SUSPECTED))
-            self._cases[crash.part] = case.with_crash(crash.target, now_s)
+            self._cases[crash.part] = case.with_crash(crash, reporter, now_s)
         self._keep_newest(self._suspected(is_told=False))
         self._keep_newest(self._suspected(is_told=True))
 
@@ -156,7 +207,9 @@
         for part in self._cases.keys() & frozenset(parts):
             self._step(part, PartEvent.SERVED, _NO_FACTS)
 
-    def verdicts(self, settle_s: float, now_s: float) -> PartVerdicts:
+    def verdicts(
+        self, settle_s: float, surroundings: Surroundings, now_s: float
+    ) -> PartVerdicts:
         """Return the parts that are suspected and quarantined now.
 
         Parameters
@@ -164,6 +217,8 @@
         settle_s
             Seconds within which all instances learn of a suspected part and
             say whether they have served it.
+        surroundings
+            What else shows that targets have crashed.
         now_s
             Present time of the local clock.
 
@@ -174,7 +229,9 @@
                 PartEvent.EXPIRED if case.is_over(now_s) else PartEvent.CHECKED
             )
             is_settled = now_s - case.told_s >= settle_s
-            facts = case.facts(most_crashes, is_settled=is_settled)
+            facts = case.facts(
+                most_crashes, surroundings, is_settled=is_settled
+            )
             self._step(part, event, facts)
         self._keep_newest(self._quarantined())
         return PartVerdicts(
--- a/pomelogauge/decide/prompt_part_chart.py
+++ b/pomelogauge/decide/prompt_part_chart.py
@@ -41,7 +41,7 @@
     Parameters
     ----------
     crashes, targets
-        Number of crashes, and of different targets that crashed.
+        Number of crashes that count, and of different targets that crashed.
     is_settled
         All instances have had the time to say that they served the part.
 
--- a/pomelogauge/entry/instance_membership.py
+++ b/pomelogauge/entry/instance_membership.py
@@ -4,13 +4,14 @@
 
 from returns.result import Failure
 
+from ..decide.part_quarantine import Surroundings
 from ..decide.report_interval import (
     heartbeat_timeout_s,
     report_interval_s,
     urgent_interval_s,
 )
 from ..decide.shared_suspicion import SuspicionTally
-from ..model.fleet import EntryInstance
+from ..model.fleet import EntryInstance, Fleet
 from ..model.ids import NodeName, TargetName
 from ..model.log_parts import Part
 from ..model.prompt_parts import PartEvidence, PartVerdicts
@@ -38,7 +39,7 @@
     SnapshotVersion,
 )
 from .ownership import OwnershipStatus
-from .part_reports import PartReports
+from .part_reports import PartReports, ReceivedEvidence
 
 #: Seconds after which new suspects are reported. Suspects that come up within
 #: this time go into one report.
@@ -67,6 +68,8 @@
         The owner task of this process; it runs in standby too.
     listeners
         Tasks that are notified when the set of living instances changes.
+    published_fleet
+        Newest state of the fleet; read only.
 
     """
 
@@ -74,6 +77,7 @@
     ownership: Published[OwnershipStatus]
     owner: Outbox[OwnerAnswerReceived | OwnerAnswerMissed | TargetsSuspected]
     listeners: tuple[Outbox[InstancesObserved], ...]
+    published_fleet: Published[Fleet]
 
 
 @dataclass(frozen=True)
@@ -207,10 +211,11 @@
         )
 
     def _judge(self, report: EntryReport, term: int) -> PartVerdicts:
+        fleet = self._ports.published_fleet.latest()
         return self._parts.judge(
-            report.parts,
+            ReceivedEvidence(report.instance.node, report.parts),
             term,
-            report_interval_s(len(self._notified)),
+            Surroundings(fleet.targets, len(self._notified)),
             self._clock.now_s(),
         )
 
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -162,14 +162,14 @@
 
     Parameters
     ----------
-    target
+    destination
         The target.
     parts
         Parts of the request's prompt that other requests may have too.
 
     """
 
-    target: TargetName
+    destination: TargetAddress
     parts: tuple[PromptPart, ...]
 
 
--- a/pomelogauge/entry/part_reports.py
+++ b/pomelogauge/entry/part_reports.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 
 from ..charts.reader import load_chart
-from ..decide.part_quarantine import PartQuarantine
+from ..decide.part_quarantine import PartQuarantine, Surroundings
 from ..decide.prompt_part_chart import PART_WORDS
-from ..model.ids import PromptPart
+from ..decide.report_interval import report_interval_s
+from ..model.ids import NodeName, PromptPart
 from ..model.log_parts import Part
 from ..model.prompt_parts import PartEvidence, PartVerdicts
 from ..tasks.log import part_logger
@@ -34,6 +35,14 @@
     at_s: float
 
 
+@dataclass(frozen=True)
+class ReceivedEvidence:
+    """Evidence in the report of one instance."""
+
+    reporter: NodeName
+    evidence: PartEvidence
+
+
 class PartReports:
     """Evidence for the owner, and the verdicts of the owner.
 
@@ -97,22 +106,22 @@
 
     def judge(
         self,
-        evidence: PartEvidence,
+        received: ReceivedEvidence,
         term: int,
-        interval_s: float,
+        surroundings: Surroundings,
         now_s: float,
     ) -> PartVerdicts:
         """Add evidence of one instance and return the owner's verdicts.
 
         Parameters
         ----------
-        evidence
+        received
             From a report of any instance, this one included.
         term
             Term in which this instance is the owner. In a new term it starts
             with the parts that its predecessor had quarantined or suspected.
-        interval_s
-            Seconds between two reports of an instance.
+        surroundings
+            What else shows that targets have crashed.
         now_s
             Present time of the local clock.
 
@@ -124,10 +133,13 @@
             # The instances repeat within a report interval what they answered.
             told_s = now_s - ANSWER_DELAY_S
             self._quarantine.suspect(self._verdicts.suspected, told_s)
-        self._quarantine.record_crashes(evidence.crashes, now_s)
+        evidence = received.evidence
+        self._quarantine.record_crashes(
+            evidence.crashes, received.reporter, now_s
+        )
         self._quarantine.record_served(evidence.served)
-        settle_s = interval_s + ANSWER_DELAY_S
-        self.follow(self._quarantine.verdicts(settle_s, now_s))
+        settle_s = report_interval_s(surroundings.instances) + ANSWER_DELAY_S
+        self.follow(self._quarantine.verdicts(settle_s, surroundings, now_s))
         return self._verdicts
 
     def restore(self, parts: frozenset[PromptPart], now_s: float) -> None:
--- a/pomelogauge/entry/part_watch.py
+++ b/pomelogauge/entry/part_watch.py
@@ -59,7 +59,9 @@
     def _record_loss(self, lost: AnswerLost) -> None:
         served = self._served.among(lost.parts, self._clock.now_s())
         crashes = frozenset(
-            PartCrash(part, lost.target)
+            PartCrash(
+                part, lost.destination.target, lost.destination.started_at_ms
+            )
             for part in lost.parts
             if part not in served
         )
--- a/pomelogauge/entry/request_run.py
+++ b/pomelogauge/entry/request_run.py
@@ -359,13 +359,15 @@
         if self._attempt is None:
             return
         self._attempt.close()
-        target = self._attempt.destination.target
+        destination = self._attempt.destination
         self._attempt = None
-        self._ports.dispatcher.post(SlotReleased(target, self._outcome))
+        self._ports.dispatcher.post(
+            SlotReleased(destination.target, self._outcome)
+        )
         if self._outcome is Outcome.LOST:
-            _log_loss(self._admitted.req, target, self._reason)
+            _log_loss(self._admitted.req, destination.target, self._reason)
             self._ports.parts.post(
-                AnswerLost(target, self._admitted.req.shared_parts)
+                AnswerLost(destination, self._admitted.req.shared_parts)
             )
 
     def _finish(self, action: RequestAction) -> None:
--- a/pomelogauge/model/prompt_parts.py
+++ b/pomelogauge/model/prompt_parts.py
@@ -11,10 +11,21 @@
 
     The part need not be the cause: all requests that the target was answering
     then are lost.
+
+    Parameters
+    ----------
+    part
+        The part.
+    target
+        The target.
+    started_at_ms
+        Start of the target that was lost, in Unix milliseconds.
+
     """
 
     part: PromptPart
     target: TargetName
+    started_at_ms: int
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/wire/entry_codec.py
+++ b/pomelogauge/wire/entry_codec.py
@@ -45,7 +45,11 @@
     encoded.suspects.extend(sorted(report.suspects))
     encoded.known_roll.CopyFrom(_encode_version(report.known))
     encoded.part_crashes.extend(
-        entry_peer_pb2.PartCrash(part=crash.part, target=crash.target)
+        entry_peer_pb2.PartCrash(
+            part=crash.part,
+            target=crash.target,
+            started_at_ms=crash.started_at_ms,
+        )
         for crash in sorted(report.parts.crashes)
     )
     encoded.served_parts.extend(sorted(report.parts.served))
@@ -60,7 +64,11 @@
         _decode_version(message.known_roll),
         PartEvidence(
             frozenset(
-                PartCrash(PromptPart(crash.part), TargetName(crash.target))
+                PartCrash(
+                    PromptPart(crash.part),
+                    TargetName(crash.target),
+                    crash.started_at_ms,
+                )
                 for crash in message.part_crashes
             ),
             frozenset(PromptPart(part) for part in message.served_parts),
--- a/test/test_instance_membership.py
+++ b/test/test_instance_membership.py
@@ -22,7 +22,7 @@
     OwnerLinkError,
 )
 from pomelogauge.entry.ownership import OwnershipStatus
-from pomelogauge.model.fleet import EntryInstance
+from pomelogauge.model.fleet import EntryInstance, Fleet
 from pomelogauge.model.ids import Address, NodeName, RowVersion, TargetName
 from pomelogauge.tasks.published import Published
 from pomelogauge.wire.entry_codec import (
@@ -59,7 +59,11 @@
         self.observed = Outbox()
         self.ownership = Published(OwnershipStatus())
         ports = InstanceMembershipPorts(
-            self.link, self.ownership, self.owner, (self.observed,)
+            self.link,
+            self.ownership,
+            self.owner,
+            (self.observed,),
+            Published(Fleet()),
         )
         self.membership = InstanceMembership(instance('n1'), ports, self.clock)
         self.membership.on_start()
--- a/test/test_large_membership.py
+++ b/test/test_large_membership.py
@@ -29,7 +29,7 @@
     TableDeltas,
     TableVersions,
 )
-from pomelogauge.model.fleet import EntryInstance
+from pomelogauge.model.fleet import EntryInstance, Fleet
 from pomelogauge.model.ids import Address, NodeName, RowVersion
 from pomelogauge.model.rows import Rows, StoredRow
 from pomelogauge.tasks.published import Published
@@ -269,7 +269,11 @@
             True, 3, Address('n0:2'), RowVersion(8), float('inf')
         )
         ports = InstanceMembershipPorts(
-            Outbox(), Published(ownership), Outbox(), (Outbox(),)
+            Outbox(),
+            Published(ownership),
+            Outbox(),
+            (Outbox(),),
+            Published(Fleet()),
         )
         self.membership = InstanceMembership(
             entry_instance(0), ports, self.clock
--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -3,6 +3,7 @@
 import socket
 import unittest
 from dataclasses import replace
+from itertools import cycle
 
 from pomelogauge.charts.reader import load_chart
 from pomelogauge.decide.part_quarantine import (
@@ -10,6 +11,7 @@
     QUARANTINE_S,
     SUSPICION_S,
     PartQuarantine,
+    Surroundings,
 )
 from pomelogauge.decide.prompt_part_chart import PART_WORDS
 from pomelogauge.decide.served_parts import (
@@ -33,28 +35,37 @@
     encode_report,
 )
 
-from .entry_fakes import HOST, Outbox, entry_instance
+from .entry_fakes import HOST, Outbox, entry_instance, target
 from .request_fixtures import EVENTS, HEAD, RequestCase, stream, wait_until
 
 CHART = load_chart('prompt_part', PART_WORDS)
 PART = PromptPart('p')
 SETTLE_S = 1.0
+#: No target has started again.
+CALM = Surroundings({}, 6)
 
 
 def crash(target: str, part: str = PART) -> PartCrash:
-    return PartCrash(PromptPart(part), TargetName(target))
+    return PartCrash(PromptPart(part), TargetName(target), 1)
 
 
 class PartQuarantineTest(unittest.TestCase):
     def setUp(self) -> None:
         self.quarantine = PartQuarantine(CHART)
+        self.reporters = cycle(('n1', 'n2'))
 
-    def crashes(self, *targets: str, at_s: float = 0) -> None:
+    def crashes(
+        self, *targets: str, at_s: float = 0, reporter: str = ''
+    ) -> None:
+        """Record crashes, in turn from two instances unless one is named."""
         for target in targets:
-            self.quarantine.record_crashes((crash(target),), at_s)
+            by = reporter or next(self.reporters)
+            self.quarantine.record_crashes((crash(target),), by, at_s)
 
-    def verdicts(self, now_s: float) -> PartVerdicts:
-        return self.quarantine.verdicts(SETTLE_S, now_s)
+    def verdicts(
+        self, now_s: float, surroundings: Surroundings = CALM
+    ) -> PartVerdicts:
+        return self.quarantine.verdicts(SETTLE_S, surroundings, now_s)
 
     def test_one_crash_makes_nobody_suspect_a_part(self) -> None:
         self.crashes('t1')
@@ -76,6 +87,25 @@
             self.crashes('t1', at_s=at_s)
         self.assertEqual(self.verdicts(9), PartVerdicts(suspected={PART}))
 
+    def test_losses_of_one_instance_alone_show_no_crash(self) -> None:
+        """Guards against sound parts that a path's fault quarantines."""
+        self.crashes('t1', 't2', 't3', 't4', reporter='n1')
+        self.assertEqual(self.verdicts(5), PartVerdicts(suspected={PART}))
+
+    def test_targets_that_start_again_have_crashed(self) -> None:
+        """Guards against one caller whose requests come at one instance."""
+        self.crashes('t1', 't2', 't3', reporter='n1')
+        restarted = {
+            name: target(name, started_at_ms=2) for name in ('t1', 't2', 't3')
+        }
+        verdicts = self.verdicts(5, Surroundings(restarted, 6))
+        self.assertEqual(verdicts, PartVerdicts(quarantined={PART}))
+
+    def test_the_only_instance_is_believed(self) -> None:
+        self.crashes('t1', 't2', 't3', reporter='n1')
+        verdicts = self.verdicts(5, Surroundings({}, 1))
+        self.assertEqual(verdicts, PartVerdicts(quarantined={PART}))
+
     def test_one_crash_that_several_instances_report_is_one(self) -> None:
         for at_s in (0, 0.1, 0.2):
             self.crashes('t1', 't2', at_s=at_s)
@@ -101,7 +131,7 @@
             self.crashes(f't{index}')
         for index in range(3):
             beside = crash(f't{index}', 'rare')
-            self.quarantine.record_crashes((beside,), 0)
+            self.quarantine.record_crashes((beside,), 'n1', 0)
         self.assertEqual(self.verdicts(5).quarantined, {PART})
 
     def test_a_part_that_was_served_is_cleared(self) -> None:
@@ -129,7 +159,7 @@
         self.quarantine.restore((PART,), 0)
         for index in range(2 * MAX_CASES):
             flood = (crash('t1', f'p{index}'), crash('t2', f'p{index}'))
-            self.quarantine.record_crashes(flood, 1)
+            self.quarantine.record_crashes(flood, 'n1', 1)
         verdicts = self.verdicts(5)
         self.assertEqual(verdicts.quarantined, {PART})
         self.assertLessEqual(len(verdicts.suspected), MAX_CASES)
@@ -142,7 +172,7 @@
         """
         self.crashes('t1', 't2')
         lost = (crash('lost', f'p{part}') for part in range(2 * MAX_CASES))
-        self.quarantine.record_crashes(lost, 1)
+        self.quarantine.record_crashes(lost, 'n1', 1)
         self.crashes('t3', at_s=2)
         self.assertEqual(self.verdicts(3).quarantined, {PART})
 
@@ -153,9 +183,9 @@
         """
         for wave in range(6):
             added = [f'p{wave}-{part}' for part in range(MAX_CASES // 2)]
-            for target in ('t1', 't2', 't3'):
+            for target, reporter in (('t1', 'n1'), ('t2', 'n2'), ('t3', 'n1')):
                 crashes = [crash(target, part) for part in (PART, *added)]
-                self.quarantine.record_crashes(crashes, wave)
+                self.quarantine.record_crashes(crashes, reporter, wave)
             self.verdicts(wave + SETTLE_S)
         quarantined = self.verdicts(6 + SETTLE_S).quarantined
         self.assertLessEqual(len(quarantined), MAX_CASES)
@@ -286,7 +316,11 @@
     def test_a_lost_answer_names_its_target(self) -> None:
         self.start(stream(EVENTS[0], ends=False), may_resume=False)
         self.call_with_parts()
-        self.assertTrue(self.seen(AnswerLost(TargetName('t0'), ('p', 'q'))))
+        self.assertTrue(wait_until(lambda: self.parts.posted))
+        (lost,) = self.parts.posted
+        self.assertIsInstance(lost, AnswerLost)
+        self.assertEqual(lost.destination.target, 't0')
+        self.assertEqual(lost.parts, ('p', 'q'))
 
     def test_an_answer_without_a_length_shows_nothing(self) -> None:
         """Its end may be a crash."""
--- a/test/test_quarantine_record.py
+++ b/test/test_quarantine_record.py
@@ -2,22 +2,25 @@
 
 import unittest
 
+from pomelogauge.decide.part_quarantine import Surroundings
 from pomelogauge.entry.messages import PartsRestored
 from pomelogauge.entry.owner_lease_keeper import OwnerLeaseKeeper
-from pomelogauge.entry.part_reports import PartReports
+from pomelogauge.entry.part_reports import PartReports, ReceivedEvidence
 from pomelogauge.entry.quarantine_record import (
     MAX_STORED_PARTS,
     QUARANTINE_KEY,
     QuarantineRecord,
 )
 from pomelogauge.entry.store import StoreFault, Table
-from pomelogauge.model.ids import PromptPart
+from pomelogauge.model.ids import NodeName, PromptPart
 from pomelogauge.model.prompt_parts import PartEvidence, PartVerdicts
 from pomelogauge.platform.translator import RowTranslator
 
 from .entry_fakes import FakeClock, MemoryStore, Outbox, owner_lease
 
 PARTS = frozenset((PromptPart('p'), PromptPart('q')))
+NOTHING = ReceivedEvidence(NodeName('n1'), PartEvidence())
+ALONE = Surroundings({}, 1)
 
 
 class QuarantineRecordTest(unittest.TestCase):
@@ -116,14 +119,14 @@
     def test_restored_parts_outlast_the_first_judgement_of_a_term(self) -> None:
         reports = PartReports()
         reports.restore(PARTS, 0)
-        verdicts = reports.judge(PartEvidence(), 7, 0.5, 1)
+        verdicts = reports.judge(NOTHING, 7, ALONE, 1)
         self.assertEqual(verdicts, PartVerdicts(quarantined=PARTS))
 
     def test_parts_that_are_restored_later_in_a_term_are_kept(self) -> None:
         reports = PartReports()
-        reports.judge(PartEvidence(), 7, 0.5, 0)
+        reports.judge(NOTHING, 7, ALONE, 0)
         reports.restore(PARTS, 1)
-        verdicts = reports.judge(PartEvidence(), 7, 0.5, 2)
+        verdicts = reports.judge(NOTHING, 7, ALONE, 2)
         self.assertEqual(verdicts, PartVerdicts(quarantined=PARTS))
 
 
--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -22,6 +22,7 @@
 from pomelogauge.entry.owner_link import EntryReport, OwnerLinkError
 from pomelogauge.entry.ownership import OwnershipStatus
 from pomelogauge.entry.part_watch import PartWatch
+from pomelogauge.model.entry_request import TargetAddress
 from pomelogauge.model.fleet import EntryInstance, Fleet
 from pomelogauge.model.ids import (
     Address,
@@ -52,6 +53,10 @@
 DEADLY = PromptPart('dead')
 
 
+def address(target: str) -> TargetAddress:
+    return TargetAddress(TargetName(target), Address(f'{target}:1'), 1)
+
+
 class DirectOutbox:
     """Delivers messages to an actor without a task."""
 
@@ -92,7 +97,11 @@
         self.membership = InstanceMembership(
             EntryInstance(NodeName(f'n{index}'), Address(f'n{index}:1'), ZONE),
             InstanceMembershipPorts(
-                Link(system), self.ownership, Outbox(), (Outbox(),)
+                Link(system),
+                self.ownership,
+                Outbox(),
+                (Outbox(),),
+                self.fleet,
             ),
             clock,
         )
@@ -229,7 +238,7 @@
         head.away_until_s = self.clock.at_s + AWAY_S
         for one in lost:
             self.instances[one.instance].tell(
-                AnswerLost(TargetName(head.name), one.parts)
+                AnswerLost(address(head.name), one.parts)
             )
             if not one.is_retry:
                 self.send(
@@ -324,7 +333,7 @@
         system = System(1)
         system.run(4, 0)
         for head in system.heads[:4]:
-            lost = AnswerLost(TargetName(head.name), (seldom,))
+            lost = AnswerLost(address(head.name), (seldom,))
             system.instances[1].tell(lost)
         system.run(6, 0)
         self.assertEqual(self.quarantined(system), [frozenset()] * INSTANCES)
