--- a/pomelogauge/decide/part_quarantine.py
+++ b/pomelogauge/decide/part_quarantine.py
@@ -12,17 +12,23 @@
 from dataclasses import dataclass, replace
 
 from ..model.chart import Chart
-from ..model.ids import PromptPart, TargetName
-from ..model.prompt_parts import PartCrash, PartVerdicts
+from ..model.fleet import Target
+from ..model.ids import NodeName, PromptPart, TargetName
+from ..model.prompt_parts import PartCrash, PartService, PartVerdicts
 from .prompt_part_chart import PartAction, PartEvent, PartFacts, PartState
 
 PartChart = Chart[PartState, PartEvent, PartAction, PartFacts]
 
 #: Crashes under a part from which on other instances are told of it.
 SUSPICIOUS_CRASHES = 2
+#: Instances that must have lost answers with a part before a crash counts that
+#: nothing else shows: one instance may lose its connections to sound targets.
+MIN_REPORTERS = 2
 #: Seconds within which losses at one target are one crash, however often they
 #: are reported; a target takes longer to come back.
 CRASH_SPAN_S = 2.5
+#: Seconds within which several crashes are of one moment.
+MOMENT_S = 0.2
 #: Seconds after the last crash for which a part is suspected, and quarantined.
 SUSPICION_S = 120.0
 QUARANTINE_S = 3600.0
@@ -30,40 +36,131 @@
 #: parts that other instances are told of, and of quarantined parts.
 MAX_CASES = 512
 
-_NO_FACTS = PartFacts(0, 0, False)
+#: Target of the crashes that another owner has judged.
+_UNKNOWN = TargetName('')
+_NO_FACTS = PartFacts(0, 0, 0, was_served=False, is_settled=False)
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """What the owner knows beside the reports of crashes.
+
+    Parameters
+    ----------
+    targets
+        Targets as listed.
+    instances
+        Number of living entry instances.
+
+    """
+
+    targets: Mapping[TargetName, Target]
+    instances: int
+
+    def has_restarted(self, crash: PartCrash) -> bool:
+        """Return whether the target is listed with a later start."""
+        listed = self.targets.get(crash.target)
+        return listed is not None and listed.started_at_ms > crash.started_at_ms
+
+    def are_enough(self, reporters: frozenset[NodeName]) -> bool:
+        """Return whether crashes count that these instances report."""
+        return len(reporters) >= min(MIN_REPORTERS, self.instances)
 
 
 @dataclass(frozen=True)
 class _Crash:
-    """A target that crashed under a part, and when that was reported."""
+    """A target that crashed under a part, and when."""
 
-    target: TargetName
+    crash: PartCrash
     at_s: float
 
+    @property
+    def target(self) -> TargetName:
+        """The target."""
+        return self.crash.target
+
+    def is_same(self, crash: PartCrash, at_s: float) -> bool:
+        """Return whether another report is of this crash."""
+        return (
+            self.target == crash.target and abs(at_s - self.at_s) < CRASH_SPAN_S
+        )
+
 
 @dataclass(frozen=True)
 class _Case:
-    """What is known of one part that has not been cleared."""
+    """What is known of one part that has not been cleared.
+
+    Parameters
+    ----------
+    state
+        State of its chart.
+    crashes
+        Crashes under it since it was last served.
+    told_s
+        Time since which the instances know of it; infinite if they don't.
+    served_s
+        Time at which the latest answer began that was served wholly.
+    reporters
+        Instances that have lost answers with it.
+
+    """
 
     state: PartState
     crashes: tuple[_Crash, ...] = ()
     told_s: float = math.inf
+    served_s: float = -math.inf
+    reporters: frozenset[NodeName] = frozenset()
 
-    def with_crash(self, target: TargetName, now_s: float) -> '_Case':
+    def with_crash(
+        self, crash: PartCrash, reporter: NodeName, now_s: float
+    ) -> '_Case':
         """Add a crash unless it was reported before."""
-        if any(
-            crash.target == target and now_s - crash.at_s < CRASH_SPAN_S
-            for crash in self.crashes
-        ):
+        at_s = now_s - crash.age_s
+        if at_s <= self.served_s:
             return self
-        crashes = (*self.crashes, _Crash(target, now_s))
+        after = replace(self, reporters=self.reporters | {reporter})
+        for known in self.crashes:
+            if known.is_same(crash, at_s):
+                return after._with_later_report(known, crash)
+        crashes = (*after.crashes, _Crash(crash, at_s))
         told_s = self.told_s
         if len(crashes) >= SUSPICIOUS_CRASHES:
             told_s = min(told_s, now_s)
-        return replace(self, crashes=crashes, told_s=told_s)
+        return replace(after, crashes=crashes, told_s=told_s)
+
+    def _with_later_report(self, known: _Crash, crash: PartCrash) -> '_Case':
+        if known.crash.others_answered or not crash.others_answered:
+            return self
+        later = _Crash(crash, known.at_s)
+        crashes = [later if one is known else one for one in self.crashes]
+        return replace(self, crashes=tuple(crashes))
+
+    def with_service(self, at_s: float) -> '_Case':
+        """Forget the crashes before an answer that was served wholly."""
+        crashes = tuple(crash for crash in self.crashes if crash.at_s > at_s)
+        is_told = crashes == self.crashes or len(crashes) >= SUSPICIOUS_CRASHES
+        return replace(
+            self,
+            crashes=crashes,
+            told_s=self.told_s if is_told else math.inf,
+            served_s=max(self.served_s, at_s),
+        )
+
+    def is_cleared(self) -> bool:
+        """Return whether no crash is known since the part was served.
+
+        A part without crashes was suspected by another owner.
+        """
+        return not self.crashes and not (
+            self.is_told() and self.served_s < self.told_s
+        )
 
     def facts(
-        self, most_crashes: Mapping[TargetName, int], *, is_settled: bool
+        self,
+        most_crashes: Mapping[TargetName, int],
+        surroundings: Surroundings,
+        *,
+        is_settled: bool,
     ) -> PartFacts:
         """Return the facts for the guards of the chart.
 
@@ -72,16 +169,31 @@
         most_crashes
             For each target, the crashes under that of its parts which has
             most. A crash is laid to that part alone.
+        surroundings
+            What else shows that targets have crashed.
         is_settled
             All instances could say that they have served the part.
 
         """
-        targets = [
-            crash.target
-            for crash in self.crashes
-            if most_crashes[crash.target] <= len(self.crashes)
+        is_confirmed = surroundings.are_enough(self.reporters)
+        was_served = math.isfinite(self.served_s) and not self._is_restored()
+        counted = [
+            known
+            for known in self.crashes
+            if most_crashes[known.target] <= len(self.crashes)
+            and (is_confirmed or surroundings.has_restarted(known.crash))
+            and (known.crash.others_answered or not was_served)
         ]
-        return PartFacts(len(targets), len(set(targets)), is_settled)
+        return PartFacts(
+            len(counted),
+            len({known.target for known in counted}),
+            _count_moments(known.at_s for known in counted),
+            was_served=was_served,
+            is_settled=is_settled,
+        )
+
+    def _is_restored(self) -> bool:
+        return any(known.target == _UNKNOWN for known in self.crashes)
 
     def is_told(self) -> bool:
         """Return whether other instances are told of the part."""
@@ -91,7 +203,9 @@
         """Return whether the last crash is too long ago."""
         is_suspected = self.state is PartState.SUSPECTED
         life_s = SUSPICION_S if is_suspected else QUARANTINE_S
-        latest_s = self.crashes[-1].at_s if self.crashes else self.told_s
+        latest_s = max(
+            (crash.at_s for crash in self.crashes), default=self.told_s
+        )
         return now_s - latest_s > life_s
 
 
@@ -112,10 +226,9 @@
 
     def restore(self, parts: Iterable[PromptPart], now_s: float) -> None:
         """Quarantine parts that were quarantined by another owner."""
-        crash = _Crash(TargetName(''), now_s)
-        restored = _Case(PartState.QUARANTINED, (crash,), now_s)
         for part in parts:
-            self._cases[part] = restored
+            crash = _Crash(PartCrash(part, _UNKNOWN, 0), now_s)
+            self._cases[part] = _Case(PartState.QUARANTINED, (crash,), now_s)
 
     def suspect(self, parts: Iterable[PromptPart], told_s: float) -> None:
         """Suspect parts that another owner told the instances of.
@@ -133,30 +246,45 @@
             self._cases[part] = suspected
 
     def record_crashes(
-        self, crashes: Iterable[PartCrash], now_s: float
+        self,
+        crashes: Iterable[PartCrash],
+        reporter: NodeName,
+        now_s: float,
     ) -> None:
         """Record targets that were lost while they answered parts.
 
         Parameters
         ----------
         crashes
-            Parts that the reporting instance has not served lately.
+            Parts that the reporting instance has not served since.
+        reporter
+            The instance.
         now_s
             Present time of the local clock.
 
         """
         for crash in sorted(crashes):
             case = self._cases.pop(crash.part, _Case(PartState.SUSPECTED))
-            self._cases[crash.part] = case.with_crash(crash.target, now_s)
+            self._cases[crash.part] = case.with_crash(crash, reporter, now_s)
         self._keep_newest(self._suspected(is_told=False))
         self._keep_newest(self._suspected(is_told=True))
 
-    def record_served(self, parts: Iterable[PromptPart]) -> None:
-        """Clear parts of which a request was answered wholly."""
-        for part in self._cases.keys() & frozenset(parts):
-            self._step(part, PartEvent.SERVED, _NO_FACTS)
-
-    def verdicts(self, settle_s: float, now_s: float) -> PartVerdicts:
+    def record_served(
+        self, services: Iterable[PartService], now_s: float
+    ) -> None:
+        """Clear parts that were served since the last crash."""
+        for service in services:
+            case = self._cases.get(service.part)
+            if case is None:
+                continue
+            case = case.with_service(now_s - service.age_s)
+            self._cases[service.part] = case
+            if case.is_cleared():
+                self._step(service.part, PartEvent.SERVED, _NO_FACTS)
+
+    def verdicts(
+        self, settle_s: float, surroundings: Surroundings, now_s: float
+    ) -> PartVerdicts:
         """Return the parts that are suspected and quarantined now.
 
         Parameters
@@ -164,6 +292,8 @@
         settle_s
             Seconds within which all instances learn of a suspected part and
             say whether they have served it.
+        surroundings
+            What else shows that targets have crashed.
         now_s
             Present time of the local clock.
 
@@ -174,7 +304,9 @@
                 PartEvent.EXPIRED if case.is_over(now_s) else PartEvent.CHECKED
             )
             is_settled = now_s - case.told_s >= settle_s
-            facts = case.facts(most_crashes, is_settled=is_settled)
+            facts = case.facts(
+                most_crashes, surroundings, is_settled=is_settled
+            )
             self._step(part, event, facts)
         self._keep_newest(self._quarantined())
         return PartVerdicts(
@@ -223,3 +355,14 @@
             self._cases.pop(part)
         else:
             self._cases[part] = replace(case, state=move.state)
+
+
+def _count_moments(times_s: Iterable[float]) -> int:
+    """Return the number of times, without those soon after another one."""
+    count = 0
+    latest_s = -math.inf
+    for at_s in sorted(times_s):
+        if at_s - latest_s >= MOMENT_S:
+            count += 1
+            latest_s = at_s
+    return count
--- a/pomelogauge/entry/part_reports.py
+++ b/pomelogauge/entry/part_reports.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 
 from ..charts.reader import load_chart
-from ..decide.part_quarantine import PartQuarantine
+from ..decide.part_quarantine import PartQuarantine, Surroundings
 from ..decide.prompt_part_chart import PART_WORDS
-from ..model.ids import PromptPart
+from ..decide.report_interval import report_interval_s
+from ..model.ids import NodeName, PromptPart
 from ..model.log_parts import Part
 from ..model.prompt_parts import PartEvidence, PartVerdicts
 from ..tasks.log import part_logger
@@ -34,6 +35,14 @@
     at_s: float
 
 
+@dataclass(frozen=True)
+class ReceivedEvidence:
+    """Evidence in the report of one instance."""
+
+    reporter: NodeName
+    evidence: PartEvidence
+
+
 class PartReports:
     """Evidence for the owner, and the verdicts of the owner.
 
@@ -46,6 +55,7 @@
         self._chart = load_chart('prompt_part', PART_WORDS)
         self._listeners: tuple[Outbox[PartsJudged], ...] = ()
         self._pending = PartEvidence()
+        self._pending_s = 0.0
         self._recent: tuple[_SeenEvidence, ...] = ()
         self._reported_term = 0
         self._quarantine = PartQuarantine(self._chart)
@@ -58,7 +68,7 @@
 
     def record(self, evidence: PartEvidence, now_s: float) -> None:
         """Record what this instance has seen, for the next report."""
-        self.add(evidence)
+        self.add(evidence, now_s)
         self._recent = tuple(
             seen for seen in self._recent if now_s - seen.at_s <= RECENT_S
         )[1 - MAX_RECENT :]
@@ -74,20 +84,23 @@
         self._reported_term = term
         for seen in self._recent:
             if now_s - seen.at_s <= RECENT_S:
-                self.add(seen.evidence)
+                self.add(seen.evidence.aged(now_s - seen.at_s), now_s)
 
-    def add(self, evidence: PartEvidence) -> None:
-        """Add evidence to the next report."""
-        self._pending |= evidence
+    def add(self, evidence: PartEvidence, now_s: float) -> None:
+        """Add evidence, as of the present time, to the next report."""
+        self._pending = self._pending.aged(now_s - self._pending_s) | evidence
+        self._pending_s = now_s
 
     def has_suspicion(self) -> bool:
         """Return whether a part is suspected now."""
         return bool(self._verdicts.suspected)
 
-    def take(self) -> PartEvidence:
+    def take(self, now_s: float) -> PartEvidence:
         """Return the evidence for the next report, and forget it."""
-        crashes = sorted(self._pending.crashes)
-        served = sorted(self._pending.served)
+        pending = self._pending.aged(now_s - self._pending_s)
+        crashes = sorted(pending.crashes)
+        served = sorted(pending.served)
+        self._pending_s = now_s
         self._pending = PartEvidence(
             frozenset(crashes[MAX_EVIDENCE:]), frozenset(served[MAX_EVIDENCE:])
         )
@@ -97,22 +110,22 @@
 
     def judge(
         self,
-        evidence: PartEvidence,
+        received: ReceivedEvidence,
         term: int,
-        interval_s: float,
+        surroundings: Surroundings,
         now_s: float,
     ) -> PartVerdicts:
         """Add evidence of one instance and return the owner's verdicts.
 
         Parameters
         ----------
-        evidence
+        received
             From a report of any instance, this one included.
         term
             Term in which this instance is the owner. In a new term it starts
             with the parts that its predecessor had quarantined or suspected.
-        interval_s
-            Seconds between two reports of an instance.
+        surroundings
+            What else shows that targets have crashed.
         now_s
             Present time of the local clock.
 
@@ -124,10 +137,13 @@
             # The instances repeat within a report interval what they answered.
             told_s = now_s - ANSWER_DELAY_S
             self._quarantine.suspect(self._verdicts.suspected, told_s)
-        self._quarantine.record_crashes(evidence.crashes, now_s)
-        self._quarantine.record_served(evidence.served)
-        settle_s = interval_s + ANSWER_DELAY_S
-        self.follow(self._quarantine.verdicts(settle_s, now_s))
+        evidence = received.evidence
+        self._quarantine.record_crashes(
+            evidence.crashes, received.reporter, now_s
+        )
+        self._quarantine.record_served(evidence.served, now_s)
+        settle_s = report_interval_s(surroundings.instances) + ANSWER_DELAY_S
+        self.follow(self._quarantine.verdicts(settle_s, surroundings, now_s))
         return self._verdicts
 
     def restore(self, parts: frozenset[PromptPart], now_s: float) -> None:
