Test the sequence of orders to a target that lapses

A target that is taken for free while its order to join is on its way may join afterwards, and may be joined to a second group.

Cause: an answer to an order to leave counts once the order to join is settled, which holds as long as orders to one target are sent one after the other. The sender of a target that the list no longer has is stopped with its last order on the way, and the next order starts a second sender beside it.

--- a/test/test_order_sender.py
+++ b/test/test_order_sender.py
@@ -115,6 +115,24 @@
         self.renew(term=3)
         self.assertIs(self.second_outcome(), OrderOutcome.TAKEN)
 
+    def test_orders_to_a_target_that_lapses_stay_in_order(self) -> None:
+        """Guards against an order to leave that overtakes the one to join.
+
+        The list no longer had the target, so that its sender was stopped with
+        the order to join on its way. The target refused the order of the next
+        sender, as it had not joined yet, and counted as free.
+        """
+        self.pool.send(ADDRESS, order(OrderKind.JOIN), self.settled)
+        self.assertTrue(self.link.has_first.wait(5))
+        self.pool.keep_only(frozenset())
+        self.pool.send(ADDRESS, order(OrderKind.LEAVE), self.settled)
+        self.assertIsNone(self.settled.take(0.2))
+        sent = [one.kind for one in self.link.sent]
+        self.assertEqual(sent, [OrderKind.JOIN])
+        self.link.lets_go.set()
+        outcomes = [self.settled.take(5).order.kind for _ in range(2)]
+        self.assertEqual(outcomes, [OrderKind.JOIN, OrderKind.LEAVE])
+
     def test_a_probe_changes_nothing_and_is_sent(self) -> None:
         self.send_behind_a_slow_order(OrderKind.PROBE)
         self.clock.at_s += LEASE_S + 0.1
