Send orders to a target that lapses one after the other

An order to leave could overtake the order to join of a target that is no longer listed. The target refuses it, as it has not joined yet, and counted as free before the order to join was settled.

Cause: the sender of a target that is not listed is stopped with its last order on the way, and the next order to the target started a second sender.

Change: the next sender of the target first waits for the thread of the former one. The owner does not wait.

--- a/pomelogauge/entry/order_sender.py
+++ b/pomelogauge/entry/order_sender.py
@@ -78,6 +78,8 @@
         Whether this instance may act as the owner.
     owner
         Where the outcomes are posted.
+    former
+        Stopped task that may still send earlier orders to the target.
 
     """
 
@@ -87,15 +89,23 @@
         link: OrderLink,
         permit: OrderPermit,
         owner: Outbox[OwnerMessage],
+        former: Task[Order] | None = None,
     ) -> None:
         """Start without a connection."""
         self._address = address
         self._link = link
         self._permit = permit
         self._owner = owner
+        self._former = former
 
     def on_start(self) -> None:
-        """Do nothing; the first order connects."""
+        """Wait until the former task has sent its orders.
+
+        An order to leave must not overtake the order to join.
+        """
+        if self._former is not None:
+            self._former.stop()
+            self._former = None
 
     def on_message(self, message: Order) -> None:
         """Send an order, if that is still allowed, and post its outcome."""
@@ -143,6 +153,7 @@
         self._link = link
         self._permit = permit
         self._senders: dict[tuple[TargetName, Address], Task[Order]] = {}
+        self._stopped: dict[tuple[TargetName, Address], Task[Order]] = {}
 
     def send(
         self,
@@ -153,14 +164,30 @@
         """Queue an order; its outcome is posted to the owner's task."""
         key = order.target, address
         if key not in self._senders:
-            sender = OrderSender(address, self._link, self._permit, owner)
+            sender = OrderSender(
+                address,
+                self._link,
+                self._permit,
+                owner,
+                self._stopped.pop(key, None),
+            )
             task: Task[Order] = Task(f'courier {order.target}', sender)
             task.start()
             self._senders[key] = task
         self._senders[key].post(replace(order, term=self._permit.term()))
 
     def keep_only(self, names: frozenset[TargetName]) -> None:
-        """Stop the senders of all targets but the named ones."""
+        """Stop the senders of all targets but the named ones.
+
+        They send the orders that wait.
+        """
+        self._stopped = {
+            key: task
+            for key, task in self._stopped.items()
+            if not task.has_ended
+        }
         for key in tuple(self._senders):
             if key[0] not in names:
-                self._senders.pop(key).stop(0)
+                task = self._senders.pop(key)
+                task.stop(0)
+                self._stopped[key] = task
