Walk over answers that a paused owner reads late

Cause: an answer to an order to leave counts if it is read after the time in which a late order to join may be carried out. A paused owner, or one that waits for the store, reads an answer that is older. The target may have joined in between and counts as free; a next owner opens the group with it while its order to join another one is on the way.

The check of free targets covers those that have joined, beside those that may still do so.

--- a/test/group_world.py
+++ b/test/group_world.py
@@ -79,6 +79,9 @@
     late
         Orders without an answer that it may still carry out, with the steps
         of time that are left for each.
+    unread
+        Its answer that a paused owner has not read, as the order, the outcome
+        and the steps of time since the order was sent.
 
     """
 
@@ -91,11 +94,15 @@
     listed: Target | None = None
     queued: tuple[OrderKind, ...] = ()
     late: tuple[tuple[OrderKind, int], ...] = ()
+    unread: tuple[tuple[OrderKind, OrderOutcome, int], ...] = ()
 
     def age(self) -> 'WorldMember':
         """Return the member one step of time later."""
         late = tuple((kind, left - 1) for kind, left in self.late if left)
-        return replace(self, late=late)
+        unread = tuple(
+            (kind, outcome, age + 1) for kind, outcome, age in self.unread
+        )
+        return replace(self, late=late, unread=unread)
 
     def serves(self) -> bool:
         """Return whether it is a head that takes or ends requests."""
@@ -150,6 +157,8 @@
         Record of the group.
     late_orders
         Orders without an answer that each member may have at once.
+    is_paused
+        Whether the owner may read the answer to an order to leave late.
 
     """
 
@@ -159,6 +168,7 @@
     stalled_s: float = math.inf
     record: GroupRecord = RECORD
     late_orders: int = 1
+    is_paused: bool = False
 
     def key(self) -> tuple:
         """Return what decides on all further steps; times are ages."""
@@ -210,7 +220,9 @@
 
     def _member_steps(self, index: int) -> Iterator[tuple[str, 'World']]:
         member = self.members[index]
-        if member.queued:
+        if member.unread:
+            yield 'has its answer read', self._read(index)
+        elif member.queued:
             yield from self._deliveries(index)
         for word, after in _events(NAMES[index], member):
             yield word, self._with(index, after)
@@ -230,6 +242,9 @@
             return
         obeyed, outcome = rest.obey(kind)
         yield f'{kind} is answered', self._settled(index, obeyed, kind, outcome)
+        if self.is_paused and kind is OrderKind.LEAVE:
+            unread = replace(obeyed, unread=((kind, outcome, 0),))
+            yield f'{kind} waits to be read', self._with(index, unread)
         if kind is OrderKind.PROBE:
             return
         yield (
@@ -240,6 +255,12 @@
             late = replace(rest, late=(*rest.late, (kind, LATE_TICKS)))
             yield f'{kind} is late', self._settled(index, late, kind, none)
 
+    def _read(self, index: int) -> 'World':
+        """Read the answer that has waited for the owner."""
+        member = self.members[index]
+        kind, outcome, _ = member.unread[0]
+        return self._settled(index, replace(member, unread=()), kind, outcome)
+
     def _settled(
         self,
         index: int,
--- a/test/second_group_world.py
+++ b/test/second_group_world.py
@@ -9,7 +9,7 @@
 from pomelogauge.entry.messages import OrderKind, OrderOutcome
 from pomelogauge.model.fleet import TargetState
 
-from .group_world import NAMES, World, WorldMember, forming
+from .group_world import LATE_TICKS, NAMES, World, WorldMember, forming
 
 #: Orders without an answer that each member may have at once.
 LATE_ORDERS = 3
@@ -85,7 +85,7 @@
                 )
 
     def may_join_after_all(self) -> tuple[str, ...]:
-        """Return free targets that may still carry out the first join.
+        """Return free targets that have joined, or may still carry it out.
 
         Without those that have started again: no group opens with them.
         """
@@ -96,7 +96,10 @@
             for name, member in zip(NAMES, self.members, strict=False)
             if name in self.owned.left
             and member.incarnation == 1
-            and any(kind is OrderKind.JOIN for kind, _ in member.late)
+            and (
+                member.state is not None
+                or any(kind is OrderKind.JOIN for kind, _ in member.late)
+            )
         )
 
     def _held(self) -> frozenset[str]:
@@ -187,3 +190,14 @@
     ):
         world = dict(world.steps())[word]
     return world
+
+
+def paused() -> SecondGroupWorld:
+    """Return the same group just before the order to join is no longer late.
+
+    Its owner reads an answer late.
+    """
+    world = replace(given_up(), is_paused=True)
+    for _ in range(LATE_TICKS):
+        world = dict(world.steps())['time passes']
+    return world
--- a/test/test_second_group_walk.py
+++ b/test/test_second_group_walk.py
@@ -6,7 +6,12 @@
 from collections import deque
 
 from .group_world import LARGE_RECORD, forming, serving, stalling
-from .second_group_world import SecondGroupWorld, given_up, with_planner
+from .second_group_world import (
+    SecondGroupWorld,
+    given_up,
+    paused,
+    with_planner,
+)
 
 #: Steps from each start, one less for groups of three members; a longer walk
 #: by hand sets the variable.
@@ -59,6 +64,14 @@
         """
         self.walk(given_up())
 
+    def test_no_answer_that_is_read_late_frees_a_member(self) -> None:
+        """Guards against a member that joins after it has answered.
+
+        A paused owner read the answer to the order to leave only after the
+        time in which the order to join may be carried out.
+        """
+        self.walk(paused())
+
 
 if __name__ == '__main__':
     unittest.main()
