Count an answer to leave by when the order was sent

A paused owner took a target for free that had answered the order to leave before it carried out a late order to join.

Cause: the time of the answer was taken to be the time at which the owner read it, so that an answer from before the end of the time for late orders counted as one from after it.

Change: the outcome of an order tells when it was sent; the answer counts if that is after the time for late orders.

--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -385,10 +385,21 @@
 
 @dataclass(frozen=True)
 class OrderSettled:
-    """An order has its final outcome."""
+    """An order has its final outcome.
+
+    Parameters
+    ----------
+    order, outcome
+        The order and its outcome.
+    sent_s
+        Time of the local clock right before it was sent. The outcome may be
+        read much later.
+
+    """
 
     order: Order
     outcome: OrderOutcome
+    sent_s: float = float('-inf')
 
 
 @dataclass(frozen=True)
--- a/pomelogauge/entry/order_sender.py
+++ b/pomelogauge/entry/order_sender.py
@@ -110,6 +110,7 @@
     def on_message(self, message: Order) -> None:
         """Send an order, if that is still allowed, and post its outcome."""
         outcome = OrderOutcome.WITHHELD
+        sent_s = self._permit.clock.now_s()
         if self._permit.may_send(message):
             outcome = self._link.send(self._address, message)
         _log.info(
@@ -124,7 +125,7 @@
                 'model': message.model,
             },
         )
-        self._owner.post(OrderSettled(message, outcome))
+        self._owner.post(OrderSettled(message, outcome, sent_s))
 
     def on_timer(self) -> float | None:
         """Return ``None``: the task only waits for orders."""
--- a/pomelogauge/entry/owned_group.py
+++ b/pomelogauge/entry/owned_group.py
@@ -224,7 +224,7 @@
         if order.kind is not OrderKind.LEAVE:
             return OutcomeEffect(self)
         is_head = order.target == self.record.head.target
-        if not self._has_left(settled, now_s):
+        if not self._has_left(settled):
             silent = GroupEvent.HEAD_SILENT
             return OutcomeEffect(self, silent if is_head else None)
         _log.info(
@@ -273,16 +273,19 @@
             first_left_s=min(self.first_left_s, now_s),
         )
 
-    def _has_left(self, settled: OrderSettled, now_s: float) -> bool:
+    def _has_left(self, settled: OrderSettled) -> bool:
         """Return whether the outcome of an order to leave shows that.
 
         A target that has not carried out the order to join answers it as well,
-        and may join later.
+        and may join later, also before a paused owner reads the answer.
         """
         if settled.outcome is OrderOutcome.REPLACED:
             return True
         joins_late = self.may_join - self.reported
-        if settled.order.target in joins_late and now_s < self.may_join_until_s:
+        if (
+            settled.order.target in joins_late
+            and settled.sent_s < self.may_join_until_s
+        ):
             return False
         return settled.outcome in _LEFT_OUTCOMES
 
--- a/test/group_world.py
+++ b/test/group_world.py
@@ -258,8 +258,10 @@
     def _read(self, index: int) -> 'World':
         """Read the answer that has waited for the owner."""
         member = self.members[index]
-        kind, outcome, _ = member.unread[0]
-        return self._settled(index, replace(member, unread=()), kind, outcome)
+        kind, outcome, age = member.unread[0]
+        sent_s = self.now_s - age * TICK_S
+        read = replace(member, unread=())
+        return self._settled(index, read, kind, outcome, sent_s)
 
     def _settled(
         self,
@@ -267,6 +269,7 @@
         member: WorldMember,
         kind: OrderKind,
         outcome: OrderOutcome,
+        sent_s: float | None = None,
     ) -> 'World':
         after = self._with(index, member)
         if after.owned is None:
@@ -278,9 +281,10 @@
             self.record.group,
             self.record.epoch,
         )
-        effect = after.owned.after_outcome(
-            OrderSettled(order, outcome), after.now_s
+        settled = OrderSettled(
+            order, outcome, after.now_s if sent_s is None else sent_s
         )
+        effect = after.owned.after_outcome(settled, after.now_s)
         after = replace(after, owned=effect.group)
         return after._step(effect.event) if effect.event else after
 
--- a/test/owner_simulation.py
+++ b/test/owner_simulation.py
@@ -358,7 +358,7 @@
 
     def send(self, address: Address, order: Order, owner: Outbox) -> None:
         outcome = self.simulation.send(order)
-        settled = OrderSettled(order, outcome)
+        settled = OrderSettled(order, outcome, self.simulation.clock.now_s())
         self.simulation.pending_outcomes.append((owner, settled))
 
     def keep_only(self, names: frozenset[TargetName]) -> None:
--- a/test/second_group_world.py
+++ b/test/second_group_world.py
@@ -134,10 +134,11 @@
         member: PlannedMember,
         kind: OrderKind | SecondOrder,
         outcome: OrderOutcome,
+        sent_s: float | None = None,
     ) -> 'SecondGroupWorld':
         if kind is SecondOrder.JOIN:
             return self._with(index, member)
-        return super()._settled(index, member, kind, outcome)
+        return super()._settled(index, member, kind, outcome, sent_s)
 
     def _reread(self) -> 'SecondGroupWorld':
         """Start the group anew, unless this owner has released it."""
--- a/test/test_owned_group.py
+++ b/test/test_owned_group.py
@@ -190,6 +190,15 @@
             self.assertNotIn(name, step.group.reserved_members())
             self.assertIsNot(step.group.state, GroupState.OPENING, name)
 
+    def test_an_answer_from_before_a_late_join_frees_nobody(self) -> None:
+        """Guards against a paused owner that reads the answer afterwards."""
+        leaving = Order(OrderKind.LEAVE, LLM, TargetName('tail'), RECORD.group)
+        group = self.group(GroupState.STALLING, fleet()).with_late_orders(12)
+        for sent_s, held in ((11, ('head', 'tail')), (12, ('head',))):
+            settled = OrderSettled(leaving, OrderOutcome.REFUSED, sent_s)
+            after = group.after_outcome(settled, 13).group
+            self.assertEqual(after.reserved_members(), held)
+
     def test_a_stalling_group_waits_for_the_first_member_to_leave(self) -> None:
         group = self.group(GroupState.STALLING)
         again = self.step(group, fleet(target('tail')), 60)
