Ignore an answer to leave from before the member was listed

What callers saw: nothing yet; found by the walk over answers that are read late. A target that carried out a late order to join counted as free by its answer from before that.

Cause: a member that is listed in the group has carried out its order to join, so that its next answer to an order to leave counts. While the owner waits for the store, the list may show the join before the owner reads an answer from before it.

Change: the answer counts if the order was sent after the last member was first seen in the list.

--- a/pomelogauge/entry/owned_group.py
+++ b/pomelogauge/entry/owned_group.py
@@ -114,6 +114,8 @@
         ``may_join_until_s``.
     may_join_until_s
         Time until which they may carry it out.
+    reported_s
+        Time at which a member was last added to ``reported``.
 
     """
 
@@ -129,6 +131,7 @@
     may_open_until_s: float = -math.inf
     may_join: frozenset[TargetName] = frozenset()
     may_join_until_s: float = -math.inf
+    reported_s: float = -math.inf
 
     def with_late_orders(self, until_s: float) -> 'OwnedGroup':
         """Return the group where any order may be carried out until a time.
@@ -156,7 +159,7 @@
         group = (
             self
             if reported == self.reported
-            else replace(self, reported=reported)
+            else replace(self, reported=reported, reported_s=now_s)
         )
         restarted = restarted_members(self.record, fleet) - self.left
         for name in sorted(restarted):
@@ -281,11 +284,10 @@
         """
         if settled.outcome is OrderOutcome.REPLACED:
             return True
-        joins_late = self.may_join - self.reported
-        if (
-            settled.order.target in joins_late
-            and settled.sent_s < self.may_join_until_s
-        ):
+        name = settled.order.target
+        has_joined = name in self.reported
+        joined_s = self.reported_s if has_joined else self.may_join_until_s
+        if name in self.may_join and settled.sent_s <= joined_s:
             return False
         return settled.outcome in _LEFT_OUTCOMES
 
--- a/test/group_world.py
+++ b/test/group_world.py
@@ -185,6 +185,7 @@
             self._age_s(owned.may_open_until_s),
             owned.may_join,
             self._age_s(owned.may_join_until_s),
+            self._age_s(owned.reported_s),
             self.members,
             self._age_s(self.stalled_s),
         )
--- a/test/test_owned_group.py
+++ b/test/test_owned_group.py
@@ -194,11 +194,25 @@
         """Guards against a paused owner that reads the answer afterwards."""
         leaving = Order(OrderKind.LEAVE, LLM, TargetName('tail'), RECORD.group)
         group = self.group(GroupState.STALLING, fleet()).with_late_orders(12)
-        for sent_s, held in ((11, ('head', 'tail')), (12, ('head',))):
+        for sent_s, held in ((12, ('head', 'tail')), (13, ('head',))):
             settled = OrderSettled(leaving, OrderOutcome.REFUSED, sent_s)
             after = group.after_outcome(settled, 13).group
             self.assertEqual(after.reserved_members(), held)
 
+    def test_an_answer_from_before_a_report_frees_nobody(self) -> None:
+        """Guards against a join between the answer and its reading.
+
+        The list showed the late join to an owner that had waited for the
+        store, before it read the answer.
+        """
+        leaving = Order(OrderKind.LEAVE, LLM, TargetName('tail'), RECORD.group)
+        group = self.group(GroupState.STALLING, fleet()).with_late_orders(12)
+        group = group.with_reports(READY, 3)
+        for sent_s, held in ((3, ('head', 'tail')), (4, ('head',))):
+            settled = OrderSettled(leaving, OrderOutcome.TAKEN, sent_s)
+            after = group.after_outcome(settled, 4).group
+            self.assertEqual(after.reserved_members(), held)
+
     def test_a_stalling_group_waits_for_the_first_member_to_leave(self) -> None:
         group = self.group(GroupState.STALLING)
         again = self.step(group, fleet(target('tail')), 60)
