Walk over late orders that outlive a restart

Cause: in the walks over groups the orders on the way to a target were lost with its process, and no other target ever listened at its address. The platform clears what a target knows at a restart, but not what is on the way to it.

Change: orders on the way reach the next start, which knows no epoch of before; an order to a target that has ended may be answered by another one. The check of free targets leaves out those that have ended.

--- a/test/group_world.py
+++ b/test/group_world.py
@@ -108,6 +108,13 @@
         """Return whether it is a head that takes or ends requests."""
         return self.runs and self.state in SERVES
 
+    def crash(self) -> 'WorldMember':
+        """Return it after its process has ended.
+
+        An order on the way may reach the next process at its address.
+        """
+        return replace(self, runs=False, state=None)
+
     def queue(self, kind: OrderKind) -> 'WorldMember':
         """Queue an order, unless the last one is the same."""
         if self.queued[-1:] == (kind,):
@@ -240,6 +247,12 @@
         if member.path is Path.REFUSED or not (member.runs and member.listens):
             closed = OrderOutcome.CLOSED
             yield f'{kind} is refused', self._settled(index, rest, kind, closed)
+            if member.path is Path.CLEAR and not member.runs:
+                other = OrderOutcome.REPLACED
+                yield (
+                    f'{kind} reaches another target',
+                    self._settled(index, rest, kind, other),
+                )
             return
         obeyed, outcome = rest.obey(kind)
         yield f'{kind} is answered', self._settled(index, obeyed, kind, outcome)
@@ -394,7 +407,7 @@
         others = member.late[:index] + member.late[index + 1 :]
         obeyed, _ = replace(member, late=others).obey(kind)
         yield f'carries out {kind} late', obeyed
-    yield 'crashes', replace(member, runs=False, state=None, late=())
+    yield 'crashes', member.crash()
     if not member.drains:
         yield 'drains', replace(member, drains=True)
     elif member.listens:
--- a/test/second_group_world.py
+++ b/test/second_group_world.py
@@ -41,6 +41,10 @@
     is_planned: bool = False
     is_elsewhere: bool = False
 
+    def crash(self) -> 'PlannedMember':
+        """Return it after its process has ended; the next one knows nothing."""
+        return replace(super().crash(), is_elsewhere=False)
+
     def obey(
         self, kind: OrderKind | SecondOrder
     ) -> tuple['PlannedMember', OrderOutcome]:
@@ -87,7 +91,7 @@
     def may_join_after_all(self) -> tuple[str, ...]:
         """Return free targets that have joined, or may still carry it out.
 
-        Without those that have started again: no group opens with them.
+        Without those that have ended: no group opens with a later start.
         """
         if self.owned is None:
             return ()
@@ -95,6 +99,7 @@
             name
             for name, member in zip(NAMES, self.members, strict=False)
             if name in self.owned.left
+            and member.runs
             and member.incarnation == 1
             and (
                 member.state is not None
