Walk over orders that take time

Cause: in the walks over groups a member was ready, and a head open or closed, at the moment of its answer. The platform answers first; a member then loads, a head forms and one that closes ends its work. No walk came to the end of the time after which a head that opens late has broken either.

Change: orders may be begun and finished later, in five new starts: loads, a head that opens, one that opens at the last moment, and one that closes, with and without a planner.

Without the time to form in the time-out of stalling groups the start at the last moment fails after three steps.

--- a/test/group_world.py
+++ b/test/group_world.py
@@ -4,9 +4,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import Enum, auto
+from functools import cache
 
 from pomelogauge.decide.group_chart import GroupAction, GroupEvent, GroupState
-from pomelogauge.decide.group_timeouts import state_timeouts
+from pomelogauge.decide.group_timeouts import StateTimeouts, state_timeouts
 from pomelogauge.entry.messages import (
     Order,
     OrderKind,
@@ -42,7 +43,12 @@
 NAMES = ('head', 'tail', 'last')
 RECORD = record('g', list(NAMES[:2]), SMALL)
 LARGE_RECORD = record('g', list(NAMES), SMALL)
+#: Steps of time within which a head opens where orders take time.
+FORMING_TICKS = 3
 TIMEOUTS = state_timeouts(RECORD, ENGINE, STALL_S)
+SLOW_TIMEOUTS = state_timeouts(
+    RECORD, replace(ENGINE, formation_s=FORMING_TICKS * TICK_S), STALL_S
+)
 SERVES = frozenset((MembershipState.OPEN, MembershipState.CLOSING))
 
 
@@ -68,6 +74,8 @@
         State of its membership of the group; ``None`` for none.
     incarnation
         Number of its start.
+    forms
+        Steps of time within which it opens; zero if it does not.
     runs, listens, drains
         Whether its process runs, takes connections and is about to end.
     path
@@ -87,6 +95,7 @@
 
     state: MembershipState | None = None
     incarnation: int = 1
+    forms: int = 0
     runs: bool = True
     listens: bool = True
     drains: bool = False
@@ -102,7 +111,9 @@
         unread = tuple(
             (kind, outcome, age + 1) for kind, outcome, age in self.unread
         )
-        return replace(self, late=late, unread=unread)
+        grown = self.finish() if self.forms == 1 else self
+        forms = max(grown.forms - 1, 0)
+        return replace(grown, forms=forms, late=late, unread=unread)
 
     def serves(self) -> bool:
         """Return whether it is a head that takes or ends requests."""
@@ -113,7 +124,7 @@
 
         An order on the way may reach the next process at its address.
         """
-        return replace(self, runs=False, state=None)
+        return replace(self, runs=False, state=None, forms=0)
 
     def queue(self, kind: OrderKind) -> 'WorldMember':
         """Queue an order, unless the last one is the same."""
@@ -125,15 +136,16 @@
         """Carry out an order as a target does."""
         match kind:
             case OrderKind.JOIN:
-                ready = replace(self, state=MembershipState.READY)
+                ready = replace(self, state=MembershipState.READY, forms=0)
                 return ready, OrderOutcome.TAKEN
             case OrderKind.LEAVE if self.state is not None:
-                return replace(self, state=None), OrderOutcome.TAKEN
+                left = replace(self, state=None, forms=0)
+                return left, OrderOutcome.TAKEN
             case OrderKind.OPEN if self.state in {
                 MembershipState.READY,
                 *SERVES,
             }:
-                opened = replace(self, state=MembershipState.OPEN)
+                opened = replace(self, state=MembershipState.OPEN, forms=0)
                 return opened, OrderOutcome.TAKEN
             case OrderKind.CLOSE if self.state in SERVES:
                 closed = replace(self, state=MembershipState.READY)
@@ -145,6 +157,26 @@
                 return self, OrderOutcome.TAKEN
         return self, OrderOutcome.REFUSED
 
+    def begin(self, kind: OrderKind) -> 'WorldMember':
+        """Carry out an order that takes time, up to its end."""
+        obeyed, _ = self.obey(kind)
+        match kind:
+            case OrderKind.JOIN if obeyed.state is MembershipState.READY:
+                return replace(obeyed, state=MembershipState.JOINING)
+            case OrderKind.OPEN if self.state is MembershipState.READY:
+                return replace(self, forms=self.forms or FORMING_TICKS)
+            case OrderKind.CLOSE if self.state is MembershipState.OPEN:
+                return replace(self, state=MembershipState.CLOSING)
+        return obeyed
+
+    def finish(self) -> 'WorldMember':
+        """End what it has begun."""
+        if self.forms:
+            return replace(self, state=MembershipState.OPEN, forms=0)
+        if self.state in {MembershipState.JOINING, MembershipState.CLOSING}:
+            return replace(self, state=MembershipState.READY)
+        return self
+
 
 @dataclass(frozen=True)
 class World:
@@ -166,6 +198,8 @@
         Orders without an answer that each member may have at once.
     is_paused
         Whether the owner may read the answer to an order to leave late.
+    is_slow
+        Whether orders may take time after they were answered.
 
     """
 
@@ -176,6 +210,7 @@
     record: GroupRecord = RECORD
     late_orders: int = 1
     is_paused: bool = False
+    is_slow: bool = False
 
     def key(self) -> tuple:
         """Return what decides on all further steps; times are ages."""
@@ -232,8 +267,10 @@
             yield 'has its answer read', self._read(index)
         elif member.queued:
             yield from self._deliveries(index)
-        for word, after in _events(NAMES[index], member):
+        for word, after in _events(NAMES[index], member, self.is_slow):
             yield word, self._with(index, after)
+        if member.finish() != member:
+            yield 'finishes', self._with(index, member.finish())
 
     def _deliveries(self, index: int) -> Iterator[tuple[str, 'World']]:
         """Send the next order; it may be late, or its answer lost."""
@@ -256,6 +293,9 @@
             return
         obeyed, outcome = rest.obey(kind)
         yield f'{kind} is answered', self._settled(index, obeyed, kind, outcome)
+        begun = rest.begin(kind) if self.is_slow else obeyed
+        if begun != obeyed:
+            yield f'{kind} is begun', self._settled(index, begun, kind, outcome)
         if self.is_paused and kind is OrderKind.LEAVE:
             unread = replace(obeyed, unread=((kind, outcome, 0),))
             yield f'{kind} waits to be read', self._with(index, unread)
@@ -335,17 +375,16 @@
 
     def _reread(self) -> 'World':
         """Start the group anew from its record; orders are still sent."""
-        owned = adopted(self.now_s, self.record).with_late_orders(
-            self.now_s + LATE_ORDER_S
-        )
-        return replace(self, owned=owned)
+        owned = adopted(self.now_s, self.record, self.owned.timeouts)
+        late_s = self.now_s + LATE_ORDER_S
+        return replace(self, owned=owned.with_late_orders(late_s))
 
     def _tick(self) -> 'World':
         now_s = self.now_s + TICK_S
         members = tuple(member.age() for member in self.members)
         after = replace(self, now_s=now_s, members=members)
         if now_s - self.stalled_s < STALL_S:
-            return after
+            return after._settle()
         broken = replace(members[0], state=MembershipState.BROKEN)
         return after._with(0, broken)._settle()
 
@@ -376,7 +415,7 @@
 
 
 def _events(
-    name: str, member: WorldMember
+    name: str, member: WorldMember, is_slow: bool
 ) -> Iterator[tuple[str, WorldMember]]:
     """Yield what may happen to a member without the owner."""
     for path in Path:
@@ -386,7 +425,7 @@
     if member.listed is not None:
         yield 'lapses', replace(member, listed=None)
     if member.runs:
-        yield from _own_events(name, member)
+        yield from _own_events(name, member, is_slow)
     elif member.incarnation == 1:
         yield (
             'starts again',
@@ -397,7 +436,7 @@
 
 
 def _own_events(
-    name: str, member: WorldMember
+    name: str, member: WorldMember, is_slow: bool
 ) -> Iterator[tuple[str, WorldMember]]:
     """Yield what a process that runs may do."""
     row = _row(name, member)
@@ -405,8 +444,12 @@
         yield 'reports', replace(member, listed=row)
     for index, (kind, _) in enumerate(member.late):
         others = member.late[:index] + member.late[index + 1 :]
-        obeyed, _ = replace(member, late=others).obey(kind)
+        alone = replace(member, late=others)
+        obeyed, _ = alone.obey(kind)
         yield f'carries out {kind} late', obeyed
+        begun = alone.begin(kind)
+        if is_slow and begun != obeyed:
+            yield f'begins {kind} late', begun
     yield 'crashes', member.crash()
     if not member.drains:
         yield 'drains', replace(member, drains=True)
@@ -415,21 +458,38 @@
 
 
 def _row(name: str, member: WorldMember) -> Target:
+    return _report(name, member.state, member.incarnation, member.drains)
+
+
+@cache
+def _report(
+    name: str, state: MembershipState | None, incarnation: int, drains: bool
+) -> Target:
     reported = None
-    if member.state is not None:
-        reported = membership('g', NAMES.index(name), member.state)
+    if state is not None:
+        reported = membership('g', NAMES.index(name), state)
     return target(
         name,
-        started_at_ms=member.incarnation,
+        started_at_ms=incarnation,
         staged=(SMALL,),
         membership=reported,
-        state=TargetState.DRAINING if member.drains else TargetState.READY,
+        state=TargetState.DRAINING if drains else TargetState.READY,
     )
 
 
-def adopted(now_s: float, group: GroupRecord = RECORD) -> OwnedGroup:
+def adopted(
+    now_s: float,
+    group: GroupRecord = RECORD,
+    timeouts: StateTimeouts = TIMEOUTS,
+) -> OwnedGroup:
     """Return the group as an owner tracks it that has read its record."""
-    return OwnedGroup(group, TIMEOUTS, GroupState.JOINING, now_s, now_s)
+    return OwnedGroup(group, timeouts, GroupState.JOINING, now_s, now_s)
+
+
+def slow(world: World) -> World:
+    """Return a world where orders may take time after they were answered."""
+    owned = replace(world.owned, timeouts=SLOW_TIMEOUTS)
+    return replace(world, owned=owned, is_slow=True)
 
 
 def forming(group: GroupRecord = RECORD) -> World:
@@ -482,3 +542,37 @@
     ):
         world = dict(world.steps())[word]
     return world
+
+
+def opening_late() -> World:
+    """Return the same group whose head opens at the last moment."""
+    world = slow(stalling())
+    for word in (
+        *('time passes',) * LATE_TICKS,
+        'head begins open late',
+        *('time passes',) * (FORMING_TICKS - 1),
+    ):
+        world = dict(world.steps())[word]
+    return world
+
+
+def joined() -> World:
+    """Return a group whose head was ordered to open; orders take time."""
+    world = slow(forming())
+    for word in (
+        'head join is answered',
+        'tail join is answered',
+        'head reports',
+        'tail reports',
+        'the owner acts',
+    ):
+        world = dict(world.steps())[word]
+    return world
+
+
+def closing() -> World:
+    """Return a serving group with a member that drains; orders take time."""
+    world = slow(serving())
+    for word in ('tail drains', 'tail reports', 'the owner acts'):
+        world = dict(world.steps())[word]
+    return world
--- a/test/second_group_world.py
+++ b/test/second_group_world.py
@@ -45,12 +45,18 @@
         """Return it after its process has ended; the next one knows nothing."""
         return replace(super().crash(), is_elsewhere=False)
 
+    def begin(self, kind: OrderKind | SecondOrder) -> 'PlannedMember':
+        """Carry out an order that takes time; a join moves it at once."""
+        if kind is SecondOrder.JOIN:
+            return self.obey(kind)[0]
+        return super().begin(kind)
+
     def obey(
         self, kind: OrderKind | SecondOrder
     ) -> tuple['PlannedMember', OrderOutcome]:
         """Carry out an order as a target does."""
         if kind is SecondOrder.JOIN:
-            joined = replace(self, state=None, is_elsewhere=True)
+            joined = replace(self, state=None, forms=0, is_elsewhere=True)
             return joined, OrderOutcome.TAKEN
         if kind is OrderKind.JOIN and self.is_elsewhere:
             return self, OrderOutcome.REFUSED
@@ -168,6 +174,7 @@
         stalled_s=world.stalled_s,
         record=world.record,
         late_orders=LATE_ORDERS,
+        is_slow=world.is_slow,
     )
 
 
--- a/test/test_group_walk.py
+++ b/test/test_group_walk.py
@@ -5,7 +5,14 @@
 import unittest
 from collections import deque
 
-from .group_world import World, forming, serving, stalling
+from .group_world import (
+    World,
+    closing,
+    forming,
+    opening_late,
+    serving,
+    stalling,
+)
 
 #: Steps from each start; a longer walk by hand sets the variable.
 DEPTH = int(os.environ.get('POMELOGAUGE_WALK_DEPTH', '6'))
@@ -24,9 +31,9 @@
             world, path = worlds.popleft()
             self.assertEqual(world.wrongly_free(), (), '; '.join(path))
             for word, after in world.steps() if len(path) < DEPTH else ():
-                key = after.key()
-                if key not in seen:
-                    seen.add(key)
+                known = len(seen)
+                seen.add(after.key())
+                if len(seen) > known:
                     worlds.append((after, (*path, word)))
         print(f'states of a {start.owned.state} group visited: {len(seen)}')
 
@@ -50,6 +57,14 @@
         """
         self.walk(stalling())
 
+    def test_no_head_that_opens_at_the_last_moment_is_free(self) -> None:
+        """Guards the same up to the time at which the head has broken."""
+        self.walk(opening_late())
+
+    def test_no_member_of_a_head_that_closes_is_free(self) -> None:
+        """Guards the same while the head ends its work."""
+        self.walk(closing())
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/test/test_second_group_walk.py
+++ b/test/test_second_group_walk.py
@@ -5,7 +5,15 @@
 import unittest
 from collections import deque
 
-from .group_world import LARGE_RECORD, forming, serving, stalling
+from .group_world import (
+    LARGE_RECORD,
+    closing,
+    forming,
+    joined,
+    serving,
+    slow,
+    stalling,
+)
 from .second_group_world import (
     SecondGroupWorld,
     given_up,
@@ -33,9 +41,9 @@
             self.assertEqual(world.doubled, (), '; '.join(path))
             self.assertEqual(world.may_join_after_all(), (), '; '.join(path))
             for word, after in world.steps() if len(path) < depth else ():
-                key = after.key()
-                if key not in seen:
-                    seen.add(key)
+                known = len(seen)
+                seen.add(after.key())
+                if len(seen) > known:
                     worlds.append((after, (*path, word)))
         print(
             f'states of a {start.owned.state} group of {len(start.members)}'
@@ -64,6 +72,18 @@
         """
         self.walk(given_up())
 
+    def test_no_member_joins_another_while_the_head_opens(self) -> None:
+        """Guards against a head that opens some time after its answer."""
+        self.walk(with_planner(joined()))
+
+    def test_no_member_joins_another_while_the_head_closes(self) -> None:
+        """Guards against a head that ends its work first."""
+        self.walk(with_planner(closing()))
+
+    def test_no_member_that_loads_joins_another(self) -> None:
+        """Guards the same from the first order on, with loads."""
+        self.walk(with_planner(slow(forming())))
+
     def test_no_answer_that_is_read_late_frees_a_member(self) -> None:
         """Guards against a member that joins after it has answered.
 
