Test a head without a readable record that opens late

Cause: targets that list themselves under a head that serves are held whatever the records say. A head that is ready and may still carry out an order to open does not serve yet, so that its members look free where the record of their group can not be decoded.

--- a/test/test_owner.py
+++ b/test/test_owner.py
@@ -171,6 +171,40 @@
         self.assertEqual(simulation.violations, [])
         self.assertEqual(simulation.groups_open(), 2)
 
+    def test_members_of_a_head_that_may_open_are_held(self) -> None:
+        """Guards against a second group of targets whose head opens late.
+
+        The record of their group can't be decoded, and the next owner plans
+        them before the order to open of the first one is carried out.
+        """
+        simulation = Simulation(0)
+        first_owner = simulation.owners[0]
+        late_s = {OrderKind.OPEN: 6.0, OrderKind.JOIN: 8.0}
+        late: list[Order] = []
+
+        def send(order: Order) -> OrderOutcome:
+            sim = simulation.targets[order.target]
+            is_first = simulation.owners[0] is first_owner
+            is_late = order.kind is (
+                OrderKind.OPEN if is_first else OrderKind.JOIN
+            )
+            if not is_late or sim.name not in {'t4', 't5'}:
+                return simulation.carry_out(sim, order)
+            due_s = simulation.clock.at_s + late_s[order.kind]
+            sim.delayed_orders.append((due_s, order))
+            late.append(order)
+            return OrderOutcome.NO_ANSWER
+
+        simulation.send = send
+        while not late:
+            simulation.step()
+        group = late[0].group
+        self.assertEqual(late[0].target, 't4')
+        simulation.store.put(Table.GROUPS, group, b'{}')
+        simulation.owners = [simulation.owner('n9')]
+        self.run_for(simulation, 20)
+        self.assertEqual(simulation.violations, [])
+
     def test_no_target_behind_a_refusing_path_joins_a_second_group(
         self,
     ) -> None:
