Hold listed members while a record can not be read

Cause: where the record of a group can not be decoded, its members were held only once their head listed itself as serving. A head that has not answered the order to open serves up to 12 s and the time to form later, and its row may lapse before.

Change: after a read that leaves out a record, targets that list themselves in a group that is not broken are held for that time.

--- a/pomelogauge/decide/group_observation.py
+++ b/pomelogauge/decide/group_observation.py
@@ -149,6 +149,15 @@
     )
 
 
+def listed_members(fleet: Fleet) -> frozenset[TargetName]:
+    """Return the targets that list themselves in a group that isn't broken."""
+    return frozenset(
+        target.name
+        for target in fleet.targets.values()
+        if target.membership is not None and not _is_broken(target.membership)
+    )
+
+
 def restarted_members(
     record: GroupRecord, fleet: Fleet
 ) -> frozenset[TargetName]:
--- a/pomelogauge/entry/group_ledger.py
+++ b/pomelogauge/entry/group_ledger.py
@@ -49,6 +49,8 @@
         #: A write may or may not have been applied, so the records must be
         #: read again.
         self.must_reread = False
+        #: The last read left out a record that could not be decoded.
+        self.has_unreadable = False
 
     def read(self) -> tuple[GroupRecord, ...] | None:
         """Return all records; ``None`` if the store does not answer.
@@ -62,12 +64,14 @@
             )
             return None
         self.must_reread = False
+        self.has_unreadable = False
         records: list[GroupRecord] = []
         for row in answer.unwrap().rows:
             if row.body is None:
                 continue
             decoded = self._rows.group(row.key, row.body, row.version)
             if isinstance(decoded, Failure):
+                self.has_unreadable = True
                 _log.error(
                     'the record of a group is malformed and not used: %s',
                     decoded.failure(),
--- a/pomelogauge/entry/group_planner.py
+++ b/pomelogauge/entry/group_planner.py
@@ -3,8 +3,12 @@
 from collections.abc import Iterable, Sequence
 
 from ..decide.group_chart import LIVE_STATES
-from ..decide.group_observation import members_of_serving_groups
+from ..decide.group_observation import (
+    listed_members,
+    members_of_serving_groups,
+)
 from ..decide.group_plan import ActiveGroup, Plan, PlanInputs, plan_groups
+from ..decide.group_timeouts import MEMBER_REPORT_S
 from ..decide.load_budget import LoadBudget
 from ..decide.startup_grace import StartupGrace
 from ..model.fleet import Fleet
@@ -36,6 +40,14 @@
         self._orders = orders
         self._startup_grace = startup_grace
         self._loads = LoadBudget()
+        self._may_open_until_s = float('-inf')
+
+    def expect_openings(self, until_s: float) -> None:
+        """Expect heads without a record to carry out orders to open.
+
+        A former owner has sent them, and the records can't be read.
+        """
+        self._may_open_until_s = until_s
 
     def plan(
         self,
@@ -83,13 +95,15 @@
         now_s: float,
     ) -> PlanInputs:
         is_startup_grace = self._startup_grace.is_active(now_s)
+        taken = members_of_serving_groups(fleet)
+        opening_s = engine.formation_s + MEMBER_REPORT_S
+        if now_s <= self._may_open_until_s + opening_s:
+            taken |= listed_members(fleet)
         loads_left = self._loads.remaining(engine.loads_per_s, now_s)
         return PlanInputs(
             fleet=fleet,
             active_groups=tuple(_active_groups_of(fleet, groups)),
-            taken=members_of_serving_groups(fleet).union(
-                *(group.reserved_members() for group in groups)
-            ),
+            taken=taken.union(*(group.reserved_members() for group in groups)),
             suspects=self._orders.quarantined(now_s),
             staging=self._orders.staging(fleet),
             loads_left=float('inf') if is_startup_grace else loads_left,
--- a/pomelogauge/entry/owner.py
+++ b/pomelogauge/entry/owner.py
@@ -201,6 +201,8 @@
         if records is None:
             return
         until_s = self._parts.clock.now_s() + LATE_ORDER_S
+        if self._parts.ledger.has_unreadable:
+            self._parts.planner.expect_openings(until_s)
         recorded = {record.group for record in records}
         self._groups = {
             name: group
--- a/test/second_group_world.py
+++ b/test/second_group_world.py
@@ -1,15 +1,28 @@
 """A group, its members and a planner that joins each free one elsewhere."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import Enum
 
 from pomelogauge.decide.group_chart import GroupState
-from pomelogauge.decide.group_observation import members_of_serving_groups
+from pomelogauge.decide.group_observation import (
+    listed_members,
+    members_of_serving_groups,
+)
 from pomelogauge.entry.messages import OrderKind, OrderOutcome
+from pomelogauge.entry.owned_group import LATE_ORDER_S
 from pomelogauge.model.fleet import TargetState
 
-from .group_world import LATE_TICKS, NAMES, World, WorldMember, forming
+from .group_world import (
+    LATE_TICKS,
+    NAMES,
+    SLOW_TIMEOUTS,
+    World,
+    WorldMember,
+    forming,
+    joined,
+)
 
 #: Orders without an answer that each member may have at once.
 LATE_ORDERS = 3
@@ -72,14 +85,21 @@
     doubled
         Targets that took the join of the second group while the head of the
         first one served.
+    may_open_until_s
+        Time until which a head without a readable record may open.
 
     """
 
     doubled: tuple[str, ...] = ()
+    may_open_until_s: float = -math.inf
 
     def key(self) -> tuple:
         """Return what decides on all further steps, and what went wrong."""
-        return (super().key(), self.doubled)
+        return (
+            super().key(),
+            self.doubled,
+            self._age_s(self.may_open_until_s),
+        )
 
     def steps(self) -> Iterator[tuple[str, 'SecondGroupWorld']]:
         """Yield each possible next step and the world after it."""
@@ -115,7 +135,10 @@
 
     def _held(self) -> frozenset[str]:
         reserved = self.owned.reserved_members() if self.owned else ()
-        return members_of_serving_groups(self.fleet()).union(reserved)
+        held = members_of_serving_groups(self.fleet()).union(reserved)
+        if self.now_s <= self.may_open_until_s:
+            return held | listed_members(self.fleet())
+        return held
 
     def _is_usable(self, member: PlannedMember) -> bool:
         return (
@@ -214,3 +237,13 @@
     for _ in range(LATE_TICKS):
         world = dict(world.steps())['time passes']
     return world
+
+
+def unreadable() -> SecondGroupWorld:
+    """Return a group whose record its new owner can't read.
+
+    Its head has not answered the order to open.
+    """
+    world = dict(with_planner(joined()).steps())['head open is late']
+    until_s = world.now_s + LATE_ORDER_S + SLOW_TIMEOUTS.opening_s
+    return replace(world, owned=None, may_open_until_s=until_s)
--- a/test/test_second_group_walk.py
+++ b/test/test_second_group_walk.py
@@ -18,6 +18,7 @@
     SecondGroupWorld,
     given_up,
     paused,
+    unreadable,
     with_planner,
 )
 
@@ -26,6 +27,10 @@
 DEPTH = int(os.environ.get('POMELOGAUGE_SECOND_GROUP_DEPTH', '5'))
 
 
+def _name(start: SecondGroupWorld) -> str:
+    return start.owned.state if start.owned else 'unrecorded'
+
+
 class SecondGroupWalkTest(unittest.TestCase):
     def setUp(self) -> None:
         logging.disable(logging.CRITICAL)
@@ -46,7 +51,7 @@
                 if len(seen) > known:
                     worlds.append((after, (*path, word)))
         print(
-            f'states of a {start.owned.state} group of {len(start.members)}'
+            f'states of a {_name(start)} group of {len(start.members)}'
             f' with a planner visited: {len(seen)}'
         )
 
@@ -84,6 +89,10 @@
         """Guards the same from the first order on, with loads."""
         self.walk(with_planner(slow(forming())))
 
+    def test_no_member_without_a_readable_record_joins_another(self) -> None:
+        """Guards against a head that opens after its record is lost."""
+        self.walk(unreadable())
+
     def test_no_answer_that_is_read_late_frees_a_member(self) -> None:
         """Guards against a member that joins after it has answered.
 
