--- a/test/second_group_world.py
+++ b/test/second_group_world.py
@@ -1,15 +1,28 @@
 """A group, its members and a planner that joins each free one elsewhere."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import Enum
 
 from pomelogauge.decide.group_chart import GroupState
-from pomelogauge.decide.group_observation import members_of_serving_groups
+from pomelogauge.decide.group_observation import (
+    listed_members,
+    members_of_serving_groups,
+)
 from pomelogauge.entry.messages import OrderKind, OrderOutcome
+from pomelogauge.entry.owned_group import LATE_ORDER_S
 from pomelogauge.model.fleet import TargetState
 
-from .group_world import NAMES, World, WorldMember, forming
+from .group_world import (
+    LATE_TICKS,
+    NAMES,
+    SLOW_TIMEOUTS,
+    World,
+    WorldMember,
+    forming,
+    joined,
+)
 
 #: Orders without an answer that each member may have at once.
 LATE_ORDERS = 3
@@ -41,12 +54,22 @@
     is_planned: bool = False
     is_elsewhere: bool = False
 
+    def crash(self) -> 'PlannedMember':
+        """Return it after its process has ended; the next one knows nothing."""
+        return replace(super().crash(), is_elsewhere=False)
+
+    def begin(self, kind: OrderKind | SecondOrder) -> 'PlannedMember':
+        """Carry out an order that takes time; a join moves it at once."""
+        if kind is SecondOrder.JOIN:
+            return self.obey(kind)[0]
+        return super().begin(kind)
+
     def obey(
         self, kind: OrderKind | SecondOrder
     ) -> tuple['PlannedMember', OrderOutcome]:
         """Carry out an order as a target does."""
         if kind is SecondOrder.JOIN:
-            joined = replace(self, state=None, is_elsewhere=True)
+            joined = replace(self, state=None, forms=0, is_elsewhere=True)
             return joined, OrderOutcome.TAKEN
         if kind is OrderKind.JOIN and self.is_elsewhere:
             return self, OrderOutcome.REFUSED
@@ -62,14 +85,21 @@
     doubled
         Targets that took the join of the second group while the head of the
         first one served.
+    may_open_until_s
+        Time until which a head without a readable record may open.
 
     """
 
     doubled: tuple[str, ...] = ()
+    may_open_until_s: float = -math.inf
 
     def key(self) -> tuple:
         """Return what decides on all further steps, and what went wrong."""
-        return (super().key(), self.doubled)
+        return (
+            super().key(),
+            self.doubled,
+            self._age_s(self.may_open_until_s),
+        )
 
     def steps(self) -> Iterator[tuple[str, 'SecondGroupWorld']]:
         """Yield each possible next step and the world after it."""
@@ -85,9 +115,9 @@
                 )
 
     def may_join_after_all(self) -> tuple[str, ...]:
-        """Return free targets that may still carry out the first join.
+        """Return free targets that have joined, or may still carry it out.
 
-        Without those that have started again: no group opens with them.
+        Without those that have ended: no group opens with a later start.
         """
         if self.owned is None:
             return ()
@@ -95,13 +125,20 @@
             name
             for name, member in zip(NAMES, self.members, strict=False)
             if name in self.owned.left
+            and member.runs
             and member.incarnation == 1
-            and any(kind is OrderKind.JOIN for kind, _ in member.late)
+            and (
+                member.state is not None
+                or any(kind is OrderKind.JOIN for kind, _ in member.late)
+            )
         )
 
     def _held(self) -> frozenset[str]:
         reserved = self.owned.reserved_members() if self.owned else ()
-        return members_of_serving_groups(self.fleet()).union(reserved)
+        held = members_of_serving_groups(self.fleet()).union(reserved)
+        if self.now_s <= self.may_open_until_s:
+            return held | listed_members(self.fleet())
+        return held
 
     def _is_usable(self, member: PlannedMember) -> bool:
         return (
@@ -131,10 +168,11 @@
         member: PlannedMember,
         kind: OrderKind | SecondOrder,
         outcome: OrderOutcome,
+        sent_s: float | None = None,
     ) -> 'SecondGroupWorld':
         if kind is SecondOrder.JOIN:
             return self._with(index, member)
-        return super()._settled(index, member, kind, outcome)
+        return super()._settled(index, member, kind, outcome, sent_s)
 
     def _reread(self) -> 'SecondGroupWorld':
         """Start the group anew, unless this owner has released it."""
@@ -159,6 +197,7 @@
         stalled_s=world.stalled_s,
         record=world.record,
         late_orders=LATE_ORDERS,
+        is_slow=world.is_slow,
     )
 
 
@@ -187,3 +226,24 @@
     ):
         world = dict(world.steps())[word]
     return world
+
+
+def paused() -> SecondGroupWorld:
+    """Return the same group just before the order to join is no longer late.
+
+    Its owner reads an answer late.
+    """
+    world = replace(given_up(), is_paused=True)
+    for _ in range(LATE_TICKS):
+        world = dict(world.steps())['time passes']
+    return world
+
+
+def unreadable() -> SecondGroupWorld:
+    """Return a group whose record its new owner can't read.
+
+    Its head has not answered the order to open.
+    """
+    world = dict(with_planner(joined()).steps())['head open is late']
+    until_s = world.now_s + LATE_ORDER_S + SLOW_TIMEOUTS.opening_s
+    return replace(world, owned=None, may_open_until_s=until_s)
