--- a/test/test_owner.py
+++ b/test/test_owner.py
@@ -26,6 +26,20 @@
 FAULT_PROBABILITY = 0.08
 
 
+class RecordedJoins:
+    """Records to which targets orders to join are sent from now on."""
+
+    def __init__(self, simulation: Simulation) -> None:
+        self.targets: list[str] = []
+        self._send = simulation.send
+        simulation.send = self.send
+
+    def send(self, order: Order) -> OrderOutcome:
+        if order.kind is OrderKind.JOIN:
+            self.targets.append(order.target)
+        return self._send(order)
+
+
 class OwnerTest(unittest.TestCase):
     def setUp(self) -> None:
         logging.disable(logging.CRITICAL)
@@ -53,6 +67,29 @@
         self.run_for(simulation, 10)
         self.assertEqual(simulation.groups_open(), 2)
 
+    def test_no_group_is_formed_with_a_target_that_missed_a_probe(self) -> None:
+        """Guards against groups that fail at once after each crash.
+
+        A crashed target is listed until its row expires.
+        """
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                simulation = Simulation(seed)
+                self.run_for(simulation, 5)
+                lost = next(
+                    sim
+                    for sim in simulation.targets.values()
+                    if sim.membership is not None and sim.membership.rank
+                )
+                head = simulation.targets[lost.members[0]]
+                joins = RecordedJoins(simulation)
+                lost.is_down = True
+                simulation.suspect(head)
+                self.run_for(simulation, 10)
+                self.assertNotIn(lost.name, joins.targets)
+                self.assertEqual(simulation.groups_open(), 2)
+                self.assertEqual(simulation.violations, [])
+
     def test_a_group_is_formed_again_after_two_losses_at_once(self) -> None:
         """Guards against a model that starves beside another after losses.
 
