Form no group with a target that missed a probe

Cause: the probes of a group's members show which one has crashed, but it is listed until its row lapses and was planned for the next group. Since the owner waits until the head that has left lists itself free; such a target ranks after those that list the model loaded, so that the crashed one became the head. Its group failed after 0.4 s, its members were ordered to leave 0.4 s later, and the record of the silent head stayed.

Change: a target that has not answered a probe is not planned for 4 s, like one that has not taken an order to join or to stage. No hold is shorter; one that answers a probe without a membership is planned as before.

--- a/pomelogauge/entry/group_orders.py
+++ b/pomelogauge/entry/group_orders.py
@@ -12,8 +12,8 @@
 from .owned_group import OwnedGroup
 
 #: Seconds for which no groups are planned with a target that has failed an
-#: order. An order without an answer may still be carried out up to twelve
-#: seconds later.
+#: order or missed a probe. An order without an answer may still be carried out
+#: up to twelve seconds later.
 QUARANTINE_S = 4.0
 #: Least seconds between two probes of the same target.
 PROBE_INTERVAL_S = 1.0
@@ -117,7 +117,11 @@
         )
 
     def record_outcome(self, settled: OrderSettled, now_s: float) -> None:
-        """Quarantine a target that did not accept to join or to stage."""
+        """Quarantine a target that can't be used for a group for now.
+
+        It did not accept to join or to stage, or did not answer a probe: a
+        target that has crashed is listed until its row lapses.
+        """
         order = settled.order
         if settled.outcome is OrderOutcome.TAKEN:
             return
@@ -125,7 +129,7 @@
             self._staging.pop(order.target, None)
         if settled.outcome is OrderOutcome.WITHHELD:
             return
-        if order.kind in {OrderKind.STAGE, OrderKind.JOIN}:
+        if _is_unusable(settled):
             self._quarantined_until_s[order.target] = now_s + QUARANTINE_S
 
     def quarantined(self, now_s: float) -> frozenset[TargetName]:
@@ -156,3 +160,13 @@
     def _post(self, member: Member, order: Order) -> None:
         if self._own is not None:
             self._senders.send(member.address, order, self._own)
+
+
+def _is_unusable(settled: OrderSettled) -> bool:
+    """Return whether an order that was not taken shows that of its target.
+
+    A target that refuses a probe has answered: it is no member any more.
+    """
+    if settled.order.kind is OrderKind.PROBE:
+        return settled.outcome is not OrderOutcome.REFUSED
+    return settled.order.kind in {OrderKind.STAGE, OrderKind.JOIN}
