Test a leaving target that lapses after a long while

A target that said that it leaves, stayed listed for over ten minutes and then lapsed from the list for a moment would be used again when it returned: the time for which the notice of an unlisted target is kept counts from the notice and not from the last time that the target was listed.

--- a/test/test_target_notices.py
+++ b/test/test_target_notices.py
@@ -70,6 +70,14 @@
         self.notices.forget_old({}, 10 + UNLISTED_NOTICE_S / 2)
         self.assertEqual(self.wait_s(10 + UNLISTED_NOTICE_S), math.inf)
 
+    def test_a_target_may_lapse_long_after_it_said_that_it_leaves(self) -> None:
+        """Guards against counting the time for which it was still listed."""
+        self.record(LEAVING, 10)
+        lapsed_s = 10 + 2 * UNLISTED_NOTICE_S
+        self.notices.forget_old({'t': target('t')}, lapsed_s)
+        self.notices.forget_old({}, lapsed_s + 1)
+        self.assertEqual(self.wait_s(lapsed_s + 2), math.inf)
+
     def test_the_notices_of_targets_that_are_gone_are_forgotten(self) -> None:
         self.record(LEAVING, 10)
         self.notices.forget_old({}, 11 + UNLISTED_NOTICE_S)
