Keep the notice of a target while it is listed

Callers were sent to a target that had said that it leaves, if it lapsed from the list more than ten minutes after its last notice and returned.

Cause: the ten minutes for which the notice of an unlisted target is kept counted from the notice, also for the time in which it was listed.

Change: they count from the last time that it answered or was listed.

--- a/pomelogauge/decide/target_notices.py
+++ b/pomelogauge/decide/target_notices.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..model.entry_request import TargetAddress, TargetNotice
 from ..model.fleet import Target
@@ -25,8 +25,8 @@
     ----------
     started_at_ms
         Start of the target; a later one has asked for nothing.
-    received_s
-        Time of the newest notice.
+    seen_s
+        Last time at which it answered with a notice or was listed.
     until_s
         Time from which the target takes requests again; infinite if it is
         leaving.
@@ -34,7 +34,7 @@
     """
 
     started_at_ms: int
-    received_s: float
+    seen_s: float
     until_s: float
 
 
@@ -100,11 +100,13 @@
             Present time of the local clock.
 
         """
+        kept = {
+            name: replace(notice, seen_s=now_s) if name in targets else notice
+            for name, notice in self._notices.items()
+        }
         self._notices = {
             name: notice
-            for name, notice in self._notices.items()
+            for name, notice in kept.items()
             if notice.until_s > now_s
-            and (
-                name in targets or notice.received_s + UNLISTED_NOTICE_S > now_s
-            )
+            and notice.seen_s + UNLISTED_NOTICE_S > now_s
         }
