Test a rejection that comes before a long body is read

A target that is full may answer 503 and close before it has read a long body. Sending then fails, the rejection is never read, and a caller whose request must not run twice gets a 502, which promises nothing, though another target is free. What the answer asks for (Retry-After, Server-Leaving) is lost too.

--- a/test/test_request_run.py
+++ b/test/test_request_run.py
@@ -20,6 +20,9 @@
     stream,
 )
 
+#: Size of a body that the sockets on the way do not buffer.
+LONG_BODY_BYTES = 4_000_000
+
 
 class RequestRunTest(RequestCase):
     def test_a_complete_stream_is_relayed(self) -> None:
@@ -126,6 +129,33 @@
         self.call()
         self.assertEqual(self.received_count(), 2)
 
+    def test_an_answer_that_comes_before_a_long_body_is_read_counts(
+        self,
+    ) -> None:
+        """Guards against a rejection that is lost as sending fails."""
+        once = {
+            'kind': RouteKind.NON_IDEMPOTENT,
+            'may_resume': False,
+            'shares': (Share(DESK, 1),),
+        }
+        self.start(reject, self.read_all, **once)
+        sock = self.connect()
+        sock.sendall(
+            b'POST /a/b HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: a1\r\n'
+            b'X-Deadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n'
+            % (HOST.encode(), LONG_BODY_BYTES)
+            + b'x' * LONG_BODY_BYTES
+        )
+        self.assertTrue(sock.recv(4096).startswith(b'HTTP/1.1 200'))
+        self.assertEqual(self.received_count(), 2)
+
+    def read_all(self, sock: socket.socket, received: bytes) -> None:
+        """Read a long body to its end and answer."""
+        missing = LONG_BODY_BYTES - len(received.partition(b'\r\n\r\n')[2])
+        while missing > 0:
+            missing -= len(sock.recv(65536))
+        plain()(sock, received)
+
     def test_a_key_withdrawn_during_a_suspension_is_not_used(self) -> None:
         """Guards against a process that acts on a key after waking."""
 
