Read an answer that comes before a long body is read

A caller whose request must not run twice got a 502 if a full target rejected it and closed before it had read the body; it is sent to another target now, or refused with 503. The target is spared for the Retry-After of that answer.

Cause: when sending failed, the connection was closed without reading what had come on it.

Change: after a failed send, the head of an answer that has come is judged as any other. Without one, the attempt has failed as before.

--- a/pomelogauge/entry/request_run.py
+++ b/pomelogauge/entry/request_run.py
@@ -248,7 +248,7 @@
         )
         head = self._ports.codec.encode_request(sent)
         error = attempt.send(head, self._admitted.req.body)
-        if error is not None:
+        if error is not None and not attempt.has_early_answer():
             self._may_have_run = True
             return self._fail(error.message)
         return self._await_head(attempt)
--- a/pomelogauge/entry/target_attempt.py
+++ b/pomelogauge/entry/target_attempt.py
@@ -8,6 +8,7 @@
 from ..tasks.clock import Clock
 from ..wire.caller_connection import CallerConnection, wait_readable
 from ..wire.target_link import (
+    HeadRead,
     LinkError,
     LinkEvent,
     RequestHead,
@@ -80,6 +81,16 @@
         remaining_s = max(0, self._deadline_s - self._clock.now_s())
         return self._link.send(head, body, remaining_s)
 
+    def has_early_answer(self) -> bool:
+        """Return whether the head of an answer has come; never blocks.
+
+        A target may answer and close the connection before it has read a long
+        body, so that sending fails.
+        """
+        if self._link is not None:
+            self._pending.extend(self._link.receive(0))
+        return bool(self._pending) and isinstance(self._pending[0], HeadRead)
+
     def next_event(
         self,
         stalled_at_s: float,
