Test the refusal after all targets have asked for a pause

A caller whose request was rejected by all targets of a model, each with a Retry-After of some seconds, is told to come back after 1.2 to 1.8 s, when it can only be refused again.

--- a/test/test_entry_dispatcher.py
+++ b/test/test_entry_dispatcher.py
@@ -66,13 +66,15 @@
             fleet(head('t1'), head('t2'), instances=instances(living))
         )
 
-    def request_slot(self, *, is_retry: bool) -> object:
+    def request_slot(
+        self, *, is_retry: bool, tried: frozenset[str] = frozenset()
+    ) -> object:
         admitted = admit(
             request(), self.published_fleet.latest(), AdmissionBounds(9), 0
         )
         replies = Outbox()
         self.dispatcher.on_message(
-            SlotRequested(admitted, frozenset(), is_retry, replies)
+            SlotRequested(admitted, tried, is_retry, replies)
         )
         return replies.posted[0]
 
@@ -145,6 +147,17 @@
         self.assertIsInstance(denied, SlotDenied)
         self.assertTrue(3 <= denied.retry_after_s <= 4.5)
 
+    def test_the_pauses_of_tried_targets_count_in_a_refusal(self) -> None:
+        """Guards against callers that come back in the middle of a pause."""
+        self.publish(1)
+        self.notify('t1', TargetNotice(retry_after_s=9))
+        self.notify('t2', TargetNotice(retry_after_s=6))
+        denied = self.request_slot(
+            is_retry=True, tried=frozenset(('t1', 't2'))
+        )
+        self.assertIsInstance(denied, SlotDenied)
+        self.assertTrue(6 <= denied.retry_after_s <= 9)
+
     def test_requests_are_refused_if_all_targets_are_leaving(self) -> None:
         self.publish(1)
         for name in ('t1', 't2'):
