Count the pauses of tried targets in a refusal

A caller whose request was rejected by all targets of a model, each with a Retry-After, was told to come back after 1.2 to 1.8 s, in the middle of the pauses. It is told the end of the first pause, if that is later.

Cause: with no target left to try, the refusal did not look at what the tried ones had asked for.

--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -157,8 +157,12 @@
             budget.count_request(now_s)
         candidates = self._eligible_targets(request)
         if not candidates:
+            # Targets that were tried may have asked for a pause.
+            wait_s = self._first_wait_s(self._all_targets(request), now_s)
             return self._deny(
-                request, Denial.NO_TARGET, NO_TARGET_RETRY_AFTER_S
+                request,
+                Denial.NO_TARGET,
+                max(wait_s, NO_TARGET_RETRY_AFTER_S),
             )
         ready = [
             eligible
@@ -226,16 +230,21 @@
     def _eligible_targets(
         self, request: SlotRequested
     ) -> tuple[EligibleTarget, ...]:
-        admitted = request.admitted
-        is_plain = admitted.service.engine is None
-        model = NO_MODEL if is_plain else admitted.req.model
-        candidates = self._eligible.find(admitted.service.name, model)
         return tuple(
             eligible
-            for eligible in candidates
+            for eligible in self._all_targets(request)
             if eligible.target.name not in request.tried
         )
 
+    def _all_targets(
+        self, request: SlotRequested
+    ) -> tuple[EligibleTarget, ...]:
+        """Return the targets for a request, tried or not."""
+        admitted = request.admitted
+        is_plain = admitted.service.engine is None
+        model = NO_MODEL if is_plain else admitted.req.model
+        return self._eligible.find(admitted.service.name, model)
+
     def _may_receive(self, candidate: EligibleTarget, now_s: float) -> bool:
         target = candidate.target
         if self._notices.wait_s(target, now_s):
@@ -275,8 +284,11 @@
         Targets that leave are replaced in the time that a new group takes.
         """
         wait_s = min(
-            self._notices.wait_s(candidate.target, now_s)
-            for candidate in candidates
+            (
+                self._notices.wait_s(candidate.target, now_s)
+                for candidate in candidates
+            ),
+            default=math.inf,
         )
         if math.isinf(wait_s):
             return NO_TARGET_RETRY_AFTER_S
