Test repeated notices and notices of restarted targets

Three cases in which a target gets requests that it has asked not to get: - an answer repeats Retry-After or Server-Leaving, or joins them by commas: the last header hides the others, and joined ones count as malformed; - a restarted target turns a request away that was sent by the list of before: the pause is kept for the former start and ends when the list names the new one; - a start is dated before that of the last notice, as the clock of its host was set back: its notices are ignored.

--- a/test/test_platform_rows.py
+++ b/test/test_platform_rows.py
@@ -307,6 +307,20 @@
                 answer = REQUESTS.decode_answer(HeadRead(status, (field,)))
                 self.assertEqual(answer.notice, expected)
 
+    def test_the_longest_of_repeated_notices_counts(self) -> None:
+        """Guards against a header that a later or joined one hides."""
+        leaving = TargetNotice(is_leaving=True)
+        pause = TargetNotice(retry_after_s=5)
+        for fields, expected in (
+            (((b'Retry-After', b'5'), (b'Retry-After', b'1')), pause),
+            (((b'Retry-After', b'1, 5, soon'),), pause),
+            (((b'Server-Leaving', b'1'), (b'Server-Leaving', b'0')), leaving),
+            (((b'Server-Leaving', b'1, 1'),), leaving),
+        ):
+            with self.subTest(fields=fields):
+                answer = REQUESTS.decode_answer(HeadRead(503, fields))
+                self.assertEqual(answer.notice, expected)
+
     def test_a_malformed_retry_after_of_a_target_is_ignored(self) -> None:
         for text in (b'', b'soon', b'-1', b'nan', b'Wed, 21 Oct 2026'):
             with self.subTest(text=text):
--- a/test/test_target_notices.py
+++ b/test/test_target_notices.py
@@ -59,6 +59,24 @@
         self.record(LEAVING, 11, start=1)
         self.assertEqual(self.wait_s(12, start=2), 3)
 
+    def test_a_pause_binds_a_later_start_that_is_listed_afterwards(
+        self,
+    ) -> None:
+        """Guards against a list that lags behind a restarted target.
+
+        The restarted target answers at the address of the start before.
+        """
+        self.record(pause(5), 10, start=1)
+        self.assertEqual(self.wait_s(12, start=2), 3)
+
+    def test_a_start_dated_before_the_last_one_is_heard(self) -> None:
+        """Guards against the clock of a target's host that is set back."""
+        self.record(LEAVING, 10, start=2)
+        self.record(pause(5), 11, start=1)
+        self.assertEqual(self.wait_s(12, start=1), 4)
+        self.record(LEAVING, 12, start=1)
+        self.assertEqual(self.wait_s(30, start=1), math.inf)
+
     def test_a_leaving_target_that_is_listed_is_never_used_again(self) -> None:
         self.record(LEAVING, 10)
         self.notices.forget_old({'t': target('t')}, 10 + 2 * UNLISTED_NOTICE_S)
