Read repeated notices of targets

A target whose answer repeats Retry-After or Server-Leaving, or joins them by commas, got requests that it had asked not to get.

Cause: the last header hid the others, and a joined one counted as malformed.

Change: all items are read, and the one that asks for more counts.

--- a/pomelogauge/platform/requests.py
+++ b/pomelogauge/platform/requests.py
@@ -180,7 +180,7 @@
         is_encoded='content-encoding' in fields,
         is_stream=media_type.startswith(_EVENT_STREAM),
         load=_parse_load(fields.get(_LOAD, '')),
-        notice=_notice(head.status, fields),
+        notice=_notice(head),
     )
 
 
@@ -284,20 +284,32 @@
     return None
 
 
-def _notice(status: int, fields: dict[str, str]) -> TargetNotice:
+def _notice(head: HeadRead) -> TargetNotice:
     """Return what an answer asks for.
 
-    Another target's answer asks for nothing on behalf of the expected one.
+    Another target's answer asks for nothing on behalf of the expected one. Of
+    repeated headers, the one that asks for more counts.
     """
-    if status == _MISDIRECTED:
+    if head.status == _MISDIRECTED:
         return NO_NOTICE
     retry_after_s = 0.0
-    if status == _UNAVAILABLE:
-        retry_after_s = _parse_seconds(fields.get(_TARGET_RETRY_AFTER, ''))
-    is_leaving = fields.get(_LEAVING, '').strip() == '1'
+    if head.status == _UNAVAILABLE:
+        texts = _list_items(head.headers, _TARGET_RETRY_AFTER)
+        retry_after_s = max(map(_parse_seconds, texts), default=0)
+    is_leaving = '1' in _list_items(head.headers, _LEAVING)
     return TargetNotice(is_leaving, retry_after_s)
 
 
+def _list_items(headers: Headers, name: str) -> tuple[str, ...]:
+    """Return the items of a header that may be repeated or hold a list."""
+    return tuple(
+        text.strip()
+        for raw, value in headers
+        if raw.decode('latin-1').lower() == name
+        for text in value.decode('latin-1').split(',')
+    )
+
+
 def _parse_seconds(text: str) -> float:
     """Return a number of seconds; zero for a date or a malformed number."""
     try:
