Keep pauses of targets by name and leavings by start

A target that was restarted, and asked for a pause before the list named its new start, got requests again as soon as the list did. A target whose start is dated before the last one, since the clock of its host was set back, could ask for a pause or say that it leaves without any effect.

Cause: one notice was kept for each target, with the start that the list named; a notice of an earlier start was dropped.

Change: a pause binds all starts of a target. A leaving binds the start that said it; starts are compared but not ordered.

--- a/pomelogauge/decide/target_notices.py
+++ b/pomelogauge/decide/target_notices.py
@@ -19,23 +19,25 @@
 
 @dataclass(frozen=True)
 class _ActiveNotice:
-    """What one start of a target has asked for, by the local clock.
+    """What a target has asked for, by the local clock.
 
     Parameters
     ----------
-    started_at_ms
-        Start of the target; a later one has asked for nothing.
+    leaving
+        Its starts that have said that they leave; others have not. They are
+        told apart but not ordered, since the clock of a host may be set back.
+    paused_until_s
+        Time until which it wants no requests. A restarted target answers at
+        the address of the start before until its new start is listed, so a
+        pause binds all its starts.
     seen_s
         Last time at which it answered with a notice or was listed.
-    until_s
-        Time from which the target takes requests again; infinite if it is
-        leaving.
 
     """
 
-    started_at_ms: int
+    leaving: frozenset[int]
+    paused_until_s: float
     seen_s: float
-    until_s: float
 
 
 class TargetNotices:
@@ -60,32 +62,26 @@
             Present time of the local clock.
 
         """
-        started_at_ms = destination.started_at_ms
-        before = self._notices.get(destination.target)
-        until_s = now_s + notice.retry_after_s
+        before = self._notices.get(destination.target, _NO_NOTICE)
+        leaving = before.leaving
         if notice.is_leaving:
-            until_s = math.inf
-        if before is not None:
-            if before.started_at_ms > started_at_ms:
-                return False
-            if before.started_at_ms == started_at_ms:
-                until_s = max(until_s, before.until_s)
-        recorded = _ActiveNotice(started_at_ms, now_s, until_s)
+            leaving |= {destination.started_at_ms}
+        paused_until_s = before.paused_until_s
+        if notice.retry_after_s:
+            paused_until_s = max(paused_until_s, now_s + notice.retry_after_s)
+        recorded = _ActiveNotice(leaving, paused_until_s, now_s)
         self._notices[destination.target] = recorded
-        return before is None or (before.started_at_ms, before.until_s) != (
-            recorded.started_at_ms,
-            recorded.until_s,
-        )
+        return replace(before, seen_s=now_s) != recorded
 
     def wait_s(self, target: Target, now_s: float) -> float:
         """Return the seconds until a target takes requests again.
 
         Zero if it takes them now, infinite if it is leaving.
         """
-        notice = self._notices.get(target.name)
-        if notice is None or notice.started_at_ms != target.started_at_ms:
-            return 0
-        return max(0, notice.until_s - now_s)
+        notice = self._notices.get(target.name, _NO_NOTICE)
+        if target.started_at_ms in notice.leaving:
+            return math.inf
+        return max(0, notice.paused_until_s - now_s)
 
     def forget_old(
         self, targets: Mapping[TargetName, Target], now_s: float
@@ -107,6 +103,9 @@
         self._notices = {
             name: notice
             for name, notice in kept.items()
-            if notice.until_s > now_s
+            if (notice.leaving or notice.paused_until_s > now_s)
             and notice.seen_s + UNLISTED_NOTICE_S > now_s
         }
+
+
+_NO_NOTICE = _ActiveNotice(frozenset(), -math.inf, -math.inf)
