--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -158,7 +158,9 @@
         candidates = self._eligible_targets(request)
         if not candidates:
             # Targets that were tried may have asked for a pause.
-            wait_s = self._first_wait_s(self._all_targets(request), now_s)
+            wait_s = self._first_wait_s(
+                _all_targets(request, self._eligible), now_s
+            )
             return self._deny(
                 request,
                 Denial.NO_TARGET,
@@ -232,19 +234,10 @@
     ) -> tuple[EligibleTarget, ...]:
         return tuple(
             eligible
-            for eligible in self._all_targets(request)
+            for eligible in _all_targets(request, self._eligible)
             if eligible.target.name not in request.tried
         )
 
-    def _all_targets(
-        self, request: SlotRequested
-    ) -> tuple[EligibleTarget, ...]:
-        """Return the targets for a request, tried or not."""
-        admitted = request.admitted
-        is_plain = admitted.service.engine is None
-        model = NO_MODEL if is_plain else admitted.req.model
-        return self._eligible.find(admitted.service.name, model)
-
     def _may_receive(self, candidate: EligibleTarget, now_s: float) -> bool:
         target = candidate.target
         if self._notices.wait_s(target, now_s):
@@ -333,3 +326,13 @@
                 self._settings.retry_window_s,
             )
         return self._budgets[service]
+
+
+def _all_targets(
+    request: SlotRequested, eligible: EligibleTargets
+) -> tuple[EligibleTarget, ...]:
+    """Return the eligible targets for a request, tried or not."""
+    admitted = request.admitted
+    is_plain = admitted.service.engine is None
+    model = NO_MODEL if is_plain else admitted.req.model
+    return eligible.find(admitted.service.name, model)
--- a/test/test_entry_dispatcher.py
+++ b/test/test_entry_dispatcher.py
@@ -152,9 +152,7 @@
         self.publish(1)
         self.notify('t1', TargetNotice(retry_after_s=9))
         self.notify('t2', TargetNotice(retry_after_s=6))
-        denied = self.request_slot(
-            is_retry=True, tried=frozenset(('t1', 't2'))
-        )
+        denied = self.request_slot(is_retry=True, tried=frozenset(('t1', 't2')))
         self.assertIsInstance(denied, SlotDenied)
         self.assertTrue(6 <= denied.retry_after_s <= 9)
 
