Test the notices of each kind of answer

Answers with an error, a rejection, no stamp, no length, another request in their head, an interim answer before them, a cut after their head, streams and resumed streams: what they say of the target counts.

Checked on a scratch copy that takes the notice of relayed answers only, before the answer has begun: both tests fail, in six of the nine cases of the first.

--- a/test/test_request_run.py
+++ b/test/test_request_run.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from dataclasses import replace
 
+from pomelogauge.entry.messages import NoticeReceived
 from pomelogauge.model.serving import RouteKind, Share
 
 from .entry_fakes import DESK, HOST
@@ -13,17 +14,38 @@
     HEAD,
     REJECTION,
     RequestCase,
+    Script,
     chunk,
     plain,
     reject,
     reset,
     stream,
+    wait_until,
 )
 
 #: Size of a body that the sockets on the way do not buffer.
 LONG_BODY_BYTES = 4_000_000
 
 
+def saying(answer: bytes) -> Script:
+    """Return a script that sends these bytes and closes."""
+
+    def respond(sock: socket.socket, received: bytes) -> None:
+        sock.sendall(answer)
+
+    return respond
+
+
+def leaving(answer: bytes) -> bytes:
+    """Return an answer in whose final head the target says that it leaves."""
+    interim, _, final = answer.rpartition(b'HTTP/1.1 ')
+    return (
+        interim
+        + b'HTTP/1.1 '
+        + final.replace(b'\r\n', b'\r\nServer-Leaving: 1\r\n', 1)
+    )
+
+
 class RequestRunTest(RequestCase):
     def test_a_complete_stream_is_relayed(self) -> None:
         self.start(stream(*EVENTS))
@@ -113,6 +135,44 @@
         self.assertTrue(self.call().startswith(b'HTTP/1.1 503'))
         self.assertEqual(self.received_count(), 1)
 
+    def test_the_notice_of_each_kind_of_answer_counts(self) -> None:
+        """Guards against answers whose notice is lost on the way."""
+        bare = b'HTTP/1.1 200 OK\r\n\r\nbody'
+        cut = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody'
+        idempotent = {'kind': RouteKind.IDEMPOTENT, 'shares': (Share(DESK, 1),)}
+        for kind, answer in (
+            ('client error', b'HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n'),
+            ('failure', b'HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n'),
+            ('rejection', REJECTION),
+            ('after an interim answer', b'HTTP/1.1 100 Go\r\n\r\n' + bare),
+            ('without a stamp and a length', bare),
+            ('cut after the head', cut),
+            ('to another request', HEAD.replace(b': a1', b': a2')),
+            ('stream', HEAD + chunk(EVENTS[0]) + b'0\r\n\r\n'),
+            ('cut stream', HEAD + chunk(EVENTS[0])),
+        ):
+            with self.subTest(kind):
+                self.start(saying(leaving(answer)), plain(), **idempotent)
+                self.call()
+                self.call()
+                self.assertEqual(len(self.stubs[0].received), 1)
+
+    def test_the_notice_in_a_resumed_stream_counts(self) -> None:
+        self.start(
+            stream(EVENTS[0], ends=False),
+            saying(leaving(HEAD) + chunk(EVENTS[1]) + b'0\r\n\r\n'),
+        )
+        self.assertEqual(self.call().count(b'id:'), 2)
+        self.assertTrue(wait_until(lambda: self.noticed() == ['t1']))
+
+    def noticed(self) -> list[str]:
+        """Return the targets whose notices the dispatcher has taken."""
+        return [
+            message.destination.target
+            for message in self.dispatched()
+            if isinstance(message, NoticeReceived)
+        ]
+
     def test_a_target_is_spared_for_the_time_that_it_asks_for(self) -> None:
         """Guards against requests in the time of a target's ``Retry-After``."""
 
