Test the refusal beside a leaving target and a long pause

A target that leaves is replaced in about a second, but callers are told to wait for the pause of the other target, here 60 to 90 s.

--- a/test/test_entry_dispatcher.py
+++ b/test/test_entry_dispatcher.py
@@ -156,6 +156,17 @@
         self.assertIsInstance(denied, SlotDenied)
         self.assertTrue(6 <= denied.retry_after_s <= 9)
 
+    def test_a_leaving_target_is_replaced_before_a_long_pause_ends(
+        self,
+    ) -> None:
+        """Guards against callers that wait for a pause of a minute."""
+        self.publish(1)
+        self.notify('t1', TargetNotice(is_leaving=True))
+        self.notify('t2', TargetNotice(retry_after_s=60))
+        denied = self.request_slot(is_retry=False)
+        self.assertIsInstance(denied, SlotDenied)
+        self.assertTrue(1.2 <= denied.retry_after_s <= 1.8)
+
     def test_requests_are_refused_if_all_targets_are_leaving(self) -> None:
         self.publish(1)
         for name in ('t1', 't2'):
