Refuse for the time in which a leaving target is replaced

With one target leaving and another in a pause of a minute, callers were told to come back in 60 to 90 s; it is 1.2 to 1.8 s now, the time that a new group takes.

Cause: a leaving target counted as one that never takes requests, unless all targets leave.

Measured: the listed test passes, and so do test_entry_dispatcher and test_request_run.

--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -278,13 +278,13 @@
         """
         wait_s = min(
             (
-                self._notices.wait_s(candidate.target, now_s)
+                _replacement_wait_s(
+                    self._notices.wait_s(candidate.target, now_s)
+                )
                 for candidate in candidates
             ),
-            default=math.inf,
+            default=NO_TARGET_RETRY_AFTER_S,
         )
-        if math.isinf(wait_s):
-            return NO_TARGET_RETRY_AFTER_S
         return max(wait_s, NO_SLOT_RETRY_AFTER_S)
 
     def _deny(
@@ -336,3 +336,8 @@
     is_plain = admitted.service.engine is None
     model = NO_MODEL if is_plain else admitted.req.model
     return eligible.find(admitted.service.name, model)
+
+
+def _replacement_wait_s(wait_s: float) -> float:
+    """Return when a target, or what replaces it, takes requests again."""
+    return NO_TARGET_RETRY_AFTER_S if math.isinf(wait_s) else wait_s
