Bound the answers of services in size and time

A service whose answer does not end filled the memory of a router, a large Content-Length ended the task of the caller with a MemoryError, and a byte now and then kept the caller waiting for as long as it came.

Cause: the answer was read whole, and the time-out was that of each read.

A refusal that comes before a long body is read still counts as one, now also for calls to the store and for orders.

--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -230,7 +230,7 @@
     services = ServiceCallParts(
         clock,
         core.dispatcher,
-        HttpServiceCalls(CallSettings(cfg.node)),
+        HttpServiceCalls(CallSettings(cfg.node), clock),
         once.ledger,
         once.minted,
         core.metrics,
--- a/pomelogauge/wire/http_exchange.py
+++ b/pomelogauge/wire/http_exchange.py
@@ -66,6 +66,13 @@
     headers: Headers
     body: bytes
 
+    def header(self, name: str) -> str:
+        """Return the value of a header, given in lower case; empty if none."""
+        for raw, value in self.headers:
+            if raw.decode('latin-1').lower() == name:
+                return value.decode('latin-1')
+        return ''
+
 
 _Exchanged = Result[HttpAnswer, ExchangeError]
 
@@ -158,9 +165,9 @@
             return _unanswered('is not connected')
         remaining_s = max(0, deadline_s - self._clock.now_s())
         error = link.send(head, body, remaining_s)
-        if error is not None:
-            return _unanswered(error.message)
         reader = _AnswerReader(self._bounds.body_bytes)
+        if error is not None:
+            return _early_answer(link, reader) or _unanswered(error.message)
         while True:
             remaining_s = deadline_s - self._clock.now_s()
             if remaining_s <= 0:
@@ -203,5 +210,18 @@
         return None
 
 
+def _early_answer(link: TargetLink, reader: _AnswerReader) -> _Exchanged | None:
+    """Return the answer that came before a request was sent wholly, if any.
+
+    A server may refuse a request and close the connection before it has read a
+    long body, so that sending fails.
+    """
+    for event in link.receive(0):
+        answer = reader.add(event)
+        if answer is not None and not isinstance(answer, Failure):
+            return answer
+    return None
+
+
 def _unanswered(message: str) -> _Exchanged:
     return Failure(ExchangeError(ExchangeFault.UNANSWERED, message))
--- a/test/test_endless_router_answers.py
+++ b/test/test_endless_router_answers.py
@@ -21,6 +21,7 @@
 )
 from pomelogauge.services.http_calls import CallSettings, HttpServiceCalls
 from pomelogauge.services.protocols import ServiceCallRequest
+from pomelogauge.tasks.clock import MonotonicClock
 
 from .endless_answers import CHUNKED, ENDLESS_ANSWERS, PIECE, SLOW_ANSWERS, slow
 from .request_fixtures import Script, StubTarget, chunk
@@ -107,7 +108,9 @@
 
 class EndlessCallAnswerTest(EndlessCase):
     def call(self, address: Address) -> Result:
-        calls = HttpServiceCalls(CallSettings(NODE, answer_timeout_s=TIMEOUT_S))
+        calls = HttpServiceCalls(
+            CallSettings(NODE, answer_timeout_s=TIMEOUT_S), MonotonicClock()
+        )
         request = ServiceCallRequest(
             RequestId('r-1'), CallName('pay'), 'key', b'{}'
         )
--- a/test/test_http_streams.py
+++ b/test/test_http_streams.py
@@ -21,6 +21,7 @@
 from pomelogauge.model.request import Execution
 from pomelogauge.services.http_calls import CallSettings, HttpServiceCalls
 from pomelogauge.services.protocols import ServiceCallRequest
+from pomelogauge.tasks.clock import MonotonicClock
 
 NODE = NodeName('router-1')
 
@@ -205,7 +206,7 @@
         for answer, execution in cases:
             with self.subTest(answer):
                 server = self.serve(answer)
-                calls = HttpServiceCalls(CallSettings(NODE))
+                calls = HttpServiceCalls(CallSettings(NODE), MonotonicClock())
                 outcome = calls.call(server.address, req)
                 self.assertEqual(len(server.heads), 1)
                 if execution is None:
@@ -218,7 +219,7 @@
         req = ServiceCallRequest(
             RequestId('r-1'), CallName('pay'), 'key', b'{}'
         )
-        calls = HttpServiceCalls(CallSettings(NODE))
+        calls = HttpServiceCalls(CallSettings(NODE), MonotonicClock())
         for size in (0, 1, 100_000):
             with socket.create_server(('127.0.0.1', 0)) as server:
                 address = Address(f'127.0.0.1:{server.getsockname()[1]}')
