Bound the reports of engines in size and time

An engine whose report does not end filled the memory of a controller; one that sends a byte now and then held up the task that polls it.

Cause: the report was read whole, and the time-out was that of each read.

Change: calls go through an HttpExchange for each engine: 1 MiB at most, and the time-out counts for the whole report. A connection that fails other than by a refusal counts as interrupted before anything was sent, no more as unreachable.

--- a/pomelogauge/engines/http_control.py
+++ b/pomelogauge/engines/http_control.py
@@ -1,23 +1,28 @@
 """Control of engines over HTTP: orders and status reports."""
 
-import urllib3
 from opentelemetry.trace import SpanKind
 from returns.result import Failure, Result
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NewConnectionError,
-)
 
+from ..model.entry_request import Headers
 from ..model.ids import Address, NodeName
 from ..model.placement import EngineStatus
 from ..model.request import Execution
+from ..tasks.clock import MonotonicClock
 from ..tasks.spans import start_span, trace_parent
 from ..wire.engine_json import decode_status, encode_load, encode_unload
+from ..wire.http_exchange import (
+    ExchangeBounds,
+    ExchangeError,
+    ExchangeFault,
+    HttpExchange,
+)
+from ..wire.target_link import RequestHead
 from .protocols import EngineError, EngineFault, LoadOrder, UnloadOrder
 
 _SUCCESS = range(200, 300)
 _CONFLICT = 409
+#: Largest report of an engine, in bytes.
+_MAX_BODY_BYTES = 1024 * 1024
 
 
 class HttpEngineControl:
@@ -33,16 +38,15 @@
     """
 
     def __init__(self, node: NodeName, timeout_s: float) -> None:
-        """Create the pools; connections are opened by the calls."""
-        self._pools = urllib3.PoolManager(
-            retries=False,
-            timeout=urllib3.Timeout(connect=timeout_s, read=timeout_s),
-        )
+        """Start without connections; the calls open them."""
+        self._bounds = ExchangeBounds(timeout_s, _MAX_BODY_BYTES)
+        self._clock = MonotonicClock()
+        self._exchanges: dict[Address, HttpExchange] = {}
         self._node = node
 
     def status(self, address: Address) -> Result[EngineStatus, EngineError]:
         """Read the engine's report of itself."""
-        return self._call('GET', f'http://{address}/v1/status')
+        return self._call(address, b'GET', b'/v1/status')
 
     def load(
         self,
@@ -62,7 +66,9 @@
 
     def close(self) -> None:
         """Close all connections."""
-        self._pools.clear()
+        for exchange in self._exchanges.values():
+            exchange.close()
+        self._exchanges.clear()
 
     def _order(
         self,
@@ -70,42 +76,53 @@
         body: bytes,
     ) -> Result[EngineStatus, EngineError]:
         with start_span('engine order', SpanKind.CLIENT):
-            return self._call('POST', f'http://{address}/v1/orders', body)
+            return self._call(address, b'POST', b'/v1/orders', body)
 
-    def _headers(self) -> dict[str, str]:
-        return {'X-Client': self._node, **_trace_headers()}
+    def _headers(self) -> Headers:
+        sender = (b'X-Client', self._node.encode())
+        parent = trace_parent()
+        return (
+            (sender, (b'traceparent', parent.encode())) if parent else (sender,)
+        )
 
     def _call(
         self,
-        method: str,
-        url: str,
-        body: bytes | None = None,
+        address: Address,
+        method: bytes,
+        path: bytes,
+        body: bytes = b'',
     ) -> Result[EngineStatus, EngineError]:
-        try:
-            answer = self._pools.request(
-                method, url, body=body, headers=self._headers(), redirect=False
-            )
-        except NewConnectionError as refused:
-            return _fail(
-                EngineFault.UNREACHABLE, str(refused), Execution.NOT_RUN
-            )
-        except ConnectTimeoutError as timed_out:
-            return _fail(
-                EngineFault.INTERRUPTED, str(timed_out), Execution.NOT_RUN
-            )
-        except HTTPError as lost:
-            return _fail(EngineFault.INTERRUPTED, str(lost))
+        exchange = self._exchanges.get(address)
+        if exchange is None:
+            exchange = HttpExchange(address, self._bounds, self._clock)
+            self._exchanges[address] = exchange
+        head = RequestHead(method, path, self._headers())
+        exchanged = exchange.send(head, body, self._bounds.connect_s)
+        if isinstance(exchanged, Failure):
+            return _failed_exchange(exchanged.failure())
+        answer = exchanged.unwrap()
         if answer.status in _SUCCESS:
-            return decode_status(answer.data)
+            return decode_status(answer.body)
         fault = EngineFault.REFUSED
         if answer.status == _CONFLICT:
             fault = EngineFault.STALE_EPOCH
         return _fail(fault, f'HTTP {answer.status}', Execution.NOT_RUN)
 
 
-def _trace_headers() -> dict[str, str]:
-    parent = trace_parent()
-    return {'traceparent': parent} if parent else {}
+def _failed_exchange(
+    error: ExchangeError,
+) -> Result[EngineStatus, EngineError]:
+    match error.fault:
+        case ExchangeFault.REFUSED:
+            return _fail(
+                EngineFault.UNREACHABLE, error.message, Execution.NOT_RUN
+            )
+        case ExchangeFault.UNCONNECTED:
+            return _fail(
+                EngineFault.INTERRUPTED, error.message, Execution.NOT_RUN
+            )
+        case _:
+            return _fail(EngineFault.INTERRUPTED, error.message)
 
 
 def _fail(
