Bound the streams of engines in size and time

A router waited without end for an engine that sends an event, comments, trailers or interim answers without end, with an event that fills its memory; so did its caller. The attempt fails now as after any interruption.

Cause: the time-out was that of each read, and a line of a stream had no bound.

Change: streams are read through TargetLink, whose heads, chunks and trailers are bounded, over a pool of connections that are checked before their reuse. The time-out of a token counts from the last token, not from the last byte.

--- a/pomelogauge/app/router_root.py
+++ b/pomelogauge/app/router_root.py
@@ -188,7 +188,9 @@
         expedited_exchanges,
     )
     dispatcher = tasks.add('dispatcher', actor)
-    canceller = Canceller(HttpEngineStreams(StreamSettings(cfg.node)))
+    canceller = Canceller(
+        HttpEngineStreams(StreamSettings(cfg.node), MonotonicClock())
+    )
     watch = CallerWatch()
     tasks.include(watch)
     return RouterCore(
@@ -222,7 +224,7 @@
         CallerSettings(),
         clock,
         core.dispatcher,
-        HttpEngineStreams(StreamSettings(cfg.node)),
+        HttpEngineStreams(StreamSettings(cfg.node), clock),
         load_chart('caller_request', REQUEST_WORDS),
         core.canceller,
         core.metrics,
--- a/pomelogauge/engines/http_streams.py
+++ b/pomelogauge/engines/http_streams.py
@@ -1,19 +1,30 @@
 """Token streams of engines over HTTP."""
 
+from collections import deque
 from collections.abc import Iterator
+from contextlib import closing
 from dataclasses import dataclass
+from urllib.parse import quote
 
 from returns.result import Failure, Result, Success
-from urllib3 import BaseHTTPResponse, PoolManager, Timeout
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NewConnectionError,
-)
 
+from ..model.entry_request import Headers
 from ..model.ids import Address, Incarnation, NodeName, RequestId
 from ..model.request import Execution
+from ..tasks.clock import Clock
 from ..wire.chat_events import EventReader, StreamEnd, parse_event
+from ..wire.event_stream import EventTooLargeError
+from ..wire.http_exchange import ExchangeBounds, HttpExchange
+from ..wire.link_pool import LinkPool
+from ..wire.target_link import (
+    AnswerEnded,
+    BodyRead,
+    HeadRead,
+    LinkError,
+    LinkEvent,
+    RequestHead,
+    TargetLink,
+)
 from .protocols import (
     EngineError,
     EngineFault,
@@ -24,7 +35,8 @@
 
 _OK = 200
 _NO_CONTENT = 204
-_READ_SIZE_BYTES = 65536
+#: Largest answer to a cancellation, in bytes.
+_MAX_CANCEL_BYTES = 65536
 
 #: Statuses by which an engine states that it has not run the request.
 _NOT_RUN_FAULTS = {
@@ -44,11 +56,12 @@
     connect_timeout_s
         Time-out of the connection.
     token_timeout_s
-        Longest wait for the first token and between two tokens.
+        Longest wait for the head, for the first token and between two tokens;
+        comments are no tokens.
     cancel_timeout_s
         Time-out of a cancellation.
     pooled
-        Idle connections that are kept per address.
+        Idle connections that are kept.
 
     """
 
@@ -56,16 +69,26 @@
     connect_timeout_s: float = 1
     token_timeout_s: float = 10
     cancel_timeout_s: float = 1
-    pooled: int = 64
+    pooled: int = 256
 
 
 class HttpEngineStreams:
-    """Opens streams over one connection pool; safe for several tasks."""
+    """Opens streams over one pool of connections; safe for several tasks.
+
+    Parameters
+    ----------
+    cfg
+        Settings.
+    clock
+        Local clock, for the waits.
+
+    """
 
-    def __init__(self, cfg: StreamSettings) -> None:
+    def __init__(self, cfg: StreamSettings, clock: Clock) -> None:
         """Create the pool; connections are opened by the requests."""
         self._cfg = cfg
-        self._pool = PoolManager(maxsize=cfg.pooled, retries=False)
+        self._clock = clock
+        self._pool = LinkPool(cfg.pooled)
 
     def open(
         self,
@@ -73,52 +96,57 @@
         req: StreamRequest,
     ) -> Result[TokenStream, EngineError]:
         """Send a request; return as soon as the engine has accepted it."""
-        try:
-            resp = self._send(address, req)
-        except (NewConnectionError, ConnectTimeoutError) as exc:
-            return Failure(
-                EngineError(
-                    EngineFault.UNREACHABLE,
-                    f'{address} could not be reached: {exc}',
-                    Execution.NOT_RUN,
-                )
-            )
-        except (HTTPError, OSError) as exc:
-            return Failure(
-                EngineError(
-                    EngineFault.INTERRUPTED,
-                    f'request to {address} was interrupted: {exc}',
-                )
-            )
-        fault = _open_fault(resp, req)
-        if fault is None:
-            return Success(_HttpTokenStream(self, address, req, resp))
-        discard(resp)
-        return Failure(fault)
+        link = self._pool.take(address)
+        if link is None:
+            connected = TargetLink.connect(address, self._cfg.connect_timeout_s)
+            if isinstance(connected, Failure):
+                return Failure(_unreachable(address, connected.failure()))
+            link = connected.unwrap()
+        answer = _AnswerReader(link, self._clock, self._cfg.token_timeout_s)
+        head = self._send(address, link, answer, req)
+        if isinstance(head, LinkError):
+            link.close()
+            message = f'request to {address} was interrupted: {head.message}'
+            return Failure(EngineError(EngineFault.INTERRUPTED, message))
+        fault = _open_fault(head, req)
+        if fault is not None:
+            link.close()
+            return Failure(fault)
+        return Success(_HttpTokenStream(self, address, req, head, answer))
 
     def cancel(self, address: Address, request: RequestId) -> bool:
         """Cancel a request; return whether the engine confirmed it.
 
         ``False`` also when the engine can't be reached.
         """
-        try:
-            resp = self._pool.request(
-                'DELETE',
-                f'http://{address}/v1/requests/{request}',
-                headers={'X-Client': self._cfg.node},
-                timeout=Timeout(self._cfg.cancel_timeout_s),
-            )
-        except (HTTPError, OSError):
+        timeout_s = self._cfg.cancel_timeout_s
+        bounds = ExchangeBounds(timeout_s, _MAX_CANCEL_BYTES)
+        path = f'/v1/requests/{quote(request)}'
+        head = RequestHead(
+            b'DELETE', path.encode(), _headers({'X-Client': self._cfg.node})
+        )
+        with closing(HttpExchange(address, bounds, self._clock)) as exchange:
+            answer = exchange.send(head, b'', timeout_s)
+        if isinstance(answer, Failure):
             return False
-        return resp.status == _NO_CONTENT
+        return answer.unwrap().status == _NO_CONTENT
 
-    def _send(self, address: Address, req: StreamRequest) -> BaseHTTPResponse:
-        timeout = Timeout(
-            connect=self._cfg.connect_timeout_s,
-            read=self._cfg.token_timeout_s,
-        )
+    def keep(self, address: Address, link: TargetLink) -> None:
+        """Keep a connection after a complete answer."""
+        self._pool.give(address, link)
+
+    def _send(
+        self,
+        address: Address,
+        link: TargetLink,
+        answer: '_AnswerReader',
+        req: StreamRequest,
+    ) -> HeadRead | LinkError:
+        """Send a request; return the head of its answer."""
         headers = {
+            'Host': address,
             'Content-Type': 'application/json',
+            'Content-Length': str(len(req.body)),
             'X-Client': self._cfg.node,
             'X-Request-Id': req.request,
             'X-Replica': req.replica,
@@ -127,15 +155,50 @@
         }
         if req.trace_parent:
             headers['traceparent'] = req.trace_parent
-        return self._pool.request(
-            'POST',
-            f'http://{address}/v1/chat/completions',
-            body=req.body,
-            headers=headers,
-            timeout=timeout,
-            preload_content=False,
-            redirect=False,
-        )
+        head = RequestHead(b'POST', b'/v1/chat/completions', _headers(headers))
+        error = link.send(head, req.body, self._cfg.token_timeout_s)
+        return answer.head(error)
+
+
+class _AnswerReader:
+    """Reads one answer, with a limit to the time without progress."""
+
+    def __init__(
+        self, link: TargetLink, clock: Clock, timeout_s: float
+    ) -> None:
+        self.link = link
+        self._clock = clock
+        self._timeout_s = timeout_s
+        self._pending: deque[LinkEvent] = deque()
+        self._ends_s = 0.0
+        self.record_progress()
+
+    def record_progress(self) -> None:
+        """Let the time count from now."""
+        self._ends_s = self._clock.now_s() + self._timeout_s
+
+    def head(self, send_error: LinkError | None) -> HeadRead | LinkError:
+        """Return the head, also one that came before sending failed."""
+        if send_error is not None:
+            early = self.link.receive(0)
+            if not early or not isinstance(early[0], HeadRead):
+                return send_error
+            self._pending.extend(early[1:])
+            return early[0]
+        self.record_progress()
+        event = self.next_event()
+        if isinstance(event, HeadRead | LinkError):
+            return event
+        return LinkError('read: no head came')
+
+    def next_event(self) -> LinkEvent:
+        """Wait for the next event; an error once the time is over."""
+        while not self._pending:
+            remaining_s = self._ends_s - self._clock.now_s()
+            if remaining_s <= 0:
+                return LinkError('read: nothing came in time')
+            self._pending.extend(self.link.receive(remaining_s))
+        return self._pending.popleft()
 
 
 class _HttpTokenStream:
@@ -146,19 +209,20 @@
         streams: HttpEngineStreams,
         address: Address,
         req: StreamRequest,
-        resp: BaseHTTPResponse,
+        head: HeadRead,
+        answer: _AnswerReader,
     ) -> None:
         self._streams = streams
         self._address = address
         self._req = req
-        self._resp = resp
-        self._received = _received(resp)
+        self._head = head
+        self._answer = answer
         self._has_ended = False
 
     @property
     def incarnation(self) -> Incarnation:
         """Incarnation of the engine that answers; empty if not stated."""
-        return Incarnation(self._resp.headers.get('X-Incarnation', ''))
+        return Incarnation(_header(self._head, 'x-incarnation'))
 
     def tokens(self) -> Iterator[Result[Token, EngineError]]:
         """Yield tokens until the end-of-stream event or a failure."""
@@ -180,68 +244,74 @@
 
     def close(self, *, cancel: bool) -> bool:
         """Keep the connection after a clean end, else close it."""
-        if self._has_ended and self._drain():
-            self._resp.release_conn()
+        if self._has_ended and self._is_complete():
+            self._streams.keep(self._address, self._answer.link)
             return True
-        discard(self._resp)
+        self._answer.link.close()
         if cancel and not self._has_ended:
             return self._streams.cancel(self._address, self._req.request)
         return self._has_ended
 
     def _events(self) -> Iterator[Result[Token | StreamEnd, EngineError]]:
         reader = EventReader()
-        request = self._req.request
-        try:
-            for received in self._received:
-                for event in reader.feed(received):
-                    yield parse_event(event, request).alt(_malformed)
-        except (HTTPError, OSError) as exc:
-            yield _interrupted(f'the stream was interrupted: {exc}')
-
-    def _drain(self) -> bool:
-        """Read the rest of the body; false if more bytes or an error follow."""
-        try:
-            return not any(self._received)
-        except (HTTPError, OSError):
-            return False
+        self._answer.record_progress()
+        while True:
+            received = self._answer.next_event()
+            if isinstance(received, LinkError):
+                message = f'the stream was interrupted: {received.message}'
+                yield _interrupted(message)
+                return
+            if not isinstance(received, BodyRead):
+                return
+            try:
+                events = reader.feed(received.piece)
+            except EventTooLargeError as exc:
+                yield _interrupted(str(exc))
+                return
+            for event in events:
+                yield parse_event(event, self._req.request).alt(_malformed)
+            if events:
+                self._answer.record_progress()
 
+    def _is_complete(self) -> bool:
+        """Return whether nothing but the end of the body follows."""
+        self._answer.record_progress()
+        return isinstance(self._answer.next_event(), AnswerEnded)
 
-def discard(resp: BaseHTTPResponse) -> None:
-    """Close a connection whose answer was not read to its end.
 
-    It must not be reused: the rest of the answer would be read as the next.
-    """
-    resp.close()
-    resp.release_conn()
-
-
-def _received(resp: BaseHTTPResponse) -> Iterator[bytes]:
-    """Yield bytes as they arrive, without waiting until a buffer is full."""
-    if getattr(resp, 'chunked', False):
-        yield from resp.read_chunked()
-        return
-    while True:
-        received = resp.read1(_READ_SIZE_BYTES)
-        if not received:
-            return
-        yield received
-
-
-def _open_fault(
-    resp: BaseHTTPResponse, req: StreamRequest
-) -> EngineError | None:
-    if resp.status in _NOT_RUN_FAULTS:
+def _headers(texts: dict[str, str]) -> Headers:
+    return tuple((name.encode(), text.encode()) for name, text in texts.items())
+
+
+def _header(head: HeadRead, name: str) -> str:
+    """Return the value of a header, given in lower case; empty if none."""
+    for raw, value in head.headers:
+        if raw.decode('latin-1').lower() == name:
+            return value.decode('latin-1')
+    return ''
+
+
+def _unreachable(address: Address, error: LinkError) -> EngineError:
+    return EngineError(
+        EngineFault.UNREACHABLE,
+        f'{address} could not be reached: {error.message}',
+        Execution.NOT_RUN,
+    )
+
+
+def _open_fault(head: HeadRead, req: StreamRequest) -> EngineError | None:
+    if head.status in _NOT_RUN_FAULTS:
         return EngineError(
-            _NOT_RUN_FAULTS[resp.status],
-            f'the engine refused the request with status {resp.status}',
+            _NOT_RUN_FAULTS[head.status],
+            f'the engine refused the request with status {head.status}',
             Execution.NOT_RUN,
         )
-    if resp.status != _OK:
+    if head.status != _OK:
         return EngineError(
             EngineFault.REFUSED,
-            f'the engine answered with status {resp.status}',
+            f'the engine answered with status {head.status}',
         )
-    if resp.headers.get('X-Request-Id') != req.request:
+    if _header(head, 'x-request-id') != req.request:
         return EngineError(
             EngineFault.MISMATCHED,
             'the answer carries the identifier of another request',
--- a/pomelogauge/wire/chat_events.py
+++ b/pomelogauge/wire/chat_events.py
@@ -8,6 +8,7 @@
 
 from ..engines.protocols import Token
 from ..model.ids import RequestId
+from .event_stream import MAX_EVENT_BYTES, EventTooLargeError
 
 _DATA = b'data:'
 _DONE = b'[DONE]'
@@ -34,13 +35,24 @@
         self._rest = b''
 
     def feed(self, received: bytes) -> tuple[bytes, ...]:
-        """Return the data of the events that the received bytes complete."""
+        """Return the data of the events that the received bytes complete.
+
+        Raises
+        ------
+        EventTooLargeError
+            The line that the bytes go on with is too large.
+
+        """
         # Fast path: engines send most events in a chunk of their own.
         single = None if self._rest else _SINGLE_EVENT.fullmatch(received)
         if single:
             return (single[1],)
         lines = (self._rest + received).split(b'\n')
         self._rest = lines.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(
+                f'an event has more than {MAX_EVENT_BYTES} bytes'
+            )
         return tuple(
             line[len(_DATA) :].strip()
             for line in lines
--- a/test/test_endless_router_answers.py
+++ b/test/test_endless_router_answers.py
@@ -134,7 +134,7 @@
     def read(self, address: Address) -> Result:
         """Read a stream and return its last item."""
         streams = HttpEngineStreams(
-            StreamSettings(NODE, token_timeout_s=TIMEOUT_S)
+            StreamSettings(NODE, token_timeout_s=TIMEOUT_S), MonotonicClock()
         )
         request = StreamRequest(
             RequestId('r-1'), ReplicaId('p'), Epoch(3), b'{}', 0
--- a/test/test_http_streams.py
+++ b/test/test_http_streams.py
@@ -112,7 +112,9 @@
 
     def streams(self) -> HttpEngineStreams:
         """Return a client with a connection pool of its own."""
-        return HttpEngineStreams(StreamSettings(NODE, token_timeout_s=5))
+        return HttpEngineStreams(
+            StreamSettings(NODE, token_timeout_s=5), MonotonicClock()
+        )
 
     def test_a_connection_is_reused_after_a_complete_answer(self) -> None:
         answer_bytes = head() + token(0) + token(1) + DONE
