Test late bytes on the kept connections to engines and the store

A late copy of an answer, a late interim answer and a stray byte, together with the answer or 50 ms after it, on each of several requests: each request is served on a connection of its own. The tests of this went through the entry instance, which keeps no connection to a target.

--- a/test/test_http_streams.py
+++ b/test/test_http_streams.py
@@ -3,8 +3,10 @@
 import json
 import socket
 import threading
+import time
 import unittest
 from collections.abc import Iterable
+from contextlib import suppress
 
 from returns.result import Failure, Success
 
@@ -95,6 +97,41 @@
                 return
 
 
+class LateServer(RawServer):
+    """Sends the same answer to each request and, after a pause, more bytes.
+
+    ``is_late`` is set once they are sent.
+    """
+
+    def __init__(self, answer: bytes, late: bytes, pause_s: float) -> None:
+        self.is_late = threading.Event()
+        self._late = late
+        self._pause_s = pause_s
+        super().__init__([answer] * 9)
+
+    def _run(self) -> None:
+        for answer in self._answers:
+            try:
+                conn, _ = self._socket.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(
+                target=self._answer_each, args=(conn, answer), daemon=True
+            ).start()
+
+    def _answer_each(self, conn: socket.socket, answer: bytes) -> None:
+        with conn, suppress(OSError):
+            while conn.recv(65536):
+                if self._pause_s:
+                    conn.sendall(answer)
+                    time.sleep(self._pause_s)
+                    conn.sendall(self._late)
+                else:
+                    conn.sendall(answer + self._late)
+                self.is_late.set()
+
+
 class HttpStreamsTest(unittest.TestCase):
     """Incomplete and foreign answers fail and state what may have run."""
 
@@ -133,6 +170,33 @@
         self.assertEqual(server.connections, 1)
         self.assertIn(b'X-Epoch: 3', server.heads[0])
 
+    def test_what_follows_an_answer_reaches_no_other_request(self) -> None:
+        """Guards against a late copy on a connection that is used again."""
+        answer_bytes = head() + token(0) + DONE
+        for late in (
+            answer_bytes,
+            b'HTTP/1.1 100 Continue\r\n\r\n',
+            b'x',
+        ):
+            for pause_s in (0, 0.05):
+                with self.subTest(late[:30], pause_s=pause_s):
+                    self.check_late(answer_bytes, late, pause_s)
+
+    def check_late(self, answer: bytes, late: bytes, pause_s: float) -> None:
+        """Check three requests, each answered with late bytes after it."""
+        server = LateServer(answer, late, pause_s)
+        self.addCleanup(server.close)
+        streams = self.streams()
+        for _ in range(3):
+            stream = streams.open(
+                server.address, self.stream_request()
+            ).unwrap()
+            self.assertEqual(list(stream.tokens()), [Success(Token(0, 't0'))])
+            stream.close(cancel=False)
+            self.assertTrue(server.is_late.wait(2))
+            server.is_late.clear()
+        self.assertEqual(server.connections, 3)
+
     def test_an_interrupted_stream_closes_its_connection(self) -> None:
         answer_bytes = head() + token(0) + DONE
         server = self.serve(head() + token(0), answer_bytes)
--- a/test/test_store_client.py
+++ b/test/test_store_client.py
@@ -151,6 +151,31 @@
         script = respond_with(page(1) + page(9))
         self.assertEqual(self.versions(script), ([1, 1], 2))
 
+    def test_late_bytes_after_a_response_are_never_taken(self) -> None:
+        for late in (page(9), b'HTTP/1.1 100 Continue\r\n\r\n', b'x'):
+            with self.subTest(late[:30]):
+                self.assert_replaced(late)
+
+    def assert_replaced(self, late: bytes) -> None:
+        """Check that the connection is not used after late bytes."""
+        has_come = threading.Event()
+
+        def respond_late(sock: socket.socket, received: bytes) -> None:
+            sock.sendall(page(1))
+            time.sleep(0.05)
+            sock.sendall(late)
+            has_come.set()
+
+        store = StubTarget(respond_late)
+        self.addCleanup(store.server.close)
+        client = StoreClient(store.address, 2, BootClock())
+        for connections in (1, 2):
+            read = client.read_all(Table.TARGETS).unwrap()
+            self.assertTrue(has_come.wait(2))
+            has_come.clear()
+            self.assertEqual(read.version, 1)
+            self.assertEqual(len(store.received), connections)
+
 
 def expected(kind: str, answer: str = '') -> StoreFault:
     """Return the fault of a call whose answer never ends."""
