Fuzz the readers of event streams

Two finds, each with a case of its own: - the blank bytes that follow the last event of a target are not relayed, so that the caller gets another body than the target sent, and an empty one for a stream of blanks; - a router reads an event with blanks at its end, such as "[DONE] ", in two ways depending on how it was split; in one piece it is malformed and the stream fails.

The tests fail; they are listed until the fixes.

--- a/test/test_entry_fuzz.py
+++ b/test/test_entry_fuzz.py
@@ -3,16 +3,22 @@
 import json
 import socket
 import unittest
+from itertools import chain, pairwise
 from typing import Any
 
 from google.protobuf.message import DecodeError
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from returns.result import Failure, Result, Success
 
 from pomelogauge.model.entry_request import TargetRequest
 from pomelogauge.model.errors import FindingsError
-from pomelogauge.model.ids import OrganisationName, RowVersion, TargetName
+from pomelogauge.model.ids import (
+    OrganisationName,
+    RequestId,
+    RowVersion,
+    TargetName,
+)
 from pomelogauge.platform.fields import read_fields
 from pomelogauge.platform.translator import RequestTranslator, RowTranslator
 from pomelogauge.wire import entry_peer_pb2
@@ -24,7 +30,9 @@
     ReadRefused,
     RequestRead,
 )
+from pomelogauge.wire.chat_events import EventReader, parse_event
 from pomelogauge.wire.entry_codec import MalformedDeltasError, decode_deltas
+from pomelogauge.wire.event_stream import EventSplitter
 from pomelogauge.wire.target_link import (
     AnswerEnded,
     BodyRead,
@@ -229,5 +237,51 @@
                 self.assertTrue(str(exc))
 
 
+#: Lines and parts of lines of event streams, with all that may end a line.
+STREAM_BYTES = st.lists(
+    st.sampled_from(
+        (b'data: ', b'data:', b'id: 7', b'id:', b': c', b'[DONE]', b'x', b' ')
+        + (b'\n', b'\n\n', b'\r\n', b'\r', b'\0', b'\xff')
+    ),
+    max_size=12,
+).map(b''.join)
+
+
+class StreamFuzzTest(unittest.TestCase):
+    """Guards against streams that are read in another way if split."""
+
+    @given(STREAM_BYTES, st.lists(st.integers(0, 40), max_size=4))
+    def test_events_do_not_depend_on_the_split(
+        self, sent: bytes, cuts: list[int]
+    ) -> None:
+        splitters = EventSplitter(), EventSplitter()
+        for splitter, pieces in zip(
+            splitters, ((sent,), split(sent, cuts)), strict=True
+        ):
+            relayed = b''.join(map(splitter.complete_events, pieces))
+            self.assertTrue(not relayed or relayed.endswith(b'\n\n'))
+            self.assertEqual(relayed + splitter.take_partial(), sent)
+        self.assertEqual(splitters[0].last_id, splitters[1].last_id)
+
+    @example(b'data: [DONE] \n\n', [1])
+    @given(STREAM_BYTES, st.lists(st.integers(0, 40), max_size=4))
+    def test_tokens_do_not_depend_on_the_split(
+        self, sent: bytes, cuts: list[int]
+    ) -> None:
+        readers = EventReader(), EventReader()
+        whole = readers[0].feed(sent)
+        pieces = map(readers[1].feed, split(sent, cuts))
+        self.assertEqual(whole, tuple(chain.from_iterable(pieces)))
+        for event in whole:
+            parsed = parse_event(event, RequestId('r-1'))
+            self.assertIsInstance(parsed, Success | Failure)
+
+
+def split(text: bytes, cuts: list[int]) -> list[bytes]:
+    """Cut a text at these places."""
+    places = [0, *sorted(cuts), len(text)]
+    return [text[start:end] for start, end in pairwise(places)]
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/test/test_request_run.py
+++ b/test/test_request_run.py
@@ -36,6 +36,18 @@
     return respond
 
 
+def unchunked(body: bytes) -> bytes:
+    """Return the data of a chunked body, or a body with a length as it is."""
+    if not body.endswith(b'\r\n0\r\n\r\n'):
+        return body
+    found = b''
+    while body:
+        size, _, body = body.partition(b'\r\n')
+        found += body[: int(size, 16)]
+        body = body[int(size, 16) + 2 :]
+    return found
+
+
 def leaving(answer: bytes) -> bytes:
     """Return an answer in whose final head the target says that it leaves."""
     interim, _, final = answer.rpartition(b'HTTP/1.1 ')
@@ -56,6 +68,16 @@
             self.assertIn(event, answer)
         self.assertTrue(answer.endswith(b'0\r\n\r\n'))
 
+    def test_blank_bytes_after_the_last_event_are_relayed(self) -> None:
+        """Guards against a body that lacks its last bytes."""
+        for blank in (b'\n', b'\r\n', b' '):
+            for events in (EVENTS, []):
+                with self.subTest(blank, events=len(events)):
+                    self.start(stream(*events, blank))
+                    _, _, body = self.call().partition(b'\r\n\r\n')
+                    sent = b''.join(events) + blank
+                    self.assertEqual(unchunked(body), sent)
+
     def test_a_broken_stream_resumes_after_its_last_complete_event(
         self,
     ) -> None:
