Relay the blank bytes after the last event of a stream

A caller got another body than the target sent if blank bytes followed the last event, and an empty one for a stream of blanks only.

Cause: bytes after the last event wait for its end, and blanks were neither sent nor counted as an event that is cut off.

Change: they are sent with the end of the answer.

--- a/pomelogauge/entry/caller_answer.py
+++ b/pomelogauge/entry/caller_answer.py
@@ -121,20 +121,25 @@
     def finish(self) -> None:
         """Send the caller the rest of the target's answer.
 
+        Blank bytes may follow the last event of a stream.
+
         Raises
         ------
         CallerLeftError
             The caller has closed its connection.
 
         """
+        blanks = self._splitter.take_partial()
         if self.has_started:
+            if blanks:
+                self._conn.send_piece(blanks)
             self._conn.end_answer()
         elif self._head is not None:
             self._record_start(self._head.status)
             self._conn.answer(
                 self._head.status,
                 self._head.headers,
-                bytes(self._body),
+                bytes(self._body) + blanks,
                 self._leaving.latest(),
             )
 
--- a/pomelogauge/wire/event_stream.py
+++ b/pomelogauge/wire/event_stream.py
@@ -65,6 +65,12 @@
         self._record_last_id(text[:end])
         return text[:end]
 
+    def take_partial(self) -> bytes:
+        """Return the bytes after the last complete event and forget them."""
+        partial = self._partial
+        self._partial = b''
+        return partial
+
     def drop_partial_event(self) -> None:
         """Drop the partial event; a resumed stream sends it again."""
         self._partial = b''
