Read an event with blanks at its end however it is split

A stream of an engine that ends with "[DONE] " failed if the event came in one piece, and its request was resumed elsewhere.

Cause: the fast path for a single event kept the blanks that the other strips.

Measured: the listed test passes, and so do test_chat_events, test_http_streams and test_request_run.

--- a/pomelogauge/wire/chat_events.py
+++ b/pomelogauge/wire/chat_events.py
@@ -46,7 +46,7 @@
         # Fast path: engines send most events in a chunk of their own.
         single = None if self._rest else _SINGLE_EVENT.fullmatch(received)
         if single:
-            return (single[1],)
+            return (single[1].strip(),)
         lines = (self._rest + received).split(b'\n')
         self._rest = lines.pop()
         if len(self._rest) > MAX_EVENT_BYTES:
