Test a restart while the store turns all calls away

A restarted instance that can read nothing answers 503 and is not ready; a key and a target that went while it was away are not used once the store is back. Before, the store was slow or had dropped its history in these tests.

Checked on a scratch copy in which a missing configuration is answered with 404: the test fails.

--- a/test/test_entry_process.py
+++ b/test/test_entry_process.py
@@ -172,6 +172,32 @@
             self.assertTrue(wait_for(entry.is_ready))
         self.assert_unused(gone, first, second)
 
+    def test_what_went_is_not_used_while_the_store_turns_all_away(
+        self,
+    ) -> None:
+        """A restarted instance uses nothing that it has not read."""
+        entry = self.entry('n1')
+        self.assertTrue(wait_for(entry.serves_requests))
+        entry.end()
+        gone = self.withdraw()
+        served = len(gone.served)
+        self.store.is_down = True
+        entry.start()
+        self.assertTrue(
+            wait_for(lambda: entry.send_request('a5').status == 503)
+        )
+        for _ in range(20):
+            self.assertFalse(entry.is_ready())
+            self.assertEqual(entry.send_request('a5').status, 503)
+            time.sleep(0.03)
+        self.store.is_down = False
+        self.assertTrue(
+            wait_for(lambda: entry.send_request('a6').status == 401)
+        )
+        for _ in range(10):
+            entry.send_request('a7', 'other')
+        self.assertEqual(len(gone.served), served)
+
     def test_what_went_while_one_was_away_is_not_used_again(self) -> None:
         """The instance may get its tables from the other one."""
         first, second = self.entry('n1'), self.entry('n2')
