--- a/test/test_callers_http.py
+++ b/test/test_callers_http.py
@@ -5,7 +5,9 @@
 import json
 import socket
 import threading
+import tracemalloc
 import unittest
+from contextlib import suppress
 
 from returns.result import Success
 
@@ -382,6 +384,27 @@
                 received = self.connect(sent).recv(1000)
                 self.assertIn(b'413', received.split(b'\r\n')[0])
 
+    def test_lines_of_chunks_without_end_are_refused(self) -> None:
+        """Guards against a chunk's size or extension that fills the memory."""
+        start = (
+            b'POST %s HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n'
+            b'\r\n' % CHAT.encode()
+        )
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for line in (b'0' * 65536, b'1;' + b'x' * 65536):
+            with self.subTest(line[:2]):
+                tracemalloc.reset_peak()
+                before = tracemalloc.get_traced_memory()[0]
+                conn = self.connect(start + line)
+                with suppress(OSError):
+                    for _ in range(160):
+                        conn.sendall(line[2:])
+                grown = tracemalloc.get_traced_memory()[1] - before
+                self.assertLess(grown, 2_000_000)
+                with suppress(ConnectionError):
+                    self.assertIn(b' 400 ', conn.recv(1000))
+
     def test_garbage_after_a_request_ends_only_its_connection(self) -> None:
         conn = self.connect(
             b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n\0garbage\r\n\r\n'
