Bound the lines of chunks from callers of a router

A caller could fill the memory of a router with a chunk size or extension without end. It is refused with status 400 after 32 KiB.

Cause: the server reads such a line without a limit to its length.

--- a/pomelogauge/wire/cheroot_connections.py
+++ b/pomelogauge/wire/cheroot_connections.py
@@ -12,6 +12,8 @@
 
 #: Key of the caller's socket in the WSGI environment.
 SOCKET_KEY = 'pomelogauge.socket'
+#: Longest line with the size and the extensions of a chunk, in bytes.
+_MAX_CHUNK_LINE_BYTES = 32768
 _MALFORMED = '400'
 _STOPPING = '503 Service Unavailable'
 
@@ -65,6 +67,23 @@
         BufferedReader.__init__(self, self.source, size)
         self.bytes_read = 0
 
+    def readline(self, size: int | None = -1) -> bytes:
+        """Read a line; the server bounds those of the head by ``size``.
+
+        Raises
+        ------
+        ValueError
+            A line that has no other bound, as those of chunks, is too long.
+
+        """
+        if size is not None and size >= 0:
+            bounded: bytes = super().readline(size)
+            return bounded
+        line: bytes = super().readline(_MAX_CHUNK_LINE_BYTES + 1)
+        if len(line) > _MAX_CHUNK_LINE_BYTES:
+            raise ValueError('the line of a chunk is too long')
+        return line
+
 
 class DeadlineRequest(HTTPRequest):
     """A request with one time limit for its headers and one for its body."""
