--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -157,8 +157,14 @@
             budget.count_request(now_s)
         candidates = self._eligible_targets(request)
         if not candidates:
+            # Targets that were tried may have asked for a pause.
+            wait_s = self._first_wait_s(
+                _all_targets(request, self._eligible), now_s
+            )
             return self._deny(
-                request, Denial.NO_TARGET, NO_TARGET_RETRY_AFTER_S
+                request,
+                Denial.NO_TARGET,
+                max(wait_s, NO_TARGET_RETRY_AFTER_S),
             )
         ready = [
             eligible
@@ -226,13 +232,9 @@
     def _eligible_targets(
         self, request: SlotRequested
     ) -> tuple[EligibleTarget, ...]:
-        admitted = request.admitted
-        is_plain = admitted.service.engine is None
-        model = NO_MODEL if is_plain else admitted.req.model
-        candidates = self._eligible.find(admitted.service.name, model)
         return tuple(
             eligible
-            for eligible in candidates
+            for eligible in _all_targets(request, self._eligible)
             if eligible.target.name not in request.tried
         )
 
@@ -275,11 +277,14 @@
         Targets that leave are replaced in the time that a new group takes.
         """
         wait_s = min(
-            self._notices.wait_s(candidate.target, now_s)
-            for candidate in candidates
+            (
+                _replacement_wait_s(
+                    self._notices.wait_s(candidate.target, now_s)
+                )
+                for candidate in candidates
+            ),
+            default=NO_TARGET_RETRY_AFTER_S,
         )
-        if math.isinf(wait_s):
-            return NO_TARGET_RETRY_AFTER_S
         return max(wait_s, NO_SLOT_RETRY_AFTER_S)
 
     def _deny(
@@ -321,3 +326,18 @@
                 self._settings.retry_window_s,
             )
         return self._budgets[service]
+
+
+def _all_targets(
+    request: SlotRequested, eligible: EligibleTargets
+) -> tuple[EligibleTarget, ...]:
+    """Return the eligible targets for a request, tried or not."""
+    admitted = request.admitted
+    is_plain = admitted.service.engine is None
+    model = NO_MODEL if is_plain else admitted.req.model
+    return eligible.find(admitted.service.name, model)
+
+
+def _replacement_wait_s(wait_s: float) -> float:
+    """Return when a target, or what replaces it, takes requests again."""
+    return NO_TARGET_RETRY_AFTER_S if math.isinf(wait_s) else wait_s
