Show a route that is refused after crashes before its first answer

Callers are refused for an hour because all requests of their route share a part: all instances have started, answers take 8 s, and three targets are lost before the first of them is complete. The simulation lets the targets crash four times; the part is quarantined after the first.

--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -51,6 +51,10 @@
 CONTACT_S = 3.0
 LATE_REQUESTS = 3
 DEADLY = PromptPart('dead')
+#: Seconds that a long answer takes, and the part that all requests of a route
+#: have in common.
+LONG_ANSWER_S = 8.0
+FIRST = PromptPart('first')
 
 
 def address(target: str) -> TargetAddress:
@@ -144,8 +148,15 @@
 class System:
     """Instances, an owner among them, targets and callers."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        answer_s: float = ANSWER_S,
+        first: tuple[PromptPart, ...] = (),
+    ) -> None:
         self.rng = Random(seed)
+        self.answer_s = answer_s
+        self.first = first
         self.clock = FakeClock()
         self.owner = 0
         self.term = 1
@@ -196,7 +207,7 @@
                 instance.membership.on_timer()
 
     def arrive(self, *, is_deadly: bool) -> None:
-        parts = (self.rng.choice(self.parts),)
+        parts = (*self.first, self.rng.choice(self.parts))
         if is_deadly:
             parts = (*parts, DEADLY)
         instance = self.rng.randrange(INSTANCES)
@@ -228,7 +239,7 @@
             self.crash(head)
             return
         for one in tuple(head.running):
-            if now_s - one.since_s >= ANSWER_S:
+            if now_s - one.since_s >= self.answer_s:
                 head.running.remove(one)
                 began_s = one.since_s + FIRST_EVENT_S
                 self.instances[one.instance].tell(
@@ -326,6 +337,24 @@
             system.run(AWAY_S + 0.5, 0)
         self.assertEqual(self.quarantined(system), [frozenset()] * INSTANCES)
 
+    def test_targets_that_crash_before_the_first_answer_end_no_route(
+        self,
+    ) -> None:
+        """Guards against the quarantine of what all requests share.
+
+        All instances have started, answers are long, and three targets crash
+        again and again.
+        """
+        for seed in range(5):
+            system = System(seed, LONG_ANSWER_S, (FIRST,))
+            system.run(1, 0)
+            for _ in range(4):
+                for head in system.heads[:3]:
+                    system.crash(head)
+                system.run(AWAY_S + 0.2, 0)
+                for parts in self.quarantined(system):
+                    self.assertNotIn(FIRST, parts, seed)
+
     def test_a_path_that_resets_connections_quarantines_nothing(self) -> None:
         """Guards against taking a lost connection for a crash.
 
