Doubt parts of prompts while nothing has been answered since their crashes

Callers were refused for an hour because all requests of their route share a part. After a start of all instances, with answers of 8 s, three targets that were lost at once sufficed.

Cause: a part that no instance has served counts as new, and after three crashes as deadly. Before the first whole answer all parts look new.

Change: a part is doubtful also as long as no other request has been answered since any of its crashes, and takes crashes at four moments then, as one that was served before. The fact of the chart is called is_doubtful now instead of was_served.

Measured: the new test passes, it failed before.

--- a/pomelogauge/decide/part_quarantine.py
+++ b/pomelogauge/decide/part_quarantine.py
@@ -38,7 +38,7 @@
 
 #: Target of the crashes that another owner has judged.
 _UNKNOWN = TargetName('')
-_NO_FACTS = PartFacts(0, 0, 0, was_served=False, is_settled=False)
+_NO_FACTS = PartFacts(0, 0, 0, is_doubtful=False, is_settled=False)
 
 
 @dataclass(frozen=True)
@@ -176,7 +176,7 @@
 
         """
         is_confirmed = surroundings.are_enough(self.reporters)
-        was_served = math.isfinite(self.served_s) and not self._is_restored()
+        was_served = math.isfinite(self.served_s)
         counted = [
             known
             for known in self.crashes
@@ -184,11 +184,13 @@
             and (is_confirmed or surroundings.has_restarted(known.crash))
             and (known.crash.others_answered or not was_served)
         ]
+        others_answered = any(known.crash.others_answered for known in counted)
+        is_doubtful = was_served or not others_answered
         return PartFacts(
             len(counted),
             len({known.target for known in counted}),
             _count_moments(known.at_s for known in counted),
-            was_served=was_served,
+            is_doubtful=is_doubtful and not self._is_restored(),
             is_settled=is_settled,
         )
 
--- a/pomelogauge/decide/prompt_part_chart.py
+++ b/pomelogauge/decide/prompt_part_chart.py
@@ -8,9 +8,9 @@
 #: Crashes under a part, and targets that crashed, before it is quarantined.
 MIN_CRASHES = 3
 MIN_TARGETS = 2
-#: Moments of the crashes under a part that was served before the first of them.
-#: Crashes of one moment may have another cause in common.
-MIN_MOMENTS_AFTER_SERVICE = 4
+#: Moments of the crashes under a part that is doubtful. Crashes of one moment
+#: may have another cause in common.
+MIN_MOMENTS_IN_DOUBT = 4
 
 
 class PartState(StrEnum):
@@ -47,8 +47,9 @@
     crashes, targets, moments
         Number of crashes that count, of different targets that crashed, and
         of moments at which they did.
-    was_served
-        Requests with the part were served before its first crash.
+    is_doubtful
+        Requests with the part were served before its first crash, or no
+        request at all has been answered since.
     is_settled
         All instances have had the time to say that they served the part.
 
@@ -57,7 +58,7 @@
     crashes: int
     targets: int
     moments: int
-    was_served: bool
+    is_doubtful: bool
     is_settled: bool
 
     def is_proven(self) -> bool:
@@ -70,8 +71,8 @@
         )
 
     def is_disputed(self) -> bool:
-        """Return whether the part was served, and has crashed too little."""
-        return self.was_served and self.moments < MIN_MOMENTS_AFTER_SERVICE
+        """Return whether the part is doubtful, and has crashed too little."""
+        return self.is_doubtful and self.moments < MIN_MOMENTS_IN_DOUBT
 
     def always(self) -> bool:
         """Return true: the guard of events that a state ignores."""
--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -191,6 +191,19 @@
             self.quarantine.record_crashes((answered,), f'n{at_s}', 4)
         self.assertEqual(self.verdicts(4).quarantined, {PART})
 
+    def test_losses_without_any_answer_count_if_they_go_on(self) -> None:
+        """Guards against the quarantine of what all requests share.
+
+        After a start nothing is known to be sound before the first answer.
+        """
+        for at_s in range(3):
+            alone = replace(crash(f't{at_s}'), others_answered=False)
+            self.quarantine.record_crashes((alone,), f'n{at_s}', at_s)
+        self.assertEqual(self.verdicts(4).suspected, {PART})
+        alone = replace(crash('t4'), others_answered=False)
+        self.quarantine.record_crashes((alone,), 'n4', 4)
+        self.assertEqual(self.verdicts(4).quarantined, {PART})
+
     def test_a_service_that_is_reported_late_ends_a_quarantine(self) -> None:
         """Guards against a part that is quarantined before it is answered."""
         self.crashes('t1', 't2', 't3', at_s=10)
