Show parts that are refused after one loss of many targets

Callers of parts that are asked for anew are refused for an hour because four targets are lost at once, as with a data centre, before the first answers with these parts are complete.

--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -355,6 +355,24 @@
                 for parts in self.quarantined(system):
                     self.assertNotIn(FIRST, parts, seed)
 
+    def test_the_loss_of_many_targets_at_once_quarantines_nothing(
+        self,
+    ) -> None:
+        """Guards against the quarantine of parts that are asked for anew.
+
+        A data centre is lost, and with it the first answers of some parts.
+        """
+        for seed in range(5):
+            system = System(seed, LONG_ANSWER_S)
+            system.run(4, 0)
+            for head in system.heads[:4]:
+                system.crash(head)
+            for _ in range(20):
+                system.run(0.5, 0)
+                self.assertEqual(
+                    self.quarantined(system), [frozenset()] * INSTANCES, seed
+                )
+
     def test_a_path_that_resets_connections_quarantines_nothing(self) -> None:
         """Guards against taking a lost connection for a crash.
 
