Quarantine no part of prompts for crashes of one moment

Callers of parts that are asked for anew were refused for an hour after four targets had been lost at once, as with a data centre.

Cause: three crashes at one moment counted as three, unless the part had been served before. Requests with a new part run at many targets at once, so that one loss of several targets names it often enough.

Change: each quarantine takes crashes at two moments, those of a doubtful part at four as before.

--- a/pomelogauge/decide/prompt_part_chart.py
+++ b/pomelogauge/decide/prompt_part_chart.py
@@ -8,8 +8,9 @@
 #: Crashes under a part, and targets that crashed, before it is quarantined.
 MIN_CRASHES = 3
 MIN_TARGETS = 2
-#: Moments of the crashes under a part that is doubtful. Crashes of one moment
-#: may have another cause in common.
+#: Moments of these crashes, also under a part that is doubtful. Crashes of one
+#: moment may have another cause in common.
+MIN_MOMENTS = 2
 MIN_MOMENTS_IN_DOUBT = 4
 
 
@@ -65,6 +66,7 @@
         """Return whether the part crashes targets."""
         return (
             self.crashes >= MIN_CRASHES
+            and self.moments >= MIN_MOMENTS
             and not self.is_disputed()
             and self.targets >= MIN_TARGETS
             and self.is_settled
