Show evidence that grows younger while the owner does not answer

A report to an owner that stands still takes as long as the call may, and is repeated. Each time the crashes and services in it are reported as younger than they are by the time that the call took: after 2.5 s one crash counts twice, and a service from before a crash clears a part of it.

--- a/test/test_instance_membership.py
+++ b/test/test_instance_membership.py
@@ -23,7 +23,14 @@
 )
 from pomelogauge.entry.ownership import OwnershipStatus
 from pomelogauge.model.fleet import EntryInstance, Fleet
-from pomelogauge.model.ids import Address, NodeName, RowVersion, TargetName
+from pomelogauge.model.ids import (
+    Address,
+    NodeName,
+    PromptPart,
+    RowVersion,
+    TargetName,
+)
+from pomelogauge.model.prompt_parts import PartCrash, PartEvidence
 from pomelogauge.tasks.published import Published
 from pomelogauge.wire.entry_codec import (
     decode_membership_snapshot,
@@ -40,21 +47,27 @@
 
 
 class Link:
-    """Returns ``answer`` to each report and keeps the reports."""
+    """Returns ``answer`` to each report and keeps the reports.
+
+    Each takes ``answer_s`` seconds of the clock.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: FakeClock) -> None:
         self.answer: Result = Failure(OwnerLinkError('refused'))
+        self.answer_s = 0.0
         self.reports: list[EntryReport] = []
+        self.clock = clock
 
     def report(self, address: Address, report: EntryReport) -> Result:
         self.reports.append(report)
+        self.clock.at_s += self.answer_s
         return self.answer
 
 
 class InstanceMembershipTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = FakeClock()
-        self.link = Link()
+        self.link = Link(self.clock)
         self.owner = Outbox()
         self.observed = Outbox()
         self.ownership = Published(OwnershipStatus())
@@ -150,6 +163,23 @@
         self.tick()
         self.assertEqual(self.link.reports[-1].suspects, suspects)
 
+    def test_evidence_ages_while_a_report_fails(self) -> None:
+        """Guards against one crash that counts twice.
+
+        Each report to an owner that stands still takes a second, and the next
+        one has the same evidence.
+        """
+        crash = PartCrash(PromptPart('p'), TargetName('t1'), 1)
+        self.link.answer_s = 1
+        self.become_standby()
+        began_s = self.clock.now_s()
+        self.membership.on_message(PartEvidence(frozenset((crash,))))
+        for _ in range(5):
+            self.tick()
+        (reported,) = self.link.reports[-1].parts.crashes
+        sent_s = self.clock.now_s() - self.link.answer_s
+        self.assertAlmostEqual(reported.age_s, sent_s - began_s)
+
     def test_suspects_on_the_owner_reach_its_owner_task(self) -> None:
         self.become_owner()
         suspects = frozenset((TargetName('t'),))
