Let evidence age while a report fails

One crash could count as two, and a service from before a crash could clear a part of it, after the owner had not answered for some seconds.

Cause: evidence of a report that failed went into the next one with its age at the start of the call.

Change: the duration of the call is added to its age.

Measured: test_evidence_ages_while_a_report_fails passes; before, a crash of 7 s ago was reported as one of 3 s ago.

--- a/pomelogauge/entry/instance_membership.py
+++ b/pomelogauge/entry/instance_membership.py
@@ -273,11 +273,13 @@
         )
 
     def _report(self, ownership: OwnershipStatus, report: EntryReport) -> None:
+        began_s = self._clock.now_s()
         answer = self._ports.link.report(ownership.address, report)
         if isinstance(answer, Failure):
             # The suspects and the evidence go into the next report.
             self._suspects |= report.suspects
-            self._parts.add(report.parts, self._clock.now_s())
+            now_s = self._clock.now_s()
+            self._parts.add(report.parts.aged(now_s - began_s), now_s)
             error = answer.failure()
             if self._is_answered:
                 _log.warning(
