--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -118,6 +118,7 @@
 
     def tell(self, message: PartMessage) -> None:
         self.watch.on_message(message)
+        self.watch.on_timer()
 
     def denial(
         self, parts: tuple[PromptPart, ...], *, is_retry: bool
@@ -204,6 +205,7 @@
             for head in self.heads:
                 self.work(head)
             for instance in self.instances:
+                instance.watch.on_timer()
                 instance.membership.on_timer()
 
     def arrive(self, *, is_deadly: bool) -> None:
