Judge parts ten times a second if there is no new evidence

The owner fell behind with its reports while many parts were suspected.

Cause: each report had all cases judged anew, also those without evidence.

Change: a report without evidence gets the verdicts of the last 0.1 s. One with evidence is judged at once as before.

Measured: 500 reports of 2 s with 512 suspected parts take 0.2 s of processor time, 4.6 s before. The simulations of test_query_of_death hold.

--- a/pomelogauge/entry/part_reports.py
+++ b/pomelogauge/entry/part_reports.py
@@ -1,5 +1,6 @@
 """What the membership task exchanges with the owner on parts of prompts."""
 
+import math
 from dataclasses import dataclass
 
 from ..charts.reader import load_chart
@@ -16,6 +17,9 @@
 #: Seconds beyond a report interval in which an instance that learns of a
 #: suspected part answers that it has served it.
 ANSWER_DELAY_S = 0.25
+#: Seconds between two judgements of the owner without new evidence, as each
+#: goes through all suspected parts.
+JUDGEMENT_INTERVAL_S = 0.1
 #: Pieces of evidence in one report at most, so that a report stays small when
 #: many targets are lost at once; the next reports have the others.
 MAX_EVIDENCE = 64
@@ -60,6 +64,7 @@
         self._reported_term = 0
         self._quarantine = PartQuarantine(self._chart)
         self._term = 0
+        self._next_judgement_s = -math.inf
         self._verdicts = PartVerdicts()
 
     def share_with(self, *listeners: Outbox[PartsJudged]) -> None:
@@ -137,7 +142,11 @@
             # The instances repeat within a report interval what they answered.
             told_s = now_s - ANSWER_DELAY_S
             self._quarantine.suspect(self._verdicts.suspected, told_s)
+            self._next_judgement_s = now_s
         evidence = received.evidence
+        if evidence == PartEvidence() and now_s < self._next_judgement_s:
+            return self._verdicts
+        self._next_judgement_s = now_s + JUDGEMENT_INTERVAL_S
         self._quarantine.record_crashes(
             evidence.crashes, received.reporter, now_s
         )
