Show crashes that wait behind older ones to be reported

Targets go on crashing under a part while its crashes wait: a report has 64 crashes, in the order of the parts' names, and after the loss of many targets there are hundreds. At 0.5 s between two reports the last of 1000 takes 7 s.

--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -416,6 +416,19 @@
         self.assertEqual(first.crashes | second.crashes, crashes)
         self.assertEqual(reports.take(0), PartEvidence())
 
+    def test_new_crashes_are_reported_before_old_ones(self) -> None:
+        """Guards against crashes of a part that wait behind many others.
+
+        Many targets are lost at once, and each report has few of their parts.
+        """
+        reports = PartReports()
+        lost = frozenset(crash('t', f'p{at}') for at in range(1000))
+        reports.add(PartEvidence(lost), 0)
+        reports.take(0)
+        new = crash('t', 'z')
+        reports.add(PartEvidence(frozenset((new,))), 1)
+        self.assertIn(new, reports.take(1).crashes)
+
     def test_evidence_ages_until_it_is_reported(self) -> None:
         reports = PartReports()
         reports.record(PartEvidence(frozenset((crash('t1'),))), 10)
