Report the newest evidence on parts first

Crashes under a part waited for seconds behind older ones of other parts.

Cause: a report has 64 crashes, in the order of the parts' names.

Change: they go in the order of their age.

Measured: test_new_crashes_are_reported_before_old_ones passes, it failed before. The simulations of test_query_of_death hold.

--- a/pomelogauge/entry/part_reports.py
+++ b/pomelogauge/entry/part_reports.py
@@ -9,7 +9,12 @@
 from ..decide.report_interval import report_interval_s
 from ..model.ids import NodeName, PromptPart
 from ..model.log_parts import Part
-from ..model.prompt_parts import PartEvidence, PartVerdicts
+from ..model.prompt_parts import (
+    PartCrash,
+    PartEvidence,
+    PartService,
+    PartVerdicts,
+)
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
 from .messages import PartsJudged
@@ -101,10 +106,10 @@
         return bool(self._verdicts.suspected)
 
     def take(self, now_s: float) -> PartEvidence:
-        """Return the evidence for the next report, and forget it."""
+        """Return the newest evidence for the next report, and forget it."""
         pending = self._pending.aged(now_s - self._pending_s)
-        crashes = sorted(pending.crashes)
-        served = sorted(pending.served)
+        crashes = sorted(pending.crashes, key=_age_s)
+        served = sorted(pending.served, key=_age_s)
         self._pending_s = now_s
         self._pending = PartEvidence(
             frozenset(crashes[MAX_EVIDENCE:]), frozenset(served[MAX_EVIDENCE:])
@@ -179,3 +184,7 @@
         self._verdicts = verdicts
         for listener in self._listeners:
             listener.post(PartsJudged(verdicts))
+
+
+def _age_s(seen: PartCrash | PartService) -> float:
+    return seen.age_s
