--- a/pomelogauge/decide/prompt_part_chart.py
+++ b/pomelogauge/decide/prompt_part_chart.py
@@ -65,20 +65,22 @@
     def is_proven(self) -> bool:
         """Return whether the part crashes targets."""
         return (
-            self.crashes >= MIN_CRASHES
-            and self.moments >= MIN_MOMENTS
-            and not self.is_disputed()
+            self.is_settled
+            and self.crashes >= MIN_CRASHES
             and self.targets >= MIN_TARGETS
-            and self.is_settled
+            and self.moments >= self._min_moments()
         )
 
     def is_disputed(self) -> bool:
         """Return whether the part is doubtful, and has crashed too little."""
-        return self.is_doubtful and self.moments < MIN_MOMENTS_IN_DOUBT
+        return self.is_doubtful and self.moments < self._min_moments()
 
     def always(self) -> bool:
         """Return true: the guard of events that a state ignores."""
         return True
 
+    def _min_moments(self) -> int:
+        return MIN_MOMENTS_IN_DOUBT if self.is_doubtful else MIN_MOMENTS
+
 
 PART_WORDS = Vocabulary(PartState, PartEvent, PartAction, PartFacts)
--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -489,7 +489,6 @@
             watch.on_timer()
         self.assertLess(time.thread_time() - began_s, 1)
 
-
     def test_reports_while_parts_are_suspected_take_little_processor_time(
         self,
     ) -> None:
