Show what long answers hide from the quarantine of parts

With answers of 8 s a part that turns deadly is found late, and sound parts are refused while half of the targets crash every 2 s: an answer that began after a crash is seldom complete before the next one, so that nothing tells them apart.

--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -309,6 +309,15 @@
             system.run(22, 0.012)
             self.assertLessEqual(system.late_requests(), LATE_REQUESTS, seed)
 
+    def test_a_part_turns_deadly_among_long_answers(self) -> None:
+        for seed in range(5):
+            system = System(seed, LONG_ANSWER_S)
+            system.is_deadly = False
+            system.run(16, 0.05)
+            system.is_deadly = True
+            system.run(22, 0.012)
+            self.assertLessEqual(system.late_requests(), LATE_REQUESTS, seed)
+
     def test_requests_that_share_other_parts_are_served(self) -> None:
         for seed in range(5):
             system = System(seed)
@@ -330,6 +339,19 @@
                 self.quarantined(system), [frozenset()] * INSTANCES, seed
             )
 
+    def test_crashes_during_long_answers_quarantine_nothing(self) -> None:
+        for seed in range(5):
+            system = System(seed, LONG_ANSWER_S)
+            system.run(16, 0)
+            for _ in range(8):
+                system.run(2, 0)
+                for head in system.rng.sample(system.heads, HEADS // 2):
+                    system.crash(head)
+            system.run(2, 0)
+            self.assertEqual(
+                self.quarantined(system), [frozenset()] * INSTANCES, seed
+            )
+
     def test_a_total_loss_of_targets_quarantines_nothing(self) -> None:
         system = System(1)
         system.run(4, 0)
