--- a/pomelogauge/decide/prompt_part_chart.py
+++ b/pomelogauge/decide/prompt_part_chart.py
@@ -8,9 +8,10 @@
 #: Crashes under a part, and targets that crashed, before it is quarantined.
 MIN_CRASHES = 3
 MIN_TARGETS = 2
-#: Moments of the crashes under a part that was served before the first of them.
-#: Crashes of one moment may have another cause in common.
-MIN_MOMENTS_AFTER_SERVICE = 4
+#: Moments of these crashes, also under a part that is doubtful. Crashes of one
+#: moment may have another cause in common.
+MIN_MOMENTS = 2
+MIN_MOMENTS_IN_DOUBT = 4
 
 
 class PartState(StrEnum):
@@ -47,8 +48,9 @@
     crashes, targets, moments
         Number of crashes that count, of different targets that crashed, and
         of moments at which they did.
-    was_served
-        Requests with the part were served before its first crash.
+    is_doubtful
+        Requests with the part were served before its first crash, or no
+        request at all has been answered since.
     is_settled
         All instances have had the time to say that they served the part.
 
@@ -57,25 +59,28 @@
     crashes: int
     targets: int
     moments: int
-    was_served: bool
+    is_doubtful: bool
     is_settled: bool
 
     def is_proven(self) -> bool:
         """Return whether the part crashes targets."""
         return (
-            self.crashes >= MIN_CRASHES
-            and not self.is_disputed()
+            self.is_settled
+            and self.crashes >= MIN_CRASHES
             and self.targets >= MIN_TARGETS
-            and self.is_settled
+            and self.moments >= self._min_moments()
         )
 
     def is_disputed(self) -> bool:
-        """Return whether the part was served, and has crashed too little."""
-        return self.was_served and self.moments < MIN_MOMENTS_AFTER_SERVICE
+        """Return whether the part is doubtful, and has crashed too little."""
+        return self.is_doubtful and self.moments < self._min_moments()
 
     def always(self) -> bool:
         """Return true: the guard of events that a state ignores."""
         return True
 
+    def _min_moments(self) -> int:
+        return MIN_MOMENTS_IN_DOUBT if self.is_doubtful else MIN_MOMENTS
+
 
 PART_WORDS = Vocabulary(PartState, PartEvent, PartAction, PartFacts)
--- a/pomelogauge/entry/part_reports.py
+++ b/pomelogauge/entry/part_reports.py
@@ -1,5 +1,6 @@
 """What the membership task exchanges with the owner on parts of prompts."""
 
+import math
 from dataclasses import dataclass
 
 from ..charts.reader import load_chart
@@ -8,7 +9,12 @@
 from ..decide.report_interval import report_interval_s
 from ..model.ids import NodeName, PromptPart
 from ..model.log_parts import Part
-from ..model.prompt_parts import PartEvidence, PartVerdicts
+from ..model.prompt_parts import (
+    PartCrash,
+    PartEvidence,
+    PartService,
+    PartVerdicts,
+)
 from ..tasks.log import part_logger
 from ..tasks.mailbox import Outbox
 from .messages import PartsJudged
@@ -16,6 +22,9 @@
 #: Seconds beyond a report interval in which an instance that learns of a
 #: suspected part answers that it has served it.
 ANSWER_DELAY_S = 0.25
+#: Seconds between two judgements of the owner without new evidence, as each
+#: goes through all suspected parts.
+JUDGEMENT_INTERVAL_S = 0.1
 #: Pieces of evidence in one report at most, so that a report stays small when
 #: many targets are lost at once; the next reports have the others.
 MAX_EVIDENCE = 64
@@ -60,6 +69,7 @@
         self._reported_term = 0
         self._quarantine = PartQuarantine(self._chart)
         self._term = 0
+        self._next_judgement_s = -math.inf
         self._verdicts = PartVerdicts()
 
     def share_with(self, *listeners: Outbox[PartsJudged]) -> None:
@@ -96,10 +106,10 @@
         return bool(self._verdicts.suspected)
 
     def take(self, now_s: float) -> PartEvidence:
-        """Return the evidence for the next report, and forget it."""
+        """Return the newest evidence for the next report, and forget it."""
         pending = self._pending.aged(now_s - self._pending_s)
-        crashes = sorted(pending.crashes)
-        served = sorted(pending.served)
+        crashes = sorted(pending.crashes, key=_age_s)
+        served = sorted(pending.served, key=_age_s)
         self._pending_s = now_s
         self._pending = PartEvidence(
             frozenset(crashes[MAX_EVIDENCE:]), frozenset(served[MAX_EVIDENCE:])
@@ -137,7 +147,11 @@
             # The instances repeat within a report interval what they answered.
             told_s = now_s - ANSWER_DELAY_S
             self._quarantine.suspect(self._verdicts.suspected, told_s)
+            self._next_judgement_s = now_s
         evidence = received.evidence
+        if evidence == PartEvidence() and now_s < self._next_judgement_s:
+            return self._verdicts
+        self._next_judgement_s = now_s + JUDGEMENT_INTERVAL_S
         self._quarantine.record_crashes(
             evidence.crashes, received.reporter, now_s
         )
@@ -170,3 +184,7 @@
         self._verdicts = verdicts
         for listener in self._listeners:
             listener.post(PartsJudged(verdicts))
+
+
+def _age_s(seen: PartCrash | PartService) -> float:
+    return seen.age_s
--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -1,6 +1,7 @@
 """Suspected and quarantined parts of prompts, along the way of a request."""
 
 import socket
+import time
 import unittest
 from dataclasses import replace
 from itertools import cycle
@@ -8,6 +9,7 @@
 from pomelogauge.charts.reader import load_chart
 from pomelogauge.decide.part_quarantine import (
     MAX_CASES,
+    MOMENT_S,
     QUARANTINE_S,
     SUSPICION_S,
     PartQuarantine,
@@ -21,7 +23,12 @@
 )
 from pomelogauge.entry.messages import AnswerLost, PartsServed
 from pomelogauge.entry.owner_link import EntryReport, MembershipSnapshot
-from pomelogauge.entry.part_reports import MAX_EVIDENCE, PartReports
+from pomelogauge.entry.part_reports import (
+    MAX_EVIDENCE,
+    PartReports,
+    ReceivedEvidence,
+)
+from pomelogauge.entry.part_watch import PartWatch
 from pomelogauge.model.entry_request import TargetAddress
 from pomelogauge.model.ids import (
     Address,
@@ -42,7 +49,7 @@
     encode_report,
 )
 
-from .entry_fakes import HOST, Outbox, entry_instance, target
+from .entry_fakes import HOST, FakeClock, Outbox, entry_instance, target
 from .request_fixtures import EVENTS, HEAD, RequestCase, stream, wait_until
 
 CHART = load_chart('prompt_part', PART_WORDS)
@@ -66,12 +73,20 @@
         self.reporters = cycle(('n1', 'n2'))
 
     def crashes(
-        self, *targets: str, at_s: float = 0, reporter: str = ''
+        self,
+        *targets: str,
+        at_s: float = 0,
+        apart_s: float = 2 * MOMENT_S,
+        reporter: str = '',
     ) -> None:
-        """Record crashes, in turn from two instances unless one is named."""
-        for name in targets:
+        """Record crashes, in turn from two instances unless one is named.
+
+        The last one is new; the others were one after the other before it.
+        """
+        for index, name in enumerate(reversed(targets)):
             by = reporter or next(self.reporters)
-            self.quarantine.record_crashes((crash(name),), by, at_s)
+            lost = replace(crash(name), age_s=index * apart_s)
+            self.quarantine.record_crashes((lost,), by, at_s)
 
     def serve(self, *, at_s: float, began_s: float | None = None) -> None:
         """Report a request that was answered wholly."""
@@ -98,6 +113,13 @@
         late = self.verdicts(SETTLE_S)
         self.assertEqual(late, PartVerdicts(quarantined={PART}))
 
+    def test_crashes_of_one_moment_are_not_enough(self) -> None:
+        """Guards against the quarantine after a loss of many targets."""
+        self.crashes('t1', 't2', 't3', 't4', apart_s=0)
+        self.assertEqual(self.verdicts(5), PartVerdicts(suspected={PART}))
+        self.crashes('t5', at_s=5)
+        self.assertEqual(self.verdicts(5), PartVerdicts(quarantined={PART}))
+
     def test_one_target_that_crashes_again_and_again_is_to_blame(self) -> None:
         for at_s in range(5):
             self.crashes('t1', at_s=at_s)
@@ -144,10 +166,11 @@
         A rare one was being answered by the same targets, and not served yet.
         """
         for index in range(4):
-            self.crashes(f't{index}')
+            self.crashes(f't{index}', at_s=index)
         for index in range(3):
             beside = crash(f't{index}', 'rare')
-            self.quarantine.record_crashes((beside,), 'n1', 0)
+            by = next(self.reporters)
+            self.quarantine.record_crashes((beside,), by, index)
         self.assertEqual(self.verdicts(5).quarantined, {PART})
 
     def test_a_part_that_was_served_is_cleared(self) -> None:
@@ -167,9 +190,9 @@
 
     def test_a_part_with_a_past_takes_crashes_at_four_moments(self) -> None:
         """Guards against sound parts whose requests are lost all at once."""
-        self.crashes('t1', 't2', 't3', 't4', at_s=10)
+        self.crashes('t1', 't2', 't3', 't4', at_s=10, apart_s=0)
         self.serve(began_s=9, at_s=11)
-        self.crashes('t5', 't6', at_s=12)
+        self.crashes('t5', 't6', at_s=12, apart_s=0)
         self.crashes('t7', at_s=14)
         self.assertEqual(self.verdicts(14).suspected, {PART})
         self.crashes('t8', at_s=16)
@@ -191,6 +214,19 @@
             self.quarantine.record_crashes((answered,), f'n{at_s}', 4)
         self.assertEqual(self.verdicts(4).quarantined, {PART})
 
+    def test_losses_without_any_answer_count_if_they_go_on(self) -> None:
+        """Guards against the quarantine of what all requests share.
+
+        After a start nothing is known to be sound before the first answer.
+        """
+        for at_s in range(3):
+            alone = replace(crash(f't{at_s}'), others_answered=False)
+            self.quarantine.record_crashes((alone,), f'n{at_s}', at_s)
+        self.assertEqual(self.verdicts(4).suspected, {PART})
+        alone = replace(crash('t4'), others_answered=False)
+        self.quarantine.record_crashes((alone,), 'n4', 4)
+        self.assertEqual(self.verdicts(4).quarantined, {PART})
+
     def test_a_service_that_is_reported_late_ends_a_quarantine(self) -> None:
         """Guards against a part that is quarantined before it is answered."""
         self.crashes('t1', 't2', 't3', at_s=10)
@@ -380,6 +416,19 @@
         self.assertEqual(first.crashes | second.crashes, crashes)
         self.assertEqual(reports.take(0), PartEvidence())
 
+    def test_new_crashes_are_reported_before_old_ones(self) -> None:
+        """Guards against crashes of a part that wait behind many others.
+
+        Many targets are lost at once, and each report has few of their parts.
+        """
+        reports = PartReports()
+        lost = frozenset(crash('t', f'p{at}') for at in range(1000))
+        reports.add(PartEvidence(lost), 0)
+        reports.take(0)
+        new = crash('t', 'z')
+        reports.add(PartEvidence(frozenset((new,))), 1)
+        self.assertIn(new, reports.take(1).crashes)
+
     def test_evidence_ages_until_it_is_reported(self) -> None:
         reports = PartReports()
         reports.record(PartEvidence(frozenset((crash('t1'),))), 10)
@@ -419,6 +468,48 @@
         self.assertEqual(decode_membership_snapshot(encoded), snapshot)
 
 
+class LoadTest(unittest.TestCase):
+    """Processor time while many parts are lost or suspected."""
+
+    def test_the_loss_of_many_requests_takes_little_processor_time(
+        self,
+    ) -> None:
+        """Guards against an instance that stands still after a total loss."""
+        clock = FakeClock()
+        watch = PartWatch(Outbox(), clock)
+        began_s = time.thread_time()
+        for at in range(1000):
+            parts = tuple(PromptPart(f'p{at}-{part}') for part in range(3))
+            watch.on_message(PartsServed(parts, clock.at_s))
+            watch.on_timer()
+        clock.at_s += 1
+        for at in range(1000):
+            parts = tuple(PromptPart(f'p{at}-{part}') for part in range(3))
+            watch.on_message(AnswerLost(address('t1'), parts))
+            watch.on_timer()
+        self.assertLess(time.thread_time() - began_s, 1)
+
+    def test_reports_while_parts_are_suspected_take_little_processor_time(
+        self,
+    ) -> None:
+        """Guards against an owner that is late while many parts are suspected.
+
+        Two targets were lost at once; then the instances report 250 times a
+        second.
+        """
+        reports = PartReports()
+        for reporter, name in enumerate(('t1', 't2')):
+            lost = frozenset(crash(name, f'p{at}') for at in range(MAX_CASES))
+            received = ReceivedEvidence(f'n{reporter}', PartEvidence(lost))
+            reports.judge(received, 1, CALM, 0)
+        calm = ReceivedEvidence('n1', PartEvidence())
+        began_s = time.thread_time()
+        for report in range(500):
+            verdicts = reports.judge(calm, 1, CALM, 1 + report / 250)
+        self.assertEqual(len(verdicts.suspected), MAX_CASES)
+        self.assertLess(time.thread_time() - began_s, 1)
+
+
 class PartsOfRequestsTest(RequestCase):
     """Requests over real sockets, with two shared parts and one of their own."""
 
--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -51,6 +51,10 @@
 CONTACT_S = 3.0
 LATE_REQUESTS = 3
 DEADLY = PromptPart('dead')
+#: Seconds that a long answer takes, and the part that all requests of a route
+#: have in common.
+LONG_ANSWER_S = 8.0
+FIRST = PromptPart('first')
 
 
 def address(target: str) -> TargetAddress:
@@ -114,6 +118,7 @@
 
     def tell(self, message: PartMessage) -> None:
         self.watch.on_message(message)
+        self.watch.on_timer()
 
     def denial(
         self, parts: tuple[PromptPart, ...], *, is_retry: bool
@@ -144,8 +149,15 @@
 class System:
     """Instances, an owner among them, targets and callers."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        answer_s: float = ANSWER_S,
+        first: tuple[PromptPart, ...] = (),
+    ) -> None:
         self.rng = Random(seed)
+        self.answer_s = answer_s
+        self.first = first
         self.clock = FakeClock()
         self.owner = 0
         self.term = 1
@@ -193,10 +205,11 @@
             for head in self.heads:
                 self.work(head)
             for instance in self.instances:
+                instance.watch.on_timer()
                 instance.membership.on_timer()
 
     def arrive(self, *, is_deadly: bool) -> None:
-        parts = (self.rng.choice(self.parts),)
+        parts = (*self.first, self.rng.choice(self.parts))
         if is_deadly:
             parts = (*parts, DEADLY)
         instance = self.rng.randrange(INSTANCES)
@@ -228,7 +241,7 @@
             self.crash(head)
             return
         for one in tuple(head.running):
-            if now_s - one.since_s >= ANSWER_S:
+            if now_s - one.since_s >= self.answer_s:
                 head.running.remove(one)
                 began_s = one.since_s + FIRST_EVENT_S
                 self.instances[one.instance].tell(
@@ -296,6 +309,15 @@
             system.run(22, 0.012)
             self.assertLessEqual(system.late_requests(), LATE_REQUESTS, seed)
 
+    def test_a_part_turns_deadly_among_long_answers(self) -> None:
+        for seed in range(5):
+            system = System(seed, LONG_ANSWER_S)
+            system.is_deadly = False
+            system.run(16, 0.05)
+            system.is_deadly = True
+            system.run(22, 0.012)
+            self.assertLessEqual(system.late_requests(), LATE_REQUESTS, seed)
+
     def test_requests_that_share_other_parts_are_served(self) -> None:
         for seed in range(5):
             system = System(seed)
@@ -317,6 +339,19 @@
                 self.quarantined(system), [frozenset()] * INSTANCES, seed
             )
 
+    def test_crashes_during_long_answers_quarantine_nothing(self) -> None:
+        for seed in range(5):
+            system = System(seed, LONG_ANSWER_S)
+            system.run(16, 0)
+            for _ in range(8):
+                system.run(2, 0)
+                for head in system.rng.sample(system.heads, HEADS // 2):
+                    system.crash(head)
+            system.run(2, 0)
+            self.assertEqual(
+                self.quarantined(system), [frozenset()] * INSTANCES, seed
+            )
+
     def test_a_total_loss_of_targets_quarantines_nothing(self) -> None:
         system = System(1)
         system.run(4, 0)
@@ -326,6 +361,42 @@
             system.run(AWAY_S + 0.5, 0)
         self.assertEqual(self.quarantined(system), [frozenset()] * INSTANCES)
 
+    def test_targets_that_crash_before_the_first_answer_end_no_route(
+        self,
+    ) -> None:
+        """Guards against the quarantine of what all requests share.
+
+        All instances have started, answers are long, and three targets crash
+        again and again.
+        """
+        for seed in range(5):
+            system = System(seed, LONG_ANSWER_S, (FIRST,))
+            system.run(1, 0)
+            for _ in range(4):
+                for head in system.heads[:3]:
+                    system.crash(head)
+                system.run(AWAY_S + 0.2, 0)
+                for parts in self.quarantined(system):
+                    self.assertNotIn(FIRST, parts, seed)
+
+    def test_the_loss_of_many_targets_at_once_quarantines_nothing(
+        self,
+    ) -> None:
+        """Guards against the quarantine of parts that are asked for anew.
+
+        A data centre is lost, and with it the first answers of some parts.
+        """
+        for seed in range(5):
+            system = System(seed, LONG_ANSWER_S)
+            system.run(4, 0)
+            for head in system.heads[:4]:
+                system.crash(head)
+            for _ in range(20):
+                system.run(0.5, 0)
+                self.assertEqual(
+                    self.quarantined(system), [frozenset()] * INSTANCES, seed
+                )
+
     def test_a_path_that_resets_connections_quarantines_nothing(self) -> None:
         """Guards against taking a lost connection for a crash.
 
