Acquit parts of prompts by answers that are under way

Cause: only a whole answer that had begun after a crash cleared a part of it, and no answer came to its end between two crashes.

Change: an answer that its target has been sending for half a second acquits a part that was served before, as a whole one does. The counts of answered parts are kept without a copy each time.

--- a/pomelogauge/decide/served_parts.py
+++ b/pomelogauge/decide/served_parts.py
@@ -54,11 +54,15 @@
     served lately is sound in all likelihood; it is named once answers with it
     are lost at two targets, one after the other, and another request has been
     answered since. One that many answers have in common is not named.
+
+    An answer that has been under way for some time acquits a part as well, but
+    is no service: the part may crash targets later in their answers.
     """
 
     def __init__(self) -> None:
         """Start with none."""
         self._served_s: dict[PromptPart, float] = {}
+        self._acquitted_s: dict[PromptPart, float] = {}
         self._losses: dict[PromptPart, tuple[_Loss, ...]] = {}
         self._open: set[PromptPart] = set()
         self._answered_s = -math.inf
@@ -86,9 +90,31 @@
         for part in served:
             latest_s = max(began_s, self._served_s.pop(part, began_s))
             self._served_s[part] = latest_s
-            self._forget_losses(part, latest_s)
+            self._acquit(part, began_s)
         while len(self._served_s) > MAX_SERVED_PARTS:
-            self._served_s.pop(next(iter(self._served_s)))
+            oldest = next(iter(self._served_s))
+            self._served_s.pop(oldest)
+            self._acquitted_s.pop(oldest)
+
+    def record_under_way(
+        self, parts: Iterable[PromptPart], began_s: float, now_s: float
+    ) -> None:
+        """Record an answer that has been under way for some time.
+
+        Parameters
+        ----------
+        parts
+            Parts of the request's prompt.
+        began_s
+            Time at which the answer began.
+        now_s
+            Present time of the local clock.
+
+        """
+        for part in parts:
+            if self._was_served(part, now_s):
+                self._answered_s = now_s
+                self._acquit(part, began_s)
 
     def record_lost(
         self,
@@ -145,7 +171,7 @@
     ) -> frozenset[PartService]:
         """Return the latest service of those parts that were served lately."""
         return frozenset(
-            PartService(part, now_s - self._served_s[part])
+            PartService(part, now_s - self._acquitted_s[part])
             for part in parts
             if self._was_served(part, now_s)
         )
@@ -154,8 +180,10 @@
         self._answers.append(parts)
         self._counts.update(parts)
         if len(self._answers) > MAX_ANSWERS:
-            self._counts.subtract(self._answers.popleft())
-            self._counts += Counter()
+            for part in self._answers.popleft():
+                self._counts[part] -= 1
+                if not self._counts[part]:
+                    self._counts.pop(part)
 
     def _is_common(self, part: PromptPart, now_s: float) -> bool:
         """Return whether many of the latest answers have the part."""
@@ -197,6 +225,11 @@
             self._open.discard(part)
         return crashes
 
+    def _acquit(self, part: PromptPart, began_s: float) -> None:
+        latest_s = max(began_s, self._acquitted_s.get(part, began_s))
+        self._acquitted_s[part] = latest_s
+        self._forget_losses(part, latest_s)
+
     def _forget_losses(self, part: PromptPart, until_s: float) -> None:
         later = tuple(
             loss for loss in self._losses.pop(part, ()) if loss.at_s > until_s
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -190,6 +190,23 @@
     began_s: float
 
 
+@dataclass(frozen=True)
+class AnswerUnderWay:
+    """A target has been sending an answer for some time.
+
+    Parameters
+    ----------
+    parts
+        Parts of the request's prompt that other requests may have too.
+    began_s
+        Time of the local clock at which the answer began.
+
+    """
+
+    parts: tuple[PromptPart, ...]
+    began_s: float
+
+
 @dataclass(frozen=True)
 class PartsJudged:
     """The owner's verdicts on parts of prompts have changed."""
@@ -204,7 +221,7 @@
     parts: frozenset[PromptPart]
 
 
-PartMessage = AnswerLost | PartsServed | PartsJudged
+PartMessage = AnswerLost | AnswerUnderWay | PartsServed | PartsJudged
 InstanceMembershipMessage = (
     ReportReceived
     | TargetsSuspected
--- a/pomelogauge/entry/part_watch.py
+++ b/pomelogauge/entry/part_watch.py
@@ -9,6 +9,7 @@
 from ..tasks.mailbox import Outbox
 from .messages import (
     AnswerLost,
+    AnswerUnderWay,
     PartMessage,
     PartsJudged,
     PartsServed,
@@ -56,6 +57,11 @@
                 self._parts.record_lost(
                     message.parts, message.destination, now_s
                 )
+            case AnswerUnderWay():
+                self._parts.record_under_way(
+                    message.parts, message.began_s, now_s
+                )
+                self._asked |= self._accused().intersection(message.parts)
             case PartsServed():
                 self._parts.record_served(message.parts, message.began_s, now_s)
                 self._asked |= self._accused().intersection(message.parts)
--- a/pomelogauge/entry/request_run.py
+++ b/pomelogauge/entry/request_run.py
@@ -33,6 +33,7 @@
 from .caller_answer import AnswerTooLargeError, CallerAnswer
 from .messages import (
     AnswerLost,
+    AnswerUnderWay,
     LoadReceived,
     NoticeReceived,
     Outcome,
@@ -45,6 +46,9 @@
 from .request_ports import RequestPorts
 from .target_attempt import Interruption, TargetAttempt
 
+#: Seconds after the head of an answer from which on it is under way: its target
+#: has begun to write it.
+UNDER_WAY_S = 0.5
 #: Seconds after which a caller is told to try again if the last target rejected
 #: its request: some slots become free in this time.
 REJECTED_RETRY_AFTER_S = 0.6
@@ -145,6 +149,7 @@
         self._sent: tuple[TargetName, ...] = ()
         self._may_have_run = False
         self._began_s = 0.0
+        self._under_way_s = math.inf
         self._retry_after_s = 0.0
         self._reason = ''
         self._outcome = Outcome.ANSWERED
@@ -297,6 +302,8 @@
         self._reason = verdict.reason
         if verdict.event is RequestEvent.HEAD_RECEIVED:
             self._began_s = self._ports.clock.now_s()
+            if self._admitted.req.shared_parts:
+                self._under_way_s = self._began_s + UNDER_WAY_S
             self._answer.begin(answer)
         elif verdict.event is RequestEvent.REJECTED:
             self._outcome = Outcome.TURNED_AWAY
@@ -329,6 +336,13 @@
                 return event
             if self._answer.add_piece(event.piece):
                 progress_s = self._ports.clock.now_s()
+                if progress_s >= self._under_way_s:
+                    self._under_way_s = math.inf
+                    self._ports.parts.post(
+                        AnswerUnderWay(
+                            self._admitted.req.shared_parts, self._began_s
+                        )
+                    )
 
     def _stall_timeout_s(self) -> float:
         """Return the stall timeout at a target.
--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -21,7 +21,11 @@
     SERVED_S,
     ServedParts,
 )
-from pomelogauge.entry.messages import AnswerLost, PartsServed
+from pomelogauge.entry.messages import (
+    AnswerLost,
+    AnswerUnderWay,
+    PartsServed,
+)
 from pomelogauge.entry.owner_link import EntryReport, MembershipSnapshot
 from pomelogauge.entry.part_reports import (
     MAX_EVIDENCE,
@@ -29,6 +33,7 @@
     ReceivedEvidence,
 )
 from pomelogauge.entry.part_watch import PartWatch
+from pomelogauge.entry.request_run import UNDER_WAY_S
 from pomelogauge.model.entry_request import TargetAddress
 from pomelogauge.model.ids import (
     Address,
@@ -50,7 +55,14 @@
 )
 
 from .entry_fakes import HOST, FakeClock, Outbox, entry_instance, target
-from .request_fixtures import EVENTS, HEAD, RequestCase, stream, wait_until
+from .request_fixtures import (
+    EVENTS,
+    HEAD,
+    RequestCase,
+    chunk,
+    stream,
+    wait_until,
+)
 
 CHART = load_chart('prompt_part', PART_WORDS)
 PART = PromptPart('p')
@@ -378,6 +390,24 @@
             self.lose(name, at_s)
             self.assertEqual(self.named(9), [])
 
+    def test_an_answer_under_way_acquits_a_part_with_a_past(self) -> None:
+        """Guards against sound parts that are named during long answers."""
+        self.serve(PART, 0)
+        self.lose('t1', 5)
+        self.parts.record_under_way((PART,), 5.5, 6)
+        self.lose('t2', 6)
+        self.assertEqual(self.named(7), [])
+        self.assertEqual(
+            self.parts.services((PART,), 7), {PartService(PART, 1.5)}
+        )
+
+    def test_an_answer_under_way_is_no_service(self) -> None:
+        """Guards against a part that crashes targets late in their answers."""
+        self.lose('t1', 5)
+        self.parts.record_under_way((PART,), 5.5, 6)
+        self.assertEqual(self.parts.services((PART,), 6), frozenset())
+        self.assertEqual(self.named(7), [('t1', 2)])
+
     def test_a_part_of_many_requests_is_not_named(self) -> None:
         """Guards against the quarantine of what all requests share."""
         for at in range(20):
@@ -594,6 +624,22 @@
         self.assertEqual(lost.destination.target, 't0')
         self.assertEqual(lost.parts, ('p', 'q'))
 
+    def test_a_long_answer_is_reported_while_it_is_under_way(self) -> None:
+        def slow(sock: socket.socket, received: bytes) -> None:
+            sock.sendall(HEAD + chunk(EVENTS[0]))
+            for event in EVENTS[1:]:
+                time.sleep(UNDER_WAY_S + 0.1)
+                sock.sendall(chunk(event))
+            sock.sendall(b'0\r\n\r\n')
+
+        self.start(slow)
+        self.call_with_parts()
+        self.assertTrue(wait_until(lambda: len(self.parts.posted) > 1))
+        kinds = [type(message) for message in self.parts.posted]
+        self.assertEqual(kinds, [AnswerUnderWay, PartsServed])
+        began = {message.began_s for message in self.parts.posted}
+        self.assertEqual(len(began), 1)
+
     def test_an_answer_without_a_length_shows_nothing(self) -> None:
         """Its end may be a crash."""
 
--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -15,6 +15,7 @@
 )
 from pomelogauge.entry.messages import (
     AnswerLost,
+    AnswerUnderWay,
     PartMessage,
     PartsServed,
     ReportReceived,
@@ -22,6 +23,7 @@
 from pomelogauge.entry.owner_link import EntryReport, OwnerLinkError
 from pomelogauge.entry.ownership import OwnershipStatus
 from pomelogauge.entry.part_watch import PartWatch
+from pomelogauge.entry.request_run import UNDER_WAY_S
 from pomelogauge.model.entry_request import TargetAddress
 from pomelogauge.model.fleet import EntryInstance, Fleet
 from pomelogauge.model.ids import (
@@ -135,6 +137,7 @@
     parts: tuple[PromptPart, ...]
     since_s: float
     is_retry: bool = False
+    is_under_way: bool = False
 
 
 @dataclass
@@ -241,9 +244,14 @@
             self.crash(head)
             return
         for one in tuple(head.running):
+            began_s = one.since_s + FIRST_EVENT_S
+            if now_s - began_s >= UNDER_WAY_S and not one.is_under_way:
+                one.is_under_way = True
+                self.instances[one.instance].tell(
+                    AnswerUnderWay(one.parts, began_s)
+                )
             if now_s - one.since_s >= self.answer_s:
                 head.running.remove(one)
-                began_s = one.since_s + FIRST_EVENT_S
                 self.instances[one.instance].tell(
                     PartsServed(one.parts, began_s)
                 )
