--- a/test/request_fixtures.py
+++ b/test/request_fixtures.py
@@ -163,8 +163,9 @@
         )
         self.published_fleet = published_fleet
         settings = DispatchSettings(ZONE, 0.2, 100, 10)
+        self.membership = Outbox()
         self.dispatcher = NameOrderDispatcher(
-            settings, published_fleet, Outbox(), clock, Random(1)
+            settings, published_fleet, self.membership, clock, Random(1)
         )
         dispatcher = Task('dispatcher', self.dispatcher)
         dispatcher.start()
