Leave a silent target only for one that takes the request

What callers saw: status 502, "no target can take the request now", or a cut stream, once the only target for a request had been silent for the stall timeout (0.6 s for the first event at least), even if its answer came a moment later. test_shutdown_load met it in 1 of 20 runs: its two targets are one group, so that there never is a second one, and they run in the test's process, which others may keep off the processor.

Cause: a stall ended the attempt before a slot elsewhere was asked for. The denial then had nothing to fall back on. 502 was right as the request may have run, but it should have been served: a route without repeats already awaits such an answer to the deadline.

Change: the chart knows the stall as an event of its own. The silent target keeps the request and its slot while another one is asked for, and is left once that has granted a slot. On a denial its answer is awaited further, and a slot is asked for again after each further stall timeout. The dispatcher learns of the stall at once, so that the target is ejected and reported as before. A target that says late that it has not run the request makes the refusal a 503: the targets that may have run it are kept by name.

Price: a target that never answers costs its caller the whole time, and 504.

A lost answer would be the only other way to this 502; the test's targets lose none. The walks now say too that a silent target is left only for another one.

--- a/pomelogauge/decide/entry_request_chart.py
+++ b/pomelogauge/decide/entry_request_chart.py
@@ -15,6 +15,8 @@
     AWAITING_SLOT = 'awaiting_slot'
     AWAITING_HEAD = 'awaiting_head'
     RELAYING = 'relaying'
+    STALLED_BEFORE_HEAD = 'stalled_before_head'
+    STALLED_IN_ANSWER = 'stalled_in_answer'
     ANSWERED = 'answered'
     REFUSED = 'refused'
     FAILED = 'failed'
@@ -29,7 +31,8 @@
     ``ADMISSION_LAPSED``: the request must not be sent any more.
     ``REJECTED``: the target says that it has not run the request.
     ``ATTEMPT_FAILED``: no usable answer, or the end of one is missing; the
-    target may have run the request. ``EXPIRED``: the caller's time is over.
+    target may have run the request. ``ATTEMPT_STALLED``: the target is silent;
+    its answer may still come. ``EXPIRED``: the caller's time is over.
     """
 
     SLOT_GRANTED = 'slot_granted'
@@ -38,6 +41,7 @@
     ADMISSION_LAPSED = 'admission_lapsed'
     REJECTED = 'rejected'
     ATTEMPT_FAILED = 'attempt_failed'
+    ATTEMPT_STALLED = 'attempt_stalled'
     HEAD_RECEIVED = 'head_received'
     ANSWER_COMPLETED = 'answer_completed'
     CALLER_LEFT = 'caller_left'
@@ -47,14 +51,17 @@
 class RequestAction(StrEnum):
     """Work of the task that serves the caller's connection.
 
-    ``REFUSE``: tell the caller that nothing has run. ``FAIL``, ``TIME_OUT``:
+    ``REQUEST_OTHER_SLOT``: request a slot while the target that is silent keeps
+    the request; it is left once the slot is granted. ``REFUSE``: tell the caller that nothing has run. ``FAIL``, ``TIME_OUT``:
     report a failed attempt, or that the caller's time is over. ``CUT``: break
     off an answer that has begun. ``CANCEL``: the caller is gone; only close
     the attempt.
     """
 
     REQUEST_SLOT = 'request_slot'
+    REQUEST_OTHER_SLOT = 'request_other_slot'
     SEND = 'send'
+    AWAIT_HEAD = 'await_head'
     RELAY = 'relay'
     FINISH = 'finish'
     REFUSE = 'refuse'
--- a/pomelogauge/entry/dispatcher.py
+++ b/pomelogauge/entry/dispatcher.py
@@ -19,7 +19,7 @@
 from ..decide.target_notices import TargetNotices
 from ..model.entry_request import TargetAddress
 from ..model.fleet import Fleet
-from ..model.ids import DataCentreName, ServiceName
+from ..model.ids import DataCentreName, ServiceName, TargetName
 from ..model.log_parts import Part
 from ..tasks.clock import Clock
 from ..tasks.log import part_logger
@@ -29,12 +29,14 @@
     DispatchMessage,
     LoadReceived,
     NoticeReceived,
+    Outcome,
     SlotDenied,
     SlotGranted,
     SlotReleased,
     SlotRequested,
     SuspectsShared,
     TargetsSuspected,
+    TargetStalled,
 )
 from .target_views import TargetViews
 
@@ -134,7 +136,10 @@
             case NoticeReceived():
                 self._record_notice(message)
             case SlotReleased():
-                self._release(message)
+                self._views.release(message.target)
+                self._record_outcome(message.target, message.outcome)
+            case TargetStalled():
+                self._record_outcome(message.target, Outcome.STALLED)
             case SuspectsShared():
                 self._update_fleet()
                 self._views.avoid(
@@ -303,10 +308,9 @@
         )
         return denied
 
-    def _release(self, released: SlotReleased) -> None:
-        if self._views.release(released, self._clock.now_s()):
-            suspects = frozenset((released.target,))
-            self._membership.post(TargetsSuspected(suspects))
+    def _record_outcome(self, name: TargetName, outcome: Outcome) -> None:
+        if self._views.record_outcome(name, outcome, self._clock.now_s()):
+            self._membership.post(TargetsSuspected(frozenset((name,))))
 
     def _retry_reserve(self) -> float:
         """Return this instance's part of the retry reserve."""
--- a/pomelogauge/entry/messages.py
+++ b/pomelogauge/entry/messages.py
@@ -303,11 +303,19 @@
     outcome: Outcome
 
 
+@dataclass(frozen=True)
+class TargetStalled:
+    """A target is silent but keeps its slot, as no other one is free."""
+
+    target: TargetName
+
+
 DispatchMessage = (
     SlotRequested
     | LoadReceived
     | NoticeReceived
     | SlotReleased
+    | TargetStalled
     | SuspectsShared
 )
 
--- a/pomelogauge/entry/request_run.py
+++ b/pomelogauge/entry/request_run.py
@@ -41,6 +41,7 @@
     SlotDenied,
     SlotReleased,
     SlotRequested,
+    TargetStalled,
 )
 from .request_ports import RequestPorts
 from .target_attempt import Interruption, TargetAttempt
@@ -75,7 +76,7 @@
         RequestEvent.EXPIRED, Outcome.LEFT
     ),
     Interruption.STALLED: _InterruptionMeaning(
-        RequestEvent.ATTEMPT_FAILED, Outcome.STALLED
+        RequestEvent.ATTEMPT_STALLED, Outcome.STALLED
     ),
 }
 
@@ -143,7 +144,8 @@
         self._attempt: TargetAttempt | None = None
         self._tried: tuple[TargetName, ...] = ()
         self._sent: tuple[TargetName, ...] = ()
-        self._may_have_run = False
+        #: Targets that have not said that they did not run the request.
+        self._unsettled: frozenset[TargetName] = frozenset()
         self._retry_after_s = 0.0
         self._reason = ''
         self._outcome = Outcome.ANSWERED
@@ -182,20 +184,25 @@
             started=started,
             retryable=route.may_resume if started else route.may_retry(),
             targets_left=route.max_targets - len(self._sent),
-            may_have_run=self._may_have_run,
+            may_have_run=bool(self._unsettled),
         )
 
     def _step(self, action: RequestAction) -> RequestEvent:
         if action is RequestAction.REQUEST_SLOT:
+            self._release_slot()
+            return self._request_slot()
+        if action is RequestAction.REQUEST_OTHER_SLOT:
             return self._request_slot()
         if self._attempt is None:
             return RequestEvent.CONNECT_FAILED
         if action is RequestAction.SEND:
             return self._send(self._attempt)
+        if action is RequestAction.AWAIT_HEAD:
+            return self._await_head(self._attempt)
         return self._relay(self._attempt)
 
     def _request_slot(self) -> RequestEvent:
-        self._release_slot()
+        """Request a slot; a silent target keeps the request until the grant."""
         remaining_s = self._admitted.deadline_s - self._ports.clock.now_s()
         if remaining_s <= 0:
             return RequestEvent.EXPIRED
@@ -215,7 +222,12 @@
         if isinstance(answer, SlotDenied):
             self._retry_after_s = answer.retry_after_s
             self._reason = answer.denial
+            if self._attempt is not None:
+                self._outcome = Outcome.ANSWERED
+                stalled = TargetStalled(self._attempt.destination.target)
+                self._ports.dispatcher.post(stalled)
             return RequestEvent.SLOT_DENIED
+        self._release_slot()
         self._outcome = Outcome.ANSWERED
         self._tried = (*self._tried, answer.destination.target)
         self._attempt = TargetAttempt(
@@ -240,6 +252,7 @@
         if self._has_lapsed():
             return RequestEvent.ADMISSION_LAPSED
         self._sent = (*self._sent, attempt.destination.target)
+        self._unsettled |= {attempt.destination.target}
         sent = _target_request(
             self._admitted,
             attempt.destination.target,
@@ -249,7 +262,6 @@
         head = self._ports.codec.encode_request(sent)
         error = attempt.send(head, self._admitted.req.body)
         if error is not None:
-            self._may_have_run = True
             return self._fail(error.message)
         return self._await_head(attempt)
 
@@ -278,7 +290,6 @@
         event = attempt.next_event(sent_s + self._stall_timeout_s())
         if isinstance(event, HeadRead):
             return self._judge(event, attempt)
-        self._may_have_run = True
         return self._end_of_attempt(event)
 
     def _judge(self, head: HeadRead, attempt: TargetAttempt) -> RequestEvent:
@@ -290,8 +301,8 @@
             self._ports.dispatcher.post(
                 NoticeReceived(attempt.destination, answer.notice)
             )
-        if not answer.was_not_run:
-            self._may_have_run = True
+        if answer.was_not_run:
+            self._unsettled -= {attempt.destination.target}
         verdict = judge(answer, self._admitted.req, self._facts())
         self._reason = verdict.reason
         if verdict.event is RequestEvent.HEAD_RECEIVED:
@@ -310,6 +321,7 @@
             return self._fail(str(exc))
         if not isinstance(event, AnswerEnded):
             return self._end_of_attempt(event)
+        self._reason = ''
         if self._answer.has_partial_event():
             return self._fail('the stream ends inside an event')
         if event.is_framed and self._admitted.req.shared_parts:
@@ -375,7 +387,7 @@
         elif action is RequestAction.CUT:
             self._answer.abort()
         elif action is not RequestAction.CANCEL:
-            status = _refusal_status(action, may_have_run=self._may_have_run)
+            status = _refusal_status(action, may_have_run=bool(self._unsettled))
             self._answer.refuse(status, self._reason, self._retry_after_s)
 
 
--- a/pomelogauge/entry/target_views.py
+++ b/pomelogauge/entry/target_views.py
@@ -18,7 +18,7 @@
 from ..model.ids import NO_EPOCH, Epoch, TargetName
 from ..model.log_parts import Part
 from ..tasks.log import part_logger
-from .messages import Outcome, SlotReleased
+from .messages import Outcome
 
 _EJECTION_EVENTS = {
     Outcome.ANSWERED: EjectionEvent.ANSWERED,
@@ -55,8 +55,16 @@
         reported = ReportedLoad(load, view.own_requests, now_s)
         self._views[name] = replace(view, reported=reported)
 
-    def release(self, released: SlotReleased, now_s: float) -> bool:
-        """Record the end of an attempt.
+    def release(self, name: TargetName) -> None:
+        """Count one own request less."""
+        view = self._views.get(name, NO_VIEW)
+        running = max(0, view.own_requests - 1)
+        self._views[name] = replace(view, own_requests=running)
+
+    def record_outcome(
+        self, name: TargetName, outcome: Outcome, now_s: float
+    ) -> bool:
+        """Record how an attempt ended, or that it has stalled.
 
         Returns
         -------
@@ -64,13 +72,10 @@
             Whether the owner should be told that the target is suspected.
 
         """
-        name = released.target
-        view = self._views.get(name, NO_VIEW)
-        view = replace(view, own_requests=max(0, view.own_requests - 1))
-        self._views[name] = view
-        event = _EJECTION_EVENTS.get(released.outcome)
+        event = _EJECTION_EVENTS.get(outcome)
         if event is None:
             return False
+        view = self._views.get(name, NO_VIEW)
         step = apply_event(self._chart, view.ejection, event, now_s)
         self._views[name] = replace(view, ejection=step.ejection)
         if step.ejection.state is not view.ejection.state:
@@ -78,7 +83,7 @@
                 'target %s is %s after outcome %s',
                 name,
                 step.ejection.state,
-                released.outcome,
+                outcome,
                 extra={'target': name, 'rest_s': step.ejection.backoff_s},
             )
         return step.action is EjectionAction.REPORT
--- a/test/test_state_walks.py
+++ b/test/test_state_walks.py
@@ -26,6 +26,30 @@
     (RequestAction.REFUSE, RequestAction.FAIL, RequestAction.TIME_OUT)
 )
 ONCE_STARTED = frozenset(RequestAction) - REFUSALS
+SLOT_REQUESTS = frozenset(
+    (RequestAction.REQUEST_SLOT, RequestAction.REQUEST_OTHER_SLOT)
+)
+#: Ends of an attempt after which the target may have run the request.
+MAY_HAVE_RUN = frozenset(
+    (RequestEvent.ATTEMPT_FAILED, RequestEvent.ATTEMPT_STALLED)
+)
+#: States with the event that tells of a silent target, or of no other one.
+SILENCES = frozenset(
+    (
+        (RequestState.AWAITING_HEAD, RequestEvent.ATTEMPT_STALLED),
+        (RequestState.RELAYING, RequestEvent.ATTEMPT_STALLED),
+        (RequestState.STALLED_BEFORE_HEAD, RequestEvent.SLOT_DENIED),
+        (RequestState.STALLED_IN_ANSWER, RequestEvent.SLOT_DENIED),
+    )
+)
+#: Actions by which the target keeps the request.
+KEEPING = frozenset(
+    (
+        RequestAction.REQUEST_OTHER_SLOT,
+        RequestAction.AWAIT_HEAD,
+        RequestAction.RELAY,
+    )
+)
 
 
 def all_facts() -> Iterator[RequestFacts]:
@@ -64,12 +88,15 @@
 
     def test_a_request_is_sent_again_only_if_it_may_run_twice(self) -> None:
         for state, event, facts, move in self.moves():
-            if (
-                event is RequestEvent.ATTEMPT_FAILED
-                and move.action is RequestAction.REQUEST_SLOT
-            ):
+            if event in MAY_HAVE_RUN and move.action in SLOT_REQUESTS:
                 self.assertTrue(facts.may_retry(), (state, event, facts))
 
+    def test_a_silent_target_is_left_only_for_another(self) -> None:
+        for state, event, facts, move in self.moves():
+            if (state, event) in SILENCES:
+                self.assertNotIn(move.state, self.chart.final)
+                self.assertIn(move.action, KEEPING, (state, event, facts))
+
     def test_a_final_state_ends_all_work(self) -> None:
         for state, event, facts in itertools.product(
             self.chart.final, RequestEvent, all_facts()
