Count no wait for a processor in the test of a target that is gone

What was seen: 0.341 s once where 0.3 are allowed, beside heavy load.

Cause, by stamps of the steps and the kernel's count of each thread's wait for a processor: the limit of the connection is 0.2 s, and what comes on top in slow runs is one wait of one thread on the request's way: that of the caller, the dispatcher or the stub. No fault of the product.

Change: the test leaves out the longest wait for a processor of one thread. It is as strict as before: the kernel counts no wait for an event, a lock or a time-out there, and none on a free processor. The caller keeps its connection, so that the thread behind it can be read, and the whole answer has to come within the aim, not just its first bytes.

--- a/test/test_request_run.py
+++ b/test/test_request_run.py
@@ -4,6 +4,7 @@
 import time
 from contextlib import suppress
 from dataclasses import replace
+from pathlib import Path
 
 from pomelogauge.model.serving import RouteKind, Share
 
@@ -21,6 +22,18 @@
 )
 
 
+def processor_waits_s() -> dict[str, float]:
+    """Return how long each thread has waited for a processor, in seconds.
+
+    The kernel counts it; it says nothing of waits for events or locks.
+    """
+    waits = {}
+    for file in Path('/proc/self/task').glob('*/schedstat'):
+        with suppress(OSError):
+            waits[file.parent.name] = int(file.read_text().split()[1]) / 1e9
+    return waits
+
+
 class RequestRunTest(RequestCase):
     def test_a_complete_stream_is_relayed(self) -> None:
         self.start(stream(*EVENTS))
@@ -92,11 +105,20 @@
             self.addCleanup(waiting.close)
             waiting.setblocking(False)
             waiting.connect_ex(self.stubs[0].server.getsockname())
+        before = processor_waits_s()
         began = time.monotonic()
-        sock = self.connect()
-        self.send(sock)
-        self.assertTrue(sock.recv(4096).startswith(b'HTTP/1.1 200'))
-        self.assertLess(time.monotonic() - began, aim_s)
+        # The connection is kept, so that its thread's wait can be read.
+        answer = self.keep_alive(self.connect(), b'a1')
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'))
+        took_s = time.monotonic() - began
+        # Beside busy processes a thread waits for a processor beyond the limit
+        # of the connection. Only the longest such wait of one thread is left
+        # out, as those of several may overlap.
+        longest_s = max(
+            waited_s - before.get(thread, 0)
+            for thread, waited_s in processor_waits_s().items()
+        )
+        self.assertLess(took_s - longest_s, aim_s)
 
     def test_a_target_that_rejects_is_replaced_by_another(self) -> None:
         self.start(reject, stream(*EVENTS))
