--- a/pomelogauge/decide/target_notices.py
+++ b/pomelogauge/decide/target_notices.py
@@ -40,6 +40,9 @@
     seen_s: float
 
 
+_NO_NOTICE = _ActiveNotice(frozenset(), -math.inf, -math.inf)
+
+
 class TargetNotices:
     """Notices of all targets; owned by the dispatcher's task."""
 
@@ -106,6 +109,3 @@
             if (notice.leaving or notice.paused_until_s > now_s)
             and notice.seen_s + UNLISTED_NOTICE_S > now_s
         }
-
-
-_NO_NOTICE = _ActiveNotice(frozenset(), -math.inf, -math.inf)
--- a/pomelogauge/entry/instance_membership.py
+++ b/pomelogauge/entry/instance_membership.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure
 
-from ..decide.part_quarantine import Surroundings
+from ..decide.part_case import Surroundings
 from ..decide.report_interval import (
     heartbeat_timeout_s,
     report_interval_s,
--- a/pomelogauge/entry/part_reports.py
+++ b/pomelogauge/entry/part_reports.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 
 from ..charts.reader import load_chart
-from ..decide.part_quarantine import PartQuarantine, Surroundings
+from ..decide.part_case import Surroundings
+from ..decide.part_quarantine import PartQuarantine
 from ..decide.prompt_part_chart import PART_WORDS
 from ..decide.report_interval import report_interval_s
 from ..model.ids import NodeName, PromptPart
--- a/test/test_prompt_parts.py
+++ b/test/test_prompt_parts.py
@@ -7,14 +7,13 @@
 from itertools import cycle
 
 from pomelogauge.charts.reader import load_chart
-from pomelogauge.decide.part_quarantine import (
-    MAX_CASES,
+from pomelogauge.decide.part_case import (
     MOMENT_S,
     QUARANTINE_S,
     SUSPICION_S,
-    PartQuarantine,
     Surroundings,
 )
+from pomelogauge.decide.part_quarantine import MAX_CASES, PartQuarantine
 from pomelogauge.decide.prompt_part_chart import PART_WORDS
 from pomelogauge.decide.served_parts import (
     MAX_SERVED_PARTS,
--- a/test/test_quarantine_record.py
+++ b/test/test_quarantine_record.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from pomelogauge.decide.part_quarantine import Surroundings
+from pomelogauge.decide.part_case import Surroundings
 from pomelogauge.entry.messages import PartsRestored
 from pomelogauge.entry.owner_lease_keeper import OwnerLeaseKeeper
 from pomelogauge.entry.part_reports import PartReports, ReceivedEvidence
