Claim the block of ports of a test process

Change: a process claims its block by listening on the first port of it for as long as it lives, and takes the next block if that port is taken.

--- a/test/entry_process.py
+++ b/test/entry_process.py
@@ -32,13 +32,35 @@
 FIRST_PORT = 15_000
 PORT_BLOCKS = 150
 BLOCK_PORTS = 100
-BLOCK = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS
-PORTS = itertools.cycle(range(BLOCK, BLOCK + BLOCK_PORTS))
+
+
+def claim_block(number: int) -> socket.socket:
+    """Return a listener on the first port of a block that nobody else has.
+
+    The block is claimed for as long as the listener is open.
+
+    Parameters
+    ----------
+    number
+        Of the block that is tried first.
+
+    """
+    for offset in range(PORT_BLOCKS):
+        block = (number + offset) % PORT_BLOCKS
+        address = '127.0.0.1', FIRST_PORT + block * BLOCK_PORTS
+        with suppress(OSError):
+            return socket.create_server(address)
+    raise OSError(f'all {PORT_BLOCKS} blocks of ports are claimed')
+
+
+CLAIM = claim_block(os.getpid())
+BLOCK = CLAIM.getsockname()[1]
+PORTS = itertools.cycle(range(BLOCK + 1, BLOCK + BLOCK_PORTS))
 
 
 def free_port() -> int:
     """Return a port of the own block on which nothing listens."""
-    for port in itertools.islice(PORTS, BLOCK_PORTS):
+    for port in itertools.islice(PORTS, BLOCK_PORTS - 1):
         with suppress(OSError), socket.create_server(('127.0.0.1', port)):
             return port
     raise OSError(f'all {BLOCK_PORTS} ports from {BLOCK} are in use')
--- a/test/test_entry_process.py
+++ b/test/test_entry_process.py
@@ -10,7 +10,7 @@
 import unittest
 from pathlib import Path
 
-from .entry_process import EntryProcess
+from .entry_process import EntryProcess, claim_block
 from .platform_standin import (
     StoreStandin,
     WorkerStandin,
@@ -291,3 +291,14 @@
             b'bad.json node_name: expected a string, got int', completed.stderr
         )
         self.assertNotIn(b'Traceback', completed.stderr)
+
+
+class PortBlockTest(unittest.TestCase):
+    def test_two_test_processes_do_not_share_a_block_of_ports(self) -> None:
+        """Guards against requests that reach the targets of another test run.
+
+        The ids of both processes left the same rest.
+        """
+        with claim_block(7) as first, claim_block(7) as second:
+            ports = {first.getsockname()[1], second.getsockname()[1]}
+        self.assertEqual(len(ports), 2)
