Say what an answer under way shows of a part of prompts

Since an answer that a target has been sending for half a second acquits a part like a whole one; three docstrings still spoke of whole answers only. No code changes.

--- a/pomelogauge/decide/part_case.py
+++ b/pomelogauge/decide/part_case.py
@@ -84,7 +84,8 @@
     told_s
         Time since which the instances know of it; infinite if they don't.
     served_s
-        Time at which the latest answer began that was served wholly.
+        Time at which the latest answer began that was served wholly, or for
+        some time.
     reporters
         Instances that have lost answers with it.
 
@@ -127,7 +128,7 @@
         return replace(self, crashes=tuple(crashes))
 
     def with_service(self, at_s: float) -> 'PartCase':
-        """Forget the crashes before an answer that was served wholly."""
+        """Forget the crashes before an answer that shows the part sound."""
         crashes = tuple(crash for crash in self.crashes if crash.at_s > at_s)
         is_told = crashes == self.crashes or len(crashes) >= SUSPICIOUS_CRASHES
         return replace(
--- a/pomelogauge/model/prompt_parts.py
+++ b/pomelogauge/model/prompt_parts.py
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, order=True)
 class PartService:
-    """A request with a part that a target answered wholly.
+    """A request with a part that a target answered, wholly or for some time.
 
     Parameters
     ----------
