Review: stand-ins end their processes when the time limit strikes

Before, a script that its own time limit ended left the entry processes that it had started behind. SIGTERM now ends it like an error does. Checked by a SIGTERM in the middle of case 1: no process was left.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -640,6 +641,8 @@
         self.folder = Path(self._folder.name)
         self.store = Store()
         self.is_over = False
+        # The time limit of run.sh must not leave processes behind.
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
 
     def host(self) -> str:
         """Return another loopback address."""
